--- /dev/null
+++ b/src/action/mod.rs
@@ -0,0 +1,1 @@
+//! Actions that must not repeat: claim, send, outcome.
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! The administration API.
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Fair shares, priorities and early refusals.
--- /dev/null
+++ b/src/caller/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP front for callers.
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,7 @@
+//! The configuration in force: services, their versions and routes, and client accounts.
+
+mod model;
+mod store;
+
+pub use model::{Account, Fencing, Kind, Repeat, Revised, Route, Service, Version, View};
+pub use store::Store;
--- /dev/null
+++ b/src/config/model.rs
@@ -0,0 +1,133 @@
+//! The configuration's objects, as the platform keeps them.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// What a service's targets are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Model engines that stream tokens.
+    Generation,
+    /// A plain HTTP service.
+    Plain,
+}
+
+/// Whether a call may be sent more than once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeat {
+    /// Idempotent: may be retried.
+    Safe,
+    /// At most once.
+    #[default]
+    Never,
+}
+
+/// A route of a plain service. The first that matches decides.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// HTTP method, or `*`.
+    pub method: SmolStr,
+    /// Path prefix, beginning with `/`.
+    pub path: SmolStr,
+    /// Whether its calls may be repeated.
+    #[serde(default)]
+    pub repeat: Repeat,
+    /// Path of the service's status call, if it has one.
+    #[serde(default)]
+    pub status: Option<SmolStr>,
+}
+
+/// A version of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Version {
+    /// Model that its engines load; empty for plain services.
+    #[serde(default)]
+    pub model: SmolStr,
+}
+
+/// Whether a service's targets check the fencing number of an order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fencing {
+    /// Old orders are refused by the target.
+    Checked,
+    /// The target obeys any order.
+    #[default]
+    Ignored,
+}
+
+/// A service that the system routes to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// What its targets are.
+    pub kind: Kind,
+    /// The version that carries traffic when no move runs.
+    pub version: SmolStr,
+    /// All versions by name.
+    pub versions: IndexMap<SmolStr, Version>,
+    /// Routes of a plain service.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// Whether its targets check fencing numbers.
+    #[serde(default)]
+    pub fencing: Fencing,
+    /// Longest answer time in milliseconds before a plain call counts as lost.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u64,
+}
+
+fn default_timeout() -> u64 {
+    10_000
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// Hex SHA-256 of the account's key.
+    pub key_sha256: SmolStr,
+    /// Weight in the fair shares.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most requests at once.
+    #[serde(default = "default_concurrency")]
+    pub concurrency: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_concurrency() -> u32 {
+    256
+}
+
+/// An object with the revision that it was stored under.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Revised<T> {
+    /// Platform revision.
+    pub rev: u64,
+    /// The object; shared, never changed in place.
+    pub value: Arc<T>,
+}
+
+/// One consistent reading of the whole configuration.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Highest platform revision applied.
+    pub rev: u64,
+    /// Services by name.
+    pub services: IndexMap<SmolStr, Revised<Service>>,
+    /// Accounts by name.
+    pub accounts: IndexMap<SmolStr, Revised<Account>>,
+    /// Account name by hex SHA-256 of its key.
+    pub keys: IndexMap<SmolStr, SmolStr>,
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! Instances and targets, leaving, and orders.
--- /dev/null
+++ b/src/generation/mod.rs
@@ -0,0 +1,1 @@
+//! Generations: attempts, token journal, resume, takeover.
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,1 @@
+//! One entry instance: its parts and how they are wired.
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between instances over h2.
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API and instance list.
--- /dev/null
+++ b/src/rollout/mod.rs
@@ -0,0 +1,1 @@
+//! Moves of traffic between versions: evidence and verdicts.
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a target.
--- /dev/null
+++ b/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Clients of engines and plain services.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
