Parse the settings and set up logs and metrics

Cause: an instance needs its addresses, failure domain, keys and limits from a file, and its operators need every fault of that file at once. Ruled out: serde over an INI map, which stops at the first fault and loses the line; a global metrics recorder, which several instances in one process would share. Change: each key is declared once with its default and what it may be; the parser streams line by line and reports all findings with file, line and what is allowed. The root logger writes from its own thread and is flushed by a guard.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,11 @@
 //! The settings of one instance, read from an INI file.
 
+mod finding;
+mod ini;
+mod key;
+mod parse;
+pub(crate) mod value;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,6 +13,9 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+pub use finding::{Finding, Findings};
+pub use key::{KEYS, Key};
+
 /// A text that is never shown.
 #[derive(Clone, PartialEq, Eq)]
 pub struct Secret(pub SmolStr);
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,1 +1,7 @@
 //! Logs and metrics.
+
+mod log;
+mod metric;
+
+pub use log::{Guard, logger};
+pub use metric::{Metrics, Span, Stage};
