Keep a roster of targets and entry instances

Cause: routing, leaving and peers all need the same reading of the fleet, and keys that stay valid while the platform's list lags.

Ruled out: keys by list position (they move when the list changes) and dropping a target at once when the list no longer names it, which would take the address away from generations that still run there.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,1 +1,5 @@
-//! Instances and targets, leaving, and orders.
+//! Instances and targets of the fleet as this instance sees them, leaving, and orders.
+
+mod roster;
+
+pub use roster::{Entry, Fleet, Roster, Target};
