Hold revisions per object and the shape of a move

Cause: the view needs a way in that can be fed by watches, listings and peers in any order. Ruled out: one revision for the whole view, since a lagging listing then hides newer objects of other kinds. Move is the stored value of a move; the view looks up the version of a request by its key. Conclusion: the signatures that other parts call are in place.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,4 +4,4 @@
 mod store;
 
 pub use model::{Account, Fencing, Kind, Repeat, Revised, Route, Service, Version, View};
-pub use store::Store;
+pub use store::{Entry, Held, KINDS, Store, Summary};
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::ident::RequestKey;
+use crate::rollout::{Move, Phase};
+
 /// What a service's targets are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -130,4 +133,21 @@
     pub accounts: IndexMap<SmolStr, Revised<Account>>,
     /// Account name by hex SHA-256 of its key.
     pub keys: IndexMap<SmolStr, SmolStr>,
+    /// The last move of each service, by service.
+    pub moves: IndexMap<SmolStr, Revised<Move>>,
+}
+
+impl View {
+    /// The version of `service` that serves `key` by what is stored. An ended move holds until
+    /// the service itself is changed after it.
+    #[must_use]
+    pub fn version_for(&self, service: &str, key: RequestKey) -> Option<&SmolStr> {
+        let held = self.services.get(service)?;
+        match self.moves.get(service) {
+            Some(m) if !m.value.phase.is_final() => Some(m.value.version_for(key)),
+            Some(m) if m.value.phase == Phase::Done && m.rev > held.rev => Some(&m.value.to),
+            Some(m) if m.rev > held.rev => Some(&m.value.from),
+            _ => Some(&held.value.version),
+        }
+    }
 }
