Add the router: locality, load, prefix affinity and health

Cause: nothing chose a target for a request.

A router over an arena of targets, indexed by service, version and failure domain. Load reports are corrected by what this instance started and ended since their figures were taken, and bounded below by the instances' own counts. Random, round robin, two choices and least reported load stay as named baselines.

Ruled out: a cost for the remains of an old suspicion. It sent requests over a billed link six seconds after a fault; suspicion now counts only while it is above the limit.

--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,1 +1,17 @@
-//! Choice of a target.
+//! Choice of a target for one attempt: locality, load, prefix affinity and health.
+//!
+//! A [`Router`] is fed by the fleet (which targets exist), by load reports (which lag), by peers
+//! (their in-flight counts and the targets that they found dead) and by its own leases.
+
+mod health;
+mod load;
+mod policy;
+mod router;
+mod table;
+mod word;
+
+pub use load::Report;
+pub use policy::{Costs, Policy};
+pub use router::{Lease, Query, Router, Supply};
+pub use table::Target;
+pub use word::{Count, Word};
--- /dev/null
+++ b/src/routing/router.rs
@@ -0,0 +1,298 @@
+//! The router: its inputs, the choice, and the lease that counts a request in flight.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use parking_lot::{Mutex, RwLock};
+use smol_str::SmolStr;
+
+use super::health::Fitness;
+use super::load::Report;
+use super::policy::{Choice, Costs, Policy};
+use super::table::{Entry, Table, Target};
+use super::word::{Count, Word};
+use crate::ident::TargetKey;
+
+/// What a request needs of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Version of the service.
+    pub version: &'a str,
+    /// Failure domain of the entry instance.
+    pub domain: &'a str,
+    /// Region of the entry instance.
+    pub region: &'a str,
+    /// Digest of the prompt's leading block, if its cached prefix is worth finding.
+    pub prefix: Option<u64>,
+    /// Targets that must not be chosen.
+    pub excluded: &'a [TargetKey],
+    /// Expected bytes to and from the target.
+    pub bytes: u64,
+}
+
+/// What the targets of a service could carry, for admission.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Supply {
+    /// Targets that get work.
+    pub targets: u32,
+    /// Their slots.
+    pub slots: u32,
+    /// Requests thought to run or wait at them.
+    pub load: u32,
+}
+
+/// Chooses targets and counts what is in flight at each.
+pub struct Router {
+    policy: Policy,
+    costs: Costs,
+    base: Instant,
+    table: RwLock<Arc<Table>>,
+    turn: AtomicUsize,
+    words: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
+}
+
+impl Router {
+    /// A router without targets.
+    #[must_use]
+    pub fn new(policy: Policy, costs: Costs) -> Self {
+        Self {
+            policy,
+            costs,
+            base: Instant::now(),
+            table: RwLock::default(),
+            turn: AtomicUsize::new(0),
+            words: Mutex::default(),
+        }
+    }
+
+    /// Takes a fleet reading: all targets there are.
+    ///
+    /// A target keeps what is known of it while its key, name and place stay the same. Leaving is
+    /// never taken back.
+    pub fn sync(&self, targets: Vec<Target>) {
+        let mut table = self.table.write();
+        *table = Arc::new(Table::build(targets, &table, self.base));
+    }
+
+    /// Chooses a target and counts the request as in flight until the lease is dropped.
+    pub fn choose(&self, query: &Query<'_>, now: Instant) -> Option<Lease> {
+        let table = self.table();
+        let choice = Choice {
+            table: &table,
+            pool: table.pool(query.service, query.version)?,
+            query,
+            costs: self.costs,
+            now,
+        };
+        let entry = match self.policy {
+            Policy::Random => choice.random(),
+            Policy::RoundRobin => choice.in_turn(&self.turn),
+            Policy::TwoChoices => choice.two_choices(),
+            Policy::LeastReported => choice.least_reported(),
+            Policy::Cost => choice.by_cost(),
+        }?;
+        Some(self.lease(entry, query.region, now))
+    }
+
+    /// Counts a request on a given target, as when a running attempt is taken over.
+    pub fn claim(&self, key: TargetKey, region: &str, now: Instant) -> Option<Lease> {
+        let table = self.table();
+        let entry = table.entry(key)?;
+        Some(self.lease(entry, region, now))
+    }
+
+    /// Takes a load report received at `now`, from the target or through a peer.
+    ///
+    /// A report is no sign of life by itself: see [`Self::mark_alive`].
+    pub fn report(&self, key: TargetKey, report: Report, now: Instant) {
+        self.with(key, |entry| {
+            let mut state = entry.state.lock();
+            state.load.report(report, now);
+            if report.leaving {
+                state.health.leave();
+            }
+        });
+    }
+
+    /// A refused connection or a silent stream: avoided for a while.
+    pub fn mark_suspect(&self, key: TargetKey, now: Instant) {
+        self.with(key, |entry| entry.state.lock().health.suspect(now));
+    }
+
+    /// Surely dead: gets nothing for some seconds, and peers are told.
+    pub fn mark_dead(&self, key: TargetKey, now: Instant) {
+        self.with(key, |entry| entry.state.lock().health.dead(now));
+    }
+
+    /// The target answered something that was sent at `since`.
+    pub fn mark_alive(&self, key: TargetKey, since: Instant) {
+        self.with(key, |entry| entry.state.lock().health.alive(since));
+    }
+
+    /// The target's own word, or the fleet's, that it is leaving.
+    pub fn mark_leaving(&self, key: TargetKey) {
+        self.with(key, |entry| entry.state.lock().health.leave());
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn forget_peer(&self, origin: &str) {
+        self.words.lock().swap_remove(origin);
+    }
+
+    /// What this instance tells its peers.
+    #[must_use]
+    pub fn word(&self, now: Instant) -> Word {
+        let mut word = Word::default();
+        for entry in self.table().entries() {
+            let name = &entry.target.name;
+            let state = entry.state.lock();
+            if state.load.inflight() > 0 {
+                word.counts.push(Count {
+                    target: name.clone(),
+                    count: state.load.inflight(),
+                });
+            }
+            if state.health.found_dead(now) {
+                word.dead.push(name.clone());
+            }
+            if state.health.leaving() {
+                word.leaving.push(name.clone());
+            }
+        }
+        word
+    }
+
+    /// Takes the word of the peer `origin`, in place of its earlier one.
+    pub fn peer_word(&self, origin: &str, word: &Word, now: Instant) {
+        let table = self.table();
+        let mut words = self.words.lock();
+        let counted = words.entry(origin.into()).or_default();
+        for entry in counted.drain(..).filter_map(|key| table.entry(key)) {
+            entry.state.lock().load.peer_count(origin, 0, now);
+        }
+        for count in &word.counts {
+            let Some(entry) = table.named(&count.target) else {
+                continue;
+            };
+            let mut state = entry.state.lock();
+            state.load.peer_count(origin, count.count, now);
+            counted.push(entry.target.key);
+        }
+        drop(words);
+        for entry in word.dead.iter().filter_map(|name| table.named(name)) {
+            entry.state.lock().health.peer_dead(now);
+        }
+        for entry in word.leaving.iter().filter_map(|name| table.named(name)) {
+            entry.state.lock().health.leave();
+        }
+    }
+
+    /// What the fit targets of `service` could carry, over all its versions.
+    #[must_use]
+    pub fn supply(&self, service: &str, now: Instant) -> Supply {
+        let table = self.table();
+        let mut supply = Supply::default();
+        for key in table.pools(service).flat_map(|(_, pool)| &pool.members) {
+            let Some(entry) = table.entry(*key) else {
+                continue;
+            };
+            let state = entry.state.lock();
+            if state.health.fitness(now) == Fitness::Unfit {
+                continue;
+            }
+            supply.targets += 1;
+            supply.slots += state.load.slots();
+            supply.load += state.load.estimate(now);
+        }
+        supply
+    }
+
+    /// Estimated requests at a target.
+    #[must_use]
+    pub fn estimate(&self, key: TargetKey, now: Instant) -> Option<u32> {
+        let table = self.table();
+        let entry = table.entry(key)?;
+        let estimate = entry.state.lock().load.estimate(now);
+        Some(estimate)
+    }
+
+    fn lease(&self, entry: &Arc<Entry>, region: &str, now: Instant) -> Lease {
+        entry.state.lock().load.start(now);
+        Lease {
+            key: entry.target.key,
+            addr: entry.target.addr,
+            far: entry.target.region != region,
+            started: now,
+            entry: Some(Arc::clone(entry)),
+        }
+    }
+
+    fn table(&self) -> Arc<Table> {
+        Arc::clone(&self.table.read())
+    }
+
+    fn with(&self, key: TargetKey, act: impl FnOnce(&Entry)) {
+        if let Some(entry) = self.table().entry(key) {
+            act(entry);
+        }
+    }
+}
+
+impl fmt::Debug for Router {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Router")
+            .field("policy", &self.policy)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A request in flight at a target. Dropping it ends the count.
+#[derive(Debug)]
+pub struct Lease {
+    /// The target.
+    pub key: TargetKey,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Whether its traffic is billed, as it crosses regions.
+    pub far: bool,
+    started: Instant,
+    entry: Option<Arc<Entry>>,
+}
+
+impl Lease {
+    /// Name of the target.
+    #[must_use]
+    pub fn name(&self) -> SmolStr {
+        self.entry
+            .as_ref()
+            .map_or_else(SmolStr::default, |e| e.target.name.clone())
+    }
+
+    /// Ends the count at `now`, with the time that the slot was held.
+    pub fn finish(mut self, now: Instant) {
+        self.end(now);
+    }
+
+    fn end(&mut self, now: Instant) {
+        let Some(entry) = self.entry.take() else {
+            return;
+        };
+        entry.state.lock().load.end(now);
+        let held = now.saturating_duration_since(self.started);
+        entry.hold.learn(held);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.entry.is_some() {
+            self.end(Instant::now());
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/table.rs
@@ -0,0 +1,214 @@
+//! The targets of one fleet reading, indexed by service, version and failure domain.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::health::Health;
+use super::load::{Hold, Load};
+use crate::ident::TargetKey;
+
+/// Points of each target on a group's ring.
+const POINTS: u64 = 8;
+
+/// One target as the fleet knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its key in the fleet's arena.
+    pub key: TargetKey,
+    /// Its name, unique in the fleet.
+    pub name: SmolStr,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: SmolStr,
+    /// Region.
+    pub region: SmolStr,
+    /// Service that it runs.
+    pub service: SmolStr,
+    /// Version that it runs.
+    pub version: SmolStr,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// A target with what is known of it.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) target: Target,
+    pub(crate) hash: u64,
+    pub(crate) hold: Arc<Hold>,
+    pub(crate) state: Mutex<State>,
+}
+
+/// What is known of one target, under one lock.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) load: Load,
+    pub(crate) health: Health,
+}
+
+impl Entry {
+    fn new(target: Target, hold: Arc<Hold>, base: Instant) -> Self {
+        let mut health = Health::default();
+        if target.leaving {
+            health.leave();
+        }
+        Self {
+            hash: xxh3_64(target.name.as_bytes()),
+            target,
+            hold,
+            state: Mutex::new(State {
+                load: Load::new(base),
+                health,
+            }),
+        }
+    }
+}
+
+/// The targets of one service, version and failure domain.
+#[derive(Debug)]
+pub(crate) struct Group {
+    pub(crate) domain: SmolStr,
+    pub(crate) region: SmolStr,
+    pub(crate) members: Vec<TargetKey>,
+    ring: Vec<(u64, TargetKey)>,
+}
+
+impl Group {
+    /// Members in ring order from `point`, each possibly more than once.
+    pub(crate) fn walk(&self, point: u64) -> impl Iterator<Item = TargetKey> {
+        let start = self.ring.partition_point(|(at, _)| *at < point);
+        let (before, after) = self.ring.split_at(start);
+        after.iter().chain(before).map(|(_, key)| *key)
+    }
+
+    fn close(&mut self, entries: &[Option<Arc<Entry>>]) {
+        let hashed = self.members.iter().filter_map(|key| {
+            let entry = entries[key.0 as usize].as_ref()?;
+            Some((entry.hash, *key))
+        });
+        self.ring = hashed
+            .flat_map(|(hash, key)| (0..POINTS).map(move |i| (mix(hash, i), key)))
+            .collect();
+        self.ring.sort_unstable();
+    }
+}
+
+/// The targets of one service and version.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    pub(crate) hold: Arc<Hold>,
+    pub(crate) members: Vec<TargetKey>,
+    pub(crate) groups: Vec<Group>,
+}
+
+/// One fleet reading.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    entries: Vec<Option<Arc<Entry>>>,
+    names: IndexMap<SmolStr, TargetKey>,
+    services: IndexMap<SmolStr, IndexMap<SmolStr, Pool>>,
+}
+
+impl Table {
+    /// Indexes `targets`, keeping what `old` knows of those that are the same.
+    pub(crate) fn build(targets: Vec<Target>, old: &Self, base: Instant) -> Self {
+        let size = targets.iter().map(|t| t.key.0 as usize + 1).max();
+        let mut table = Self {
+            entries: vec![None; size.unwrap_or(0)],
+            ..Self::default()
+        };
+        for target in targets {
+            table.insert(target, old, base);
+        }
+        let entries = &table.entries;
+        let pools = table.services.values_mut().flat_map(IndexMap::values_mut);
+        pools
+            .flat_map(|pool| &mut pool.groups)
+            .for_each(|group| group.close(entries));
+        table
+    }
+
+    pub(crate) fn entry(&self, key: TargetKey) -> Option<&Arc<Entry>> {
+        self.entries.get(key.0 as usize)?.as_ref()
+    }
+
+    pub(crate) fn named(&self, name: &str) -> Option<&Arc<Entry>> {
+        self.entry(*self.names.get(name)?)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Arc<Entry>> {
+        self.entries.iter().flatten()
+    }
+
+    pub(crate) fn pool(&self, service: &str, version: &str) -> Option<&Pool> {
+        self.services.get(service)?.get(version)
+    }
+
+    pub(crate) fn pools(&self, service: &str) -> impl Iterator<Item = (&SmolStr, &Pool)> {
+        self.services.get(service).into_iter().flatten()
+    }
+
+    fn hold(&self, target: &Target) -> Arc<Hold> {
+        let pool = self.pool(&target.service, &target.version);
+        pool.map_or_else(Arc::default, |pool| Arc::clone(&pool.hold))
+    }
+
+    fn insert(&mut self, target: Target, old: &Self, base: Instant) {
+        let key = target.key;
+        let pool = self
+            .services
+            .entry(target.service.clone())
+            .or_default()
+            .entry(target.version.clone())
+            .or_insert_with(|| Pool {
+                hold: old.hold(&target),
+                ..Pool::default()
+            });
+        pool.members.push(key);
+        match pool.groups.iter_mut().find(|g| g.domain == target.domain) {
+            Some(group) => group.members.push(key),
+            None => pool.groups.push(Group {
+                domain: target.domain.clone(),
+                region: target.region.clone(),
+                members: vec![key],
+                ring: Vec::new(),
+            }),
+        }
+        let hold = Arc::clone(&pool.hold);
+        self.names.insert(target.name.clone(), key);
+        self.entries[key.0 as usize] = Some(carry(target, hold, old, base));
+    }
+}
+
+/// Keeps the entry of a target that did not change; one that began to leave keeps its counts.
+fn carry(target: Target, hold: Arc<Hold>, old: &Table, base: Instant) -> Arc<Entry> {
+    let Some(entry) = old.entry(target.key) else {
+        return Arc::new(Entry::new(target, hold, base));
+    };
+    let same = Target {
+        leaving: entry.target.leaving,
+        ..target.clone()
+    } == entry.target;
+    if !same {
+        return Arc::new(Entry::new(target, hold, base));
+    }
+    if target.leaving {
+        entry.state.lock().health.leave();
+    }
+    Arc::clone(entry)
+}
+
+/// Mixes two hashes into one.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^ (x >> 31)
+}
