--- a/examples/standin/conn.rs
+++ b/examples/standin/conn.rs
@@ -1,9 +1,12 @@
 //! Serves a router over HTTP/1.1, with answers that can be lost on the way.
 
 use std::io;
+use std::time::Instant;
 
 use axum::Router;
 use axum::response::Response;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
@@ -13,6 +16,10 @@
 #[derive(Clone, Copy)]
 struct Lost;
 
+/// When a request's connection was accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct Accepted(pub Instant);
+
 /// A response that the other side never sees.
 pub fn lost() -> Response {
     let mut response = Response::default();
@@ -26,7 +33,9 @@
         let (stream, _) = listener.accept().await?;
         stream.set_nodelay(true)?;
         let inner = TowerToHyperService::new(router.clone());
-        let service = service_fn(move |request| {
+        let accepted = Accepted(Instant::now());
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(accepted);
             let answer = hyper::service::Service::call(&inner, request);
             async move {
                 let response: Response = answer.await.expect("a router never fails");
--- a/examples/standin/platform/faults.rs
+++ b/examples/standin/platform/faults.rs
@@ -46,6 +46,8 @@
     pub stale_ms: u64,
     /// The instance list shows the entries as they were so long ago.
     pub lag_ms: u64,
+    /// Setting it makes every connection that is open at that moment silent for good.
+    pub silent: bool,
     /// Writes a second; 0 is unlimited.
     pub write_rate: u32,
     /// Reads, lists and watches a second; 0 is unlimited.
--- a/examples/standin/platform/routes.rs
+++ b/examples/standin/platform/routes.rs
@@ -13,10 +13,11 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
+use super::conn::{self, Accepted};
 use super::faults::{Bucket, Counts, Faults, Outage};
 use super::instances::Instances;
 use super::store::Store;
-use super::{Options, conn, objects};
+use super::{Options, objects};
 
 /// Most bytes of a value.
 pub const VALUE_LIMIT: usize = 1 << 20;
@@ -36,6 +37,7 @@
     pub counts: Counts,
     pub writes: Bucket,
     pub reads: Bucket,
+    pub silent: Option<Instant>,
 }
 
 impl Shared {
@@ -48,6 +50,7 @@
             counts: Counts::default(),
             writes: Bucket::new(now),
             reads: Bucket::new(now),
+            silent: None,
         };
         Self {
             inner: Mutex::new(inner),
@@ -79,6 +82,10 @@
 
 /// Counts a call, then applies outage, rates and delay to it.
 async fn gate(State(shared): App, request: Request, next: Next) -> Response {
+    let accepted = request.extensions().get::<Accepted>().map(|a| a.0);
+    if accepted < shared.inner.lock().silent {
+        std::future::pending::<()>().await;
+    }
     let (outage, allowed, delay) = shared.inner.lock().admit(&request);
     tokio::time::sleep(delay).await;
     match outage {
@@ -128,10 +135,13 @@
 
 async fn control(State(shared): App, Json(change): Json<Value>) -> Response {
     let mut inner = shared.inner.lock();
-    match inner.faults.merge(change) {
-        Ok(()) => Json(&inner.faults).into_response(),
-        Err(e) => (StatusCode::BAD_REQUEST, e).into_response(),
+    if let Err(e) = inner.faults.merge(change) {
+        return (StatusCode::BAD_REQUEST, e).into_response();
+    }
+    if std::mem::take(&mut inner.faults.silent) {
+        inner.silent = Some(Instant::now());
     }
+    Json(&inner.faults).into_response()
 }
 
 async fn counts(State(shared): App) -> Json<Counts> {
