Add the administration API for services, versions and accounts

Cause: operators need to change the configuration, and two of them may race while the platform loses answers. Ruled out: unconditional writes, and answering a lost write by trying again without a condition. Change: each change names its base revision, is checked whole before it is written, and is written under that condition; after a lost answer the object is read back. Nothing but /healthz and /readyz answers without an operator key.

--- /dev/null
+++ b/src/admin/answer.rs
@@ -0,0 +1,135 @@
+//! Error answers of the administration API.
+
+use axum::Json;
+use axum::http::StatusCode;
+use axum::http::header::RETRY_AFTER;
+use axum::response::{IntoResponse, Response};
+use serde::Serialize;
+use serde_json::Value;
+
+use super::Fault;
+use crate::platform;
+
+/// An error answer.
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Refusal {
+    #[serde(skip)]
+    status: StatusCode,
+    outcome: &'static str,
+    reason: &'static str,
+    message: String,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    findings: Vec<Fault>,
+    #[serde(flatten)]
+    sides: Option<Box<Sides>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Both sides of a conflict.
+#[derive(Debug, Serialize)]
+struct Sides {
+    yours: Value,
+    present: Value,
+}
+
+#[derive(Serialize)]
+struct Body {
+    error: Refusal,
+}
+
+impl Refusal {
+    /// Nothing was changed.
+    pub(crate) fn new(
+        status: StatusCode,
+        reason: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            status,
+            outcome: "not_run",
+            reason,
+            message: message.into(),
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn not_found(what: &str, name: &str) -> Self {
+        Self::new(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            format!("no {what} is named `{name}`"),
+        )
+    }
+
+    pub(crate) fn findings(findings: Vec<Fault>) -> Self {
+        Self {
+            findings,
+            ..Self::new(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "bad_change",
+                "the change has faults; nothing was changed",
+            )
+        }
+    }
+
+    /// Another change came first: both sides are shown.
+    pub(crate) fn conflict(yours: Value, present: Value) -> Self {
+        Self {
+            sides: Some(Box::new(Sides { yours, present })),
+            ..Self::new(
+                StatusCode::CONFLICT,
+                "conflict",
+                "the object has changed since that revision; nothing was changed",
+            )
+        }
+    }
+
+    /// As [`Self::conflict`], after a lost answer: the change may have been in force for a while.
+    pub(crate) fn overtaken(yours: Value, present: Value) -> Self {
+        Self {
+            outcome: "outcome_unknown",
+            message: "the object has changed since that revision, perhaps after this change".into(),
+            ..Self::conflict(yours, present)
+        }
+    }
+
+    pub(crate) fn platform(error: &platform::Error) -> Self {
+        let message = error.to_string();
+        match error {
+            platform::Error::Unknown(_) => Self {
+                outcome: "outcome_unknown",
+                ..Self::new(StatusCode::GATEWAY_TIMEOUT, "answer_lost", message)
+            },
+            platform::Error::Throttled(wait) => Self {
+                retry_after_ms: Some(wait.as_millis() as u64),
+                ..Self::new(StatusCode::SERVICE_UNAVAILABLE, "platform_busy", message)
+            },
+            platform::Error::Rejected(_) => {
+                Self::new(StatusCode::UNPROCESSABLE_ENTITY, "rejected", message)
+            }
+            _ => Self::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "platform_unavailable",
+                message,
+            ),
+        }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let wait = self.retry_after_ms.map(|ms| ms.div_ceil(1_000).to_string());
+        let status = self.status;
+        let mut response = (status, Json(Body { error: self })).into_response();
+        if let Some(wait) = wait.and_then(|wait| wait.parse().ok()) {
+            response.headers_mut().insert(RETRY_AFTER, wait);
+        }
+        response
+    }
+}
+
+/// Answers a path that is not part of the API.
+pub(crate) async fn no_route() -> Refusal {
+    Refusal::new(StatusCode::NOT_FOUND, "no_route", "no such path")
+}
--- /dev/null
+++ b/src/admin/auth.rs
@@ -0,0 +1,68 @@
+//! Operator keys.
+
+use std::sync::Arc;
+
+use axum::extract::{Request, State};
+use axum::http::header::{AUTHORIZATION, WWW_AUTHENTICATE};
+use axum::http::{HeaderValue, StatusCode};
+use axum::middleware::Next;
+use axum::response::{IntoResponse, Response};
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use super::Parts;
+use super::answer::Refusal;
+
+/// Who sent a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Operator(pub(crate) SmolStr);
+
+/// Lets a request pass only with an operator's key.
+pub(crate) async fn require(
+    State(parts): State<Arc<Parts>>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let key = request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    match key.and_then(|key| find(&parts.operators, key)) {
+        Some(operator) => {
+            request.extensions_mut().insert(operator);
+            next.run(request).await
+        }
+        None => {
+            parts.metrics.refused("operator_key");
+            refuse()
+        }
+    }
+}
+
+/// Finds whose key it is; takes the same time for every key.
+fn find(operators: &IndexMap<SmolStr, SmolStr>, key: &str) -> Option<Operator> {
+    let digest = hex::encode(Sha256::digest(key.as_bytes()));
+    operators.iter().fold(None, |found, (name, known)| {
+        let same = bool::from(known.as_bytes().ct_eq(digest.as_bytes()));
+        if same {
+            Some(Operator(name.clone()))
+        } else {
+            found
+        }
+    })
+}
+
+fn refuse() -> Response {
+    let refusal = Refusal::new(
+        StatusCode::UNAUTHORIZED,
+        "bad_key",
+        "send a known operator key as `Authorization: Bearer <key>`",
+    );
+    let mut response = refusal.into_response();
+    response
+        .headers_mut()
+        .insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    response
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,1 +1,109 @@
 //! The administration API.
+//!
+//! Handlers are thin: what a change may be is decided in `check`, how it is written in `change`.
+
+mod answer;
+mod auth;
+mod change;
+pub(crate) mod check;
+mod event;
+mod object;
+mod status;
+
+use std::fmt;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::StatusCode;
+use axum::middleware::from_fn_with_state;
+use axum::routing::{get, put};
+use indexmap::IndexMap;
+use slog::Logger;
+use smol_str::SmolStr;
+
+pub use check::Fault;
+pub use event::{Event, Events};
+pub use status::{Fleet, InstanceStatus, TargetStatus};
+
+use crate::config::Store;
+use crate::platform;
+use crate::settings::Identity;
+use crate::telemetry::Metrics;
+
+/// What the administration API works on.
+pub struct Parts {
+    /// This instance.
+    pub instance: Identity,
+    /// Hex SHA-256 of each operator's key, by name.
+    pub operators: IndexMap<SmolStr, SmolStr>,
+    /// Where changes are written.
+    pub platform: platform::Client,
+    /// The configuration in force.
+    pub store: Arc<Store>,
+    /// Metrics to render.
+    pub metrics: Metrics,
+    /// What happened lately.
+    pub events: Events,
+    /// Whether the instance takes new work.
+    pub ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// What the instance knows of others.
+    pub fleet: Box<dyn Fn() -> Fleet + Send + Sync>,
+    /// Log.
+    pub log: Logger,
+}
+
+impl fmt::Debug for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Parts")
+            .field("instance", &self.instance)
+            .finish_non_exhaustive()
+    }
+}
+
+type Shared = State<Arc<Parts>>;
+
+/// The routes of the administration API. Only `/healthz` and `/readyz` need no operator key.
+pub fn router(parts: Arc<Parts>) -> Router {
+    let guarded = Router::new()
+        .route("/metrics", get(metrics))
+        .route("/v1/status", get(status::show))
+        .route("/v1/events", get(event::list))
+        .route("/v1/services", get(object::services))
+        .route(
+            "/v1/services/{name}",
+            get(object::service)
+                .put(object::put_service)
+                .delete(object::delete_service),
+        )
+        .route(
+            "/v1/services/{name}/versions/{version}",
+            put(object::put_version).delete(object::delete_version),
+        )
+        .route("/v1/accounts", get(object::accounts))
+        .route(
+            "/v1/accounts/{name}",
+            get(object::account)
+                .put(object::put_account)
+                .delete(object::delete_account),
+        )
+        .fallback(answer::no_route)
+        .layer(DefaultBodyLimit::max(platform::VALUE_LIMIT))
+        .layer(from_fn_with_state(Arc::clone(&parts), auth::require));
+    Router::new()
+        .route("/healthz", get(async || "ok\n"))
+        .route("/readyz", get(ready))
+        .merge(guarded)
+        .with_state(parts)
+}
+
+async fn metrics(State(parts): Shared) -> String {
+    parts.metrics.render()
+}
+
+async fn ready(State(parts): Shared) -> (StatusCode, &'static str) {
+    match (parts.ready)() {
+        true => (StatusCode::OK, "ready\n"),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+    }
+}
--- /dev/null
+++ b/src/admin/object.rs
@@ -0,0 +1,255 @@
+//! Services, their versions, and accounts.
+
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::{Extension, Json};
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use slog::info;
+use smol_str::SmolStr;
+
+use super::answer::Refusal;
+use super::auth::Operator;
+use super::{Fault, Parts, Shared, change, check};
+use crate::config::{Account, Revised, Service, Version};
+
+pub(crate) const SERVICE: &str = "service";
+const ACCOUNT: &str = "account";
+
+/// The revision that a change is based on; 0 when the object must not exist yet.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Base {
+    base: Option<u64>,
+}
+
+/// One object.
+#[derive(Debug, Serialize)]
+pub(crate) struct Item<T> {
+    pub(crate) name: SmolStr,
+    pub(crate) rev: u64,
+    pub(crate) value: Arc<T>,
+}
+
+/// Objects, with the revision that is in force.
+#[derive(Debug, Serialize)]
+pub(crate) struct Items<T> {
+    pub(crate) rev: u64,
+    pub(crate) items: Vec<Item<T>>,
+}
+
+/// A change that was taken.
+#[derive(Debug, Serialize)]
+pub(crate) struct Changed {
+    pub(crate) name: SmolStr,
+    pub(crate) rev: u64,
+}
+
+pub(crate) type Outcome<T> = Result<Json<T>, Refusal>;
+pub(crate) type Body = Result<Bytes, BytesRejection>;
+
+pub(crate) async fn services(State(parts): Shared) -> Json<Items<Service>> {
+    let view = parts.store.view();
+    Json(items(view.rev, &view.services))
+}
+
+pub(crate) async fn service(
+    State(parts): Shared,
+    Path(name): Path<SmolStr>,
+) -> Outcome<Item<Service>> {
+    find(&parts.store.view().services, SERVICE, &name)
+}
+
+pub(crate) async fn put_service(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path(name): Path<SmolStr>,
+    Query(base): Query<Base>,
+    body: Body,
+) -> Outcome<Changed> {
+    let base = base.rev()?;
+    let value: Service = decode(body)?;
+    no_faults(check::service(&name, &value))?;
+    parts.put(&operator, SERVICE, name, &value, base).await
+}
+
+pub(crate) async fn delete_service(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path(name): Path<SmolStr>,
+    Query(base): Query<Base>,
+) -> Outcome<Changed> {
+    parts.delete(&operator, SERVICE, name, base.rev()?).await
+}
+
+/// Adds or changes a version; `base` is the service's revision.
+pub(crate) async fn put_version(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path((name, version)): Path<(SmolStr, SmolStr)>,
+    Query(base): Query<Base>,
+    body: Body,
+) -> Outcome<Changed> {
+    let base = base.rev()?;
+    let value: Version = decode(body)?;
+    let mut service = parts.based_on(&name, base)?;
+    service.versions.insert(version, value);
+    no_faults(check::service(&name, &service))?;
+    parts.put(&operator, SERVICE, name, &service, base).await
+}
+
+pub(crate) async fn delete_version(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path((name, version)): Path<(SmolStr, SmolStr)>,
+    Query(base): Query<Base>,
+) -> Outcome<Changed> {
+    let base = base.rev()?;
+    let mut service = parts.based_on(&name, base)?;
+    if service.versions.shift_remove(&version).is_none() {
+        return Err(Refusal::not_found("version", &version));
+    }
+    no_faults(check::service(&name, &service))?;
+    parts.put(&operator, SERVICE, name, &service, base).await
+}
+
+pub(crate) async fn accounts(State(parts): Shared) -> Json<Items<Account>> {
+    let view = parts.store.view();
+    Json(items(view.rev, &view.accounts))
+}
+
+pub(crate) async fn account(
+    State(parts): Shared,
+    Path(name): Path<SmolStr>,
+) -> Outcome<Item<Account>> {
+    find(&parts.store.view().accounts, ACCOUNT, &name)
+}
+
+pub(crate) async fn put_account(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path(name): Path<SmolStr>,
+    Query(base): Query<Base>,
+    body: Body,
+) -> Outcome<Changed> {
+    let base = base.rev()?;
+    let mut value: Account = decode(body)?;
+    value.key_sha256 = value.key_sha256.to_ascii_lowercase().into();
+    no_faults(check::account(&name, &value, &parts.store.view()))?;
+    parts.put(&operator, ACCOUNT, name, &value, base).await
+}
+
+pub(crate) async fn delete_account(
+    State(parts): Shared,
+    Extension(operator): Extension<Operator>,
+    Path(name): Path<SmolStr>,
+    Query(base): Query<Base>,
+) -> Outcome<Changed> {
+    parts.delete(&operator, ACCOUNT, name, base.rev()?).await
+}
+
+impl Base {
+    pub(crate) fn rev(&self) -> Result<u64, Refusal> {
+        self.base.ok_or_else(|| {
+            Refusal::new(
+                StatusCode::BAD_REQUEST,
+                "no_base",
+                "name the revision that the change is based on as `?base=N`, 0 for a new object",
+            )
+        })
+    }
+}
+
+impl Parts {
+    /// The service in force, if it has revision `base`.
+    fn based_on(&self, name: &str, base: u64) -> Result<Service, Refusal> {
+        let view = self.store.view();
+        match view.services.get(name) {
+            None => Err(Refusal::not_found(SERVICE, name)),
+            Some(found) if found.rev != base => Err(Refusal::conflict(
+                serde_json::json!({ "rev": base }),
+                serde_json::json!(item(name, found)),
+            )),
+            Some(found) => Ok(Service::clone(&found.value)),
+        }
+    }
+
+    pub(crate) async fn put<T: Serialize>(
+        &self,
+        operator: &Operator,
+        kind: &str,
+        name: SmolStr,
+        value: &T,
+        base: u64,
+    ) -> Outcome<Changed> {
+        let rev = change::put(&self.platform, kind, &name, value, base).await?;
+        self.tell(operator, "changed", kind, &name, rev);
+        Ok(Json(Changed { name, rev }))
+    }
+
+    async fn delete(
+        &self,
+        operator: &Operator,
+        kind: &str,
+        name: SmolStr,
+        base: u64,
+    ) -> Outcome<Changed> {
+        let rev = change::delete(&self.platform, kind, &name, base).await?;
+        self.tell(operator, "deleted", kind, &name, rev);
+        Ok(Json(Changed { name, rev }))
+    }
+
+    fn tell(&self, operator: &Operator, verb: &str, kind: &str, name: &str, rev: u64) {
+        let who = operator.0.as_str();
+        info!(self.log, "admin: {verb} {kind} {name}"; "operator" => who, "rev" => rev);
+        self.events.add(kind, name, rev, format!("{verb} by {who}"));
+    }
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(body: Body) -> Result<T, Refusal> {
+    let bytes = body.map_err(|rejection| {
+        let message = "the body is too large or was cut off";
+        Refusal::new(rejection.into_response().status(), "bad_body", message)
+    })?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let fault = Fault::new(
+            "",
+            error.to_string(),
+            "a JSON object as in docs/interfaces.md",
+        );
+        Refusal::findings(vec![fault])
+    })
+}
+
+pub(crate) fn no_faults(faults: Vec<Fault>) -> Result<(), Refusal> {
+    match faults.is_empty() {
+        true => Ok(()),
+        false => Err(Refusal::findings(faults)),
+    }
+}
+
+fn items<T>(rev: u64, all: &IndexMap<SmolStr, Revised<T>>) -> Items<T> {
+    let mut items: Vec<_> = all.iter().map(|(name, found)| item(name, found)).collect();
+    items.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    Items { rev, items }
+}
+
+fn item<T>(name: &str, found: &Revised<T>) -> Item<T> {
+    Item {
+        name: name.into(),
+        rev: found.rev,
+        value: Arc::clone(&found.value),
+    }
+}
+
+fn find<T>(all: &IndexMap<SmolStr, Revised<T>>, what: &str, name: &str) -> Outcome<Item<T>> {
+    match all.get(name) {
+        Some(found) => Ok(Json(item(name, found))),
+        None => Err(Refusal::not_found(what, name)),
+    }
+}
