Let operators start and withdraw moves, and read events

Cause: a move must be started and taken back by one operator while another races, and its end must be told. Ruled out: an edit of the service's version while a move runs, which would move all traffic past the evidence; comparing all accounts at each change.

--- a/src/admin/check.rs
+++ b/src/admin/check.rs
@@ -3,7 +3,9 @@
 use serde::Serialize;
 use smol_str::{SmolStr, format_smolstr};
 
+use super::moves::{MAX_FINISH, Start};
 use crate::config::{Account, Kind, Repeat, Route, Service, View};
+use crate::rollout::Phase;
 use crate::settings::value;
 
 /// Longest answer time that a service may declare, in milliseconds.
@@ -176,3 +178,97 @@
     }
     faults
 }
+
+/// The version that serves all requests of a service once no move runs.
+pub(crate) fn version_in_force(service: &str, view: &View) -> Option<SmolStr> {
+    let held = view.services.get(service)?;
+    match view.moves.get(service) {
+        Some(last) if last.rev < held.rev => Some(held.value.version.clone()),
+        Some(last) if last.value.phase == Phase::Done => Some(last.value.to.clone()),
+        Some(last) => Some(last.value.from.clone()),
+        None => Some(held.value.version.clone()),
+    }
+}
+
+/// Checks a changed service against its last move, so that no edit moves traffic by accident.
+pub(crate) fn moved(name: &str, service: &Service, view: &View) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let Some(last) = view.moves.get(name) else {
+        return faults;
+    };
+    let running = !last.value.phase.is_final();
+    let in_force = version_in_force(name, view).unwrap_or_default();
+    if running && service.version != in_force {
+        let message = format!(
+            "the version cannot change while move {} runs",
+            last.value.id
+        );
+        faults.push(Fault::new("version", message, in_force.as_str()));
+    }
+    let ended_after = |held: u64| !running && last.rev > held;
+    let held = view.services.get(name).map_or(0, |held| held.rev);
+    if ended_after(held) && service.version != in_force {
+        let message = format!(
+            "move {} has left the traffic on `{in_force}`",
+            last.value.id
+        );
+        faults.push(Fault::new("version", message, in_force.as_str()));
+    }
+    for version in [&last.value.from, &last.value.to] {
+        if running && !service.versions.contains_key(version) {
+            let message = format!("version `{version}` is part of a running move");
+            faults.push(Fault::new(
+                format!("versions.{version}"),
+                message,
+                "kept until it ends",
+            ));
+        }
+    }
+    faults
+}
+
+/// Checks that a service may be deleted.
+pub(crate) fn deletion(name: &str, view: &View) -> Vec<Fault> {
+    match view.moves.get(name) {
+        Some(last) if !last.value.phase.is_final() => {
+            let message = format!("move {} runs", last.value.id);
+            vec![Fault::new("", message, "withdraw the move first")]
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Checks a move that an operator asks for.
+pub(crate) fn start(service: &str, asked: &Start, view: &View) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    match view.services.get(service) {
+        None => faults.push(Fault::new(
+            "",
+            format!("no service is named `{service}`"),
+            "",
+        )),
+        Some(held) if !held.value.versions.contains_key(&asked.to) => {
+            let known: Vec<_> = held.value.versions.keys().map(SmolStr::as_str).collect();
+            let message = format!("no version is named `{}`", asked.to);
+            faults.push(Fault::new("to", message, known.join(", ")));
+        }
+        Some(_) if version_in_force(service, view).as_ref() == Some(&asked.to) => {
+            let message = format!("`{}` carries the traffic already", asked.to);
+            faults.push(Fault::new("to", message, "another version"));
+        }
+        Some(_) => {}
+    }
+    if !(asked.max_share > 0.0 && asked.max_share <= 1.0) {
+        let message = format!("bad share {}", asked.max_share);
+        faults.push(Fault::new("max_share", message, "above 0 and at most 1"));
+    }
+    if asked.finish_in_ms == 0 || asked.finish_in_ms > MAX_FINISH.as_millis() as u64 {
+        let message = format!("bad time of {} ms", asked.finish_in_ms);
+        faults.push(Fault::new(
+            "finish_in_ms",
+            message,
+            "1 to 2592000000, that is 30 days",
+        ));
+    }
+    faults
+}
--- a/src/admin/event.rs
+++ b/src/admin/event.rs
@@ -8,9 +8,11 @@
 use axum::extract::{Query, State};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::Shared;
+use crate::config::{Store, View};
+use crate::rollout::{Move, Phase};
 
 /// Events kept.
 const KEPT: usize = 1024;
@@ -78,6 +80,59 @@
     }
 }
 
+/// Tells of every service and move that changes in the configuration in force. Accounts are
+/// left out: there are too many to compare at each change.
+pub async fn follow(store: Arc<Store>, events: Events) {
+    let mut changes = store.subscribe();
+    let mut old = store.view();
+    while changes.changed().await.is_ok() {
+        let new = changes.borrow_and_update().clone();
+        for (kind, name, rev, text) in differences(&old, &new) {
+            events.add(kind, &name, rev, text);
+        }
+        old = new;
+    }
+}
+
+type Difference = (&'static str, SmolStr, u64, SmolStr);
+
+fn differences(old: &View, new: &View) -> Vec<Difference> {
+    let mut found = Vec::new();
+    for (name, held) in &new.services {
+        if old.services.get(name).map(|old| old.rev) != Some(held.rev) {
+            let text = format_smolstr!("in force, version {}", held.value.version);
+            found.push(("service", name.clone(), held.rev, text));
+        }
+    }
+    for name in old
+        .services
+        .keys()
+        .filter(|name| !new.services.contains_key(*name))
+    {
+        found.push(("service", name.clone(), new.rev, "deleted".into()));
+    }
+    for (name, held) in &new.moves {
+        if old.moves.get(name).map(|old| old.rev) != Some(held.rev) {
+            found.push(("move", name.clone(), held.rev, phrase(&held.value)));
+        }
+    }
+    found
+}
+
+fn phrase(value: &Move) -> SmolStr {
+    let Move {
+        from, to, reason, ..
+    } = value;
+    match value.phase {
+        Phase::Done => format_smolstr!("done: {from} to {to}, {reason}"),
+        Phase::Withdrawn => format_smolstr!("withdrawn: {from} to {to}, {reason}"),
+        Phase::Advancing | Phase::Watching => {
+            let percent = value.share() * 100.0;
+            format_smolstr!("{from} to {to} at {percent:.0}%: {reason}")
+        }
+    }
+}
+
 #[derive(Debug, Default, Deserialize)]
 pub(crate) struct After {
     #[serde(default)]
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 pub(crate) mod check;
 mod event;
+mod moves;
 mod object;
 mod status;
 
@@ -17,13 +18,14 @@
 use axum::extract::{DefaultBodyLimit, State};
 use axum::http::StatusCode;
 use axum::middleware::from_fn_with_state;
-use axum::routing::{get, put};
+use axum::routing::{get, post, put};
 use indexmap::IndexMap;
 use slog::Logger;
 use smol_str::SmolStr;
 
 pub use check::Fault;
-pub use event::{Event, Events};
+pub use event::{Event, Events, follow};
+pub use moves::{Start, Withdraw};
 pub use status::{Fleet, InstanceStatus, TargetStatus};
 
 use crate::config::Store;
@@ -87,6 +89,9 @@
                 .put(object::put_account)
                 .delete(object::delete_account),
         )
+        .route("/v1/moves", get(moves::list))
+        .route("/v1/moves/{service}", get(moves::show).post(moves::start))
+        .route("/v1/moves/{service}/withdraw", post(moves::withdraw))
         .fallback(answer::no_route)
         .layer(DefaultBodyLimit::max(platform::VALUE_LIMIT))
         .layer(from_fn_with_state(Arc::clone(&parts), auth::require));
--- a/src/admin/object.rs
+++ b/src/admin/object.rs
@@ -11,13 +11,14 @@
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::json;
 use slog::info;
 use smol_str::SmolStr;
 
 use super::answer::Refusal;
 use super::auth::Operator;
 use super::{Fault, Parts, Shared, change, check};
-use crate::config::{Account, Revised, Service, Version};
+use crate::config::{Account, Revised, Service, Version, View};
 
 pub(crate) const SERVICE: &str = "service";
 const ACCOUNT: &str = "account";
@@ -74,7 +75,7 @@
 ) -> Outcome<Changed> {
     let base = base.rev()?;
     let value: Service = decode(body)?;
-    no_faults(check::service(&name, &value))?;
+    no_faults(faults(&name, &value, &parts.store.view()))?;
     parts.put(&operator, SERVICE, name, &value, base).await
 }
 
@@ -84,7 +85,9 @@
     Path(name): Path<SmolStr>,
     Query(base): Query<Base>,
 ) -> Outcome<Changed> {
-    parts.delete(&operator, SERVICE, name, base.rev()?).await
+    let base = base.rev()?;
+    no_faults(check::deletion(&name, &parts.store.view()))?;
+    parts.delete(&operator, SERVICE, name, base).await
 }
 
 /// Adds or changes a version; `base` is the service's revision.
@@ -99,7 +102,7 @@
     let value: Version = decode(body)?;
     let mut service = parts.based_on(&name, base)?;
     service.versions.insert(version, value);
-    no_faults(check::service(&name, &service))?;
+    no_faults(faults(&name, &service, &parts.store.view()))?;
     parts.put(&operator, SERVICE, name, &service, base).await
 }
 
@@ -114,7 +117,7 @@
     if service.versions.shift_remove(&version).is_none() {
         return Err(Refusal::not_found("version", &version));
     }
-    no_faults(check::service(&name, &service))?;
+    no_faults(faults(&name, &service, &parts.store.view()))?;
     parts.put(&operator, SERVICE, name, &service, base).await
 }
 
@@ -166,16 +169,19 @@
 }
 
 impl Parts {
-    /// The service in force, if it has revision `base`.
+    /// The service in force, if it has revision `base`, with the outcome of its last move.
     fn based_on(&self, name: &str, base: u64) -> Result<Service, Refusal> {
         let view = self.store.view();
         match view.services.get(name) {
             None => Err(Refusal::not_found(SERVICE, name)),
             Some(found) if found.rev != base => Err(Refusal::conflict(
-                serde_json::json!({ "rev": base }),
-                serde_json::json!(item(name, found)),
+                json!({ "rev": base }),
+                json!(item(name, found)),
             )),
-            Some(found) => Ok(Service::clone(&found.value)),
+            Some(found) => Ok(Service {
+                version: check::version_in_force(name, &view).unwrap_or_default(),
+                ..Service::clone(&found.value)
+            }),
         }
     }
 
@@ -188,6 +194,7 @@
         base: u64,
     ) -> Outcome<Changed> {
         let rev = change::put(&self.platform, kind, &name, value, base).await?;
+        self.store.apply(kind, &name, rev, Some(&json!(value)));
         self.tell(operator, "changed", kind, &name, rev);
         Ok(Json(Changed { name, rev }))
     }
@@ -200,6 +207,7 @@
         base: u64,
     ) -> Outcome<Changed> {
         let rev = change::delete(&self.platform, kind, &name, base).await?;
+        self.store.apply(kind, &name, rev, None);
         self.tell(operator, "deleted", kind, &name, rev);
         Ok(Json(Changed { name, rev }))
     }
@@ -226,6 +234,12 @@
     })
 }
 
+fn faults(name: &str, service: &Service, view: &View) -> Vec<Fault> {
+    let mut faults = check::service(name, service);
+    faults.extend(check::moved(name, service, view));
+    faults
+}
+
 pub(crate) fn no_faults(faults: Vec<Fault>) -> Result<(), Refusal> {
     match faults.is_empty() {
         true => Ok(()),
@@ -233,7 +247,7 @@
     }
 }
 
-fn items<T>(rev: u64, all: &IndexMap<SmolStr, Revised<T>>) -> Items<T> {
+pub(crate) fn items<T>(rev: u64, all: &IndexMap<SmolStr, Revised<T>>) -> Items<T> {
     let mut items: Vec<_> = all.iter().map(|(name, found)| item(name, found)).collect();
     items.sort_unstable_by(|a, b| a.name.cmp(&b.name));
     Items { rev, items }
@@ -247,7 +261,11 @@
     }
 }
 
-fn find<T>(all: &IndexMap<SmolStr, Revised<T>>, what: &str, name: &str) -> Outcome<Item<T>> {
+pub(crate) fn find<T>(
+    all: &IndexMap<SmolStr, Revised<T>>,
+    what: &str,
+    name: &str,
+) -> Outcome<Item<T>> {
     match all.get(name) {
         Some(found) => Ok(Json(item(name, found))),
         None => Err(Refusal::not_found(what, name)),
