Add the transport between instances and its membership

Cause: instances had no way to exchange journals, configuration, evidence or usage, nor to tell a dead peer from one that is cut off. Change: h2 calls of bincode messages with typed handlers by subsystem, a mutual proof of the shared key, versions, size limits and counts of what is refused; heartbeats with gossip over the platform's list and seeds. Ruled out: one-way streams, since journals need to know what arrived. Conclusion: ten tests pass over loopback, among them wrong key, other versions, malformed and oversized messages, dead against silent.

--- /dev/null
+++ b/src/peer/hub.rs
@@ -0,0 +1,373 @@
+//! All connections of one instance to others, the handlers of their messages and the heartbeats.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt as _, join_all};
+use indexmap::{IndexMap, IndexSet};
+use parking_lot::{Mutex, RwLock};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::auth::PeerKey;
+use super::frame::{Tag, decode, encode};
+use super::link::{Link, LinkError};
+use super::member::{Evidence, Gossip, Heartbeat, Member, Members, Reach};
+use super::serve;
+
+/// Longest wait for a connection to be open and authenticated.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for an answer to a heartbeat.
+const BEAT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Who this instance is to others.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This instance.
+    pub me: Member,
+    /// Key shared by all instances.
+    pub key: PeerKey,
+    /// Time between heartbeats.
+    pub period: Duration,
+    /// Addresses to try before any list is known.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Why a call to another instance failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// The instance is not known.
+    #[error("instance unknown")]
+    Unknown,
+    /// Its host refused the connection.
+    #[error("connection refused")]
+    Refused,
+    /// No answer; the message may have arrived.
+    #[error("no answer")]
+    Lost,
+    /// It has another key or speaks another version.
+    #[error("not a peer")]
+    NotPeer,
+    /// It refused the message, or its answer was malformed.
+    #[error("message refused")]
+    Malformed,
+}
+
+/// What was refused since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Malformed or too large messages.
+    pub malformed: u64,
+    /// Calls of another protocol version.
+    pub foreign: u64,
+    /// Calls without a proof of the key.
+    pub strangers: u64,
+}
+
+type Handler = Arc<dyn Fn(SmolStr, Bytes) -> BoxFuture<'static, Option<Bytes>> + Send + Sync>;
+
+/// State shared by all connections.
+pub(crate) struct Hub {
+    pub(crate) opts: Options,
+    pub(crate) closed: CancellationToken,
+    incarnation: u64,
+    leaving: AtomicBool,
+    members: Mutex<Members>,
+    links: Mutex<IndexMap<SocketAddr, Arc<tokio::sync::Mutex<Option<Link>>>>>,
+    beating: Mutex<IndexSet<SocketAddr>>,
+    handlers: RwLock<IndexMap<Tag, Handler>>,
+    malformed: AtomicU64,
+    foreign: AtomicU64,
+    strangers: AtomicU64,
+}
+
+impl Hub {
+    pub(crate) fn handler(&self, tag: Tag) -> Option<Handler> {
+        self.handlers.read().get(&tag).cloned()
+    }
+
+    pub(crate) fn count_malformed(&self) {
+        self.malformed.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("endivefork_peer_malformed_total").increment(1);
+    }
+
+    pub(crate) fn count_foreign(&self) {
+        self.foreign.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("endivefork_peer_foreign_total").increment(1);
+    }
+
+    pub(crate) fn count_stranger(&self) {
+        self.strangers.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("endivefork_peer_strangers_total").increment(1);
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            from: self.opts.me.clone(),
+            incarnation: self.incarnation,
+            leaving: self.leaving.load(Ordering::Relaxed),
+            others: self.members.lock().view().collect(),
+        }
+    }
+
+    /// Sends a message over the open connection, or a new one.
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        tag: Tag,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, LinkError> {
+        let slot = Arc::clone(self.links.lock().entry(addr).or_default());
+        let link = self.link(&slot, addr).await?;
+        let answer = link.call(tag, body, limit).await;
+        if matches!(answer, Err(LinkError::Lost | LinkError::TimedOut)) {
+            // The next call opens a new connection: this one may have been forgotten on its way.
+            *slot.lock().await = None;
+        }
+        answer
+    }
+
+    async fn link(
+        &self,
+        slot: &tokio::sync::Mutex<Option<Link>>,
+        addr: SocketAddr,
+    ) -> Result<Link, LinkError> {
+        let mut slot = slot.lock().await;
+        if let Some(link) = &*slot {
+            return Ok(link.clone());
+        }
+        let link = Link::connect(addr, &self.opts.me.name, &self.opts.key, CONNECT_LIMIT).await?;
+        *slot = Some(link.clone());
+        Ok(link)
+    }
+
+    /// Sends one heartbeat, twice if the first connection was lost.
+    async fn beat(&self, addr: SocketAddr) -> Result<Heartbeat, LinkError> {
+        let body = encode(&self.heartbeat());
+        let mut answer = self
+            .exchange(addr, Tag::Heartbeat, body.clone(), BEAT_LIMIT)
+            .await;
+        if matches!(answer, Err(LinkError::Lost | LinkError::TimedOut)) {
+            answer = self.exchange(addr, Tag::Heartbeat, body, BEAT_LIMIT).await;
+        }
+        decode(&answer?).ok_or(LinkError::Lost)
+    }
+
+    /// Sends a heartbeat to `addr`, which is `name` if that is known, unless one is under way.
+    async fn beat_once(self: Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
+        if !self.beating.lock().insert(addr) {
+            return;
+        }
+        let answer = self.beat(addr).await;
+        self.beating.lock().swap_remove(&addr);
+        let now = Instant::now();
+        let mut members = self.members.lock();
+        match (answer, name) {
+            (Ok(beat), _) => members.hear(&beat, now),
+            (Err(error), Some(name)) => members.witness(&name, evidence(error), now),
+            (Err(_), None) => {}
+        }
+    }
+
+    fn beat_all(self: &Arc<Self>) {
+        let members: Vec<_> = self.members.lock().all().cloned().collect();
+        let mut targets: IndexMap<_, _> = self.opts.seeds.iter().map(|a| (*a, None)).collect();
+        targets.extend(members.into_iter().map(|m| (m.addr, Some(m.name))));
+        targets.swap_remove(&self.opts.me.addr);
+        let used = |addr: &SocketAddr| targets.contains_key(addr);
+        self.links.lock().retain(|addr, _| used(addr));
+        for (addr, name) in targets {
+            let beat = Arc::clone(self).beat_once(addr, name);
+            tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
+        }
+    }
+}
+
+/// The other instances as this one reaches them. Cheap to clone.
+#[derive(Clone)]
+pub struct Peers {
+    hub: Arc<Hub>,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Peers({})", self.hub.opts.me.name)
+    }
+}
+
+impl Peers {
+    /// Accepts connections on `listener` and begins to send heartbeats. Must be called within a
+    /// runtime.
+    #[must_use]
+    pub fn start(listener: TcpListener, opts: Options) -> Self {
+        let hub = Arc::new(Hub {
+            closed: CancellationToken::new(),
+            incarnation: rand::random(),
+            leaving: AtomicBool::new(false),
+            members: Mutex::new(Members::new(opts.me.name.clone(), opts.period)),
+            links: Mutex::default(),
+            beating: Mutex::default(),
+            handlers: RwLock::default(),
+            malformed: AtomicU64::new(0),
+            foreign: AtomicU64::new(0),
+            strangers: AtomicU64::new(0),
+            opts,
+        });
+        let peers = Self { hub };
+        let listening = Arc::clone(&peers.hub);
+        peers.on(Tag::Heartbeat, move |_, beat: Heartbeat| {
+            listening.members.lock().hear(&beat, Instant::now());
+            std::future::ready(listening.heartbeat())
+        });
+        tokio::spawn(serve::accept(Arc::clone(&peers.hub), listener));
+        tokio::spawn(beats(Arc::clone(&peers.hub)));
+        peers
+    }
+
+    /// Answers messages of `tag` by `handler`, which gets the sender's name.
+    pub fn on<Q, A, F>(&self, tag: Tag, handler: impl Fn(SmolStr, Q) -> F + Send + Sync + 'static)
+    where
+        Q: DeserializeOwned + Send,
+        A: Serialize + Send,
+        F: Future<Output = A> + Send + 'static,
+    {
+        let handler: Handler = Arc::new(move |from, body: Bytes| {
+            let answer = decode(&body).map(|message| handler(from, message));
+            async move { Some(encode(&answer?.await)) }.boxed()
+        });
+        self.hub.handlers.write().insert(tag, handler);
+    }
+
+    /// Sends a message to the instance `name` and waits for its answer.
+    ///
+    /// # Errors
+    /// When no proper answer came within `limit`; the message may have arrived nevertheless.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        name: &str,
+        tag: Tag,
+        message: &Q,
+        limit: Duration,
+    ) -> Result<A, CallError> {
+        let addr = self.hub.members.lock().addr(name);
+        let addr = addr.ok_or(CallError::Unknown)?;
+        let exchange = self.hub.exchange(addr, tag, encode(message), limit);
+        let answer = tokio::time::timeout(limit, exchange).await;
+        let answer = answer.unwrap_or(Err(LinkError::TimedOut));
+        if let Err(LinkError::Refused) = answer {
+            let mut members = self.hub.members.lock();
+            members.witness(name, Evidence::Refused, Instant::now());
+        }
+        let answer = answer.map_err(|error| match error {
+            LinkError::Refused => CallError::Refused,
+            LinkError::Lost | LinkError::TimedOut => CallError::Lost,
+            LinkError::WrongKey | LinkError::OtherVersion => CallError::NotPeer,
+            LinkError::Status(_) => CallError::Malformed,
+        })?;
+        decode(&answer).ok_or(CallError::Malformed)
+    }
+
+    /// Sends a message to every instance that answers, all at once, and returns the answers that
+    /// came within `limit`.
+    pub async fn ask_all<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        tag: Tag,
+        message: &Q,
+        limit: Duration,
+    ) -> Vec<(SmolStr, A)> {
+        let alive = self.alive();
+        let calls = alive.iter().map(|member| async {
+            let answer = self.call(&member.name, tag, message, limit).await;
+            answer.ok().map(|a| (member.name.clone(), a))
+        });
+        join_all(calls).await.into_iter().flatten().collect()
+    }
+
+    /// Takes the platform's list of entry instances, this one left out or not.
+    pub fn list(&self, members: &[Member]) {
+        let me = &self.hub.opts.me.name;
+        let others: Vec<_> = members.iter().filter(|m| m.name != *me).cloned().collect();
+        self.hub.members.lock().list(&others, Instant::now());
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.hub.opts.me
+    }
+
+    /// Instances that answer and stay, this one left out.
+    #[must_use]
+    pub fn alive(&self) -> Vec<Member> {
+        self.hub.members.lock().alive().cloned().collect()
+    }
+
+    /// Whether `name` can be reached.
+    #[must_use]
+    pub fn reach(&self, name: &str) -> Reach {
+        self.hub.members.lock().reach(name)
+    }
+
+    /// All other instances that are known.
+    #[must_use]
+    pub fn view(&self) -> Vec<Gossip> {
+        self.hub.members.lock().view().collect()
+    }
+
+    /// Whether a failure domain is cut off from here.
+    #[must_use]
+    pub fn cut_off(&self, domain: &str) -> bool {
+        self.hub.members.lock().cut_off(domain)
+    }
+
+    /// Tells the others, with the next heartbeat, that this instance leaves.
+    pub fn leave(&self) {
+        self.hub.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// What was refused since the start.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        Counts {
+            malformed: self.hub.malformed.load(Ordering::Relaxed),
+            foreign: self.hub.foreign.load(Ordering::Relaxed),
+            strangers: self.hub.strangers.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Closes all connections and stops listening.
+    pub fn close(&self) {
+        self.hub.closed.cancel();
+        self.hub.links.lock().clear();
+    }
+}
+
+async fn beats(hub: Arc<Hub>) {
+    let mut ticks = tokio::time::interval(hub.opts.period);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => hub.beat_all(),
+            () = hub.closed.cancelled() => return,
+        }
+    }
+}
+
+fn evidence(error: LinkError) -> Evidence {
+    match error {
+        LinkError::Refused => Evidence::Refused,
+        LinkError::WrongKey => Evidence::WrongKey,
+        LinkError::OtherVersion => Evidence::OtherVersion,
+        LinkError::Lost | LinkError::TimedOut | LinkError::Status(_) => Evidence::TimedOut,
+    }
+}
--- /dev/null
+++ b/src/peer/member.rs
@@ -0,0 +1,228 @@
+//! Which instances there are and which can be reached, by the platform's list, the peers' word and
+//! one's own connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+/// Missed heartbeats after which a peer counts as silent.
+const MISSED: u32 = 3;
+
+/// How long an instance that nobody lists or hears is remembered.
+const FORGET: Duration = Duration::from_secs(60);
+
+/// An entry instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name, unique in the fleet.
+    pub name: SmolStr,
+    /// Address for other instances.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: SmolStr,
+    /// Region.
+    pub region: SmolStr,
+}
+
+/// What a heartbeat tells, and its answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: Member,
+    /// Drawn at the sender's start.
+    pub incarnation: u64,
+    /// Whether the sender is draining.
+    pub leaving: bool,
+    /// What the sender knows of others.
+    pub others: Vec<Gossip>,
+}
+
+/// One instance as another knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The instance.
+    pub member: Member,
+    /// Whether the teller reaches it.
+    pub reach: Reach,
+}
+
+/// Whether an instance can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// Not tried yet.
+    Unknown,
+    /// It answers.
+    Alive,
+    /// Its host refuses connections: the process is gone.
+    Dead,
+    /// It does not answer: paused, or cut off from here.
+    Silent,
+    /// It has another key.
+    Stranger,
+    /// It speaks another version of the protocol.
+    Foreign,
+}
+
+/// What a try to reach an instance showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// It answered.
+    Answered,
+    /// The connection was refused.
+    Refused,
+    /// No answer in time.
+    TimedOut,
+    /// The proof of the key was wrong.
+    WrongKey,
+    /// It answered with another version.
+    OtherVersion,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    reach: Reach,
+    listed: bool,
+    leaving: bool,
+    incarnation: u64,
+    heard: Instant,
+}
+
+/// The instances that one instance knows.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: SmolStr,
+    period: Duration,
+    known: IndexMap<SmolStr, Known>,
+}
+
+impl Members {
+    /// Knows nobody. `period` is the time between heartbeats.
+    #[must_use]
+    pub fn new(me: SmolStr, period: Duration) -> Self {
+        Self {
+            me,
+            period,
+            known: IndexMap::new(),
+        }
+    }
+
+    /// Takes the platform's list. It adds instances, and drops those neither listed nor heard.
+    pub fn list(&mut self, members: &[Member], now: Instant) {
+        for known in self.known.values_mut() {
+            known.listed = false;
+        }
+        for member in members {
+            self.learn(member, now).listed = true;
+        }
+        self.forget(now);
+    }
+
+    /// Takes a heartbeat or its answer.
+    pub fn hear(&mut self, beat: &Heartbeat, now: Instant) {
+        if beat.from.name == self.me {
+            return;
+        }
+        let known = self.learn(&beat.from, now);
+        known.member = beat.from.clone();
+        known.incarnation = beat.incarnation;
+        known.leaving = beat.leaving;
+        known.reach = Reach::Alive;
+        known.heard = now;
+        for other in &beat.others {
+            if other.reach == Reach::Alive {
+                self.learn(&other.member, now);
+            }
+        }
+    }
+
+    /// Takes what a try to reach `name` showed.
+    pub fn witness(&mut self, name: &str, evidence: Evidence, now: Instant) {
+        let silence = self.period * MISSED;
+        let Some(known) = self.known.get_mut(name) else {
+            return;
+        };
+        match evidence {
+            Evidence::Answered => {
+                known.reach = Reach::Alive;
+                known.heard = now;
+            }
+            Evidence::Refused => known.reach = Reach::Dead,
+            Evidence::WrongKey => known.reach = Reach::Stranger,
+            Evidence::OtherVersion => known.reach = Reach::Foreign,
+            Evidence::TimedOut if now - known.heard >= silence => known.reach = Reach::Silent,
+            Evidence::TimedOut => {}
+        }
+    }
+
+    /// Instances to send a heartbeat to.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.known.values().map(|k| &k.member)
+    }
+
+    /// Instances that answer and stay.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.known
+            .values()
+            .filter(|k| k.reach == Reach::Alive && !k.leaving)
+            .map(|k| &k.member)
+    }
+
+    /// Whether `name` can be reached.
+    #[must_use]
+    pub fn reach(&self, name: &str) -> Reach {
+        self.known.get(name).map_or(Reach::Unknown, |k| k.reach)
+    }
+
+    /// Address of `name`.
+    #[must_use]
+    pub fn addr(&self, name: &str) -> Option<SocketAddr> {
+        self.known.get(name).map(|k| k.member.addr)
+    }
+
+    /// All instances with whether they can be reached.
+    pub fn view(&self) -> impl Iterator<Item = Gossip> {
+        self.known.values().map(|k| Gossip {
+            member: k.member.clone(),
+            reach: k.reach,
+        })
+    }
+
+    /// Whether a failure domain has instances and none of them answers, though none is known to
+    /// be dead either: it is cut off from here.
+    #[must_use]
+    pub fn cut_off(&self, domain: &str) -> bool {
+        let mut inside = self.known.values().filter(|k| k.member.domain == domain);
+        let any = inside.clone().any(|k| k.reach == Reach::Silent);
+        any && inside.all(|k| matches!(k.reach, Reach::Silent | Reach::Dead))
+    }
+
+    fn learn(&mut self, member: &Member, now: Instant) -> &mut Known {
+        let known = self
+            .known
+            .entry(member.name.clone())
+            .or_insert_with(|| Known {
+                member: member.clone(),
+                reach: Reach::Unknown,
+                listed: false,
+                leaving: false,
+                incarnation: 0,
+                heard: now,
+            });
+        if known.reach != Reach::Alive {
+            known.member = member.clone();
+        }
+        known
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let me = self.me.clone();
+        self.known.retain(|name, k| {
+            *name != me && (k.listed || k.reach == Reach::Alive || now - k.heard < FORGET)
+        });
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,1 +1,13 @@
-//! Messages between instances over h2.
+//! Messages between instances: h2 streams of bincode over TCP, authentication and membership.
+
+mod auth;
+mod frame;
+mod hub;
+mod link;
+mod member;
+mod serve;
+
+pub use auth::PeerKey;
+pub use frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
+pub use hub::{CallError, Counts, Options, Peers};
+pub use member::{Evidence, Gossip, Heartbeat, Member, Members, Reach};
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,220 @@
+//! Instances find, prove and hear each other, and refuse what is not a proper message.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivefork::peer::{
+    CallError, Evidence, Heartbeat, MAX_FRAME, Member, Members, Options, PeerKey, Peers, Reach, Tag,
+};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Time between heartbeats in these tests.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Ask {
+    text: String,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Told {
+    from: String,
+    text: String,
+}
+
+fn member(name: &str, addr: SocketAddr) -> Member {
+    Member {
+        name: name.into(),
+        addr,
+        domain: "a".into(),
+        region: "r".into(),
+    }
+}
+
+async fn instance(name: &str, key: &str, seeds: Vec<SocketAddr>) -> Peers {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let me = member(name, listener.local_addr().unwrap());
+    let opts = Options {
+        me,
+        key: PeerKey::new(key),
+        period: PERIOD,
+        seeds,
+    };
+    let peers = Peers::start(listener, opts);
+    peers.on(Tag::Config, |from, ask: Ask| async move {
+        Told {
+            from: from.to_string(),
+            text: ask.text,
+        }
+    });
+    peers
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn raw(addr: SocketAddr, path: &str, version: &str, body: Bytes) -> StatusCode {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (sender, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let request = http::Request::post(format!("http://peer{path}"))
+        .header("x-protocol", version)
+        .body(())
+        .unwrap();
+    let mut sender = sender.ready().await.unwrap();
+    let (response, mut stream) = sender.send_request(request, false).unwrap();
+    stream.send_data(body, true).unwrap();
+    response.await.unwrap().status()
+}
+
+#[tokio::test]
+async fn a_seed_leads_to_everyone() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "key", vec![a.me().addr]).await;
+    let c = instance("c", "key", vec![a.me().addr]).await;
+
+    for peers in [&a, &b, &c] {
+        until("all alive", || peers.alive().len() == 2).await;
+    }
+}
+
+#[tokio::test]
+async fn a_call_is_answered_and_knows_its_sender() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "key", vec![a.me().addr]).await;
+    until("b knows a", || b.alive().len() == 1).await;
+
+    let ask = Ask { text: "hi".into() };
+    let told: Told = b.call("a", Tag::Config, &ask, PATIENCE).await.unwrap();
+    let unheard: Result<Told, _> = b.call("a", Tag::Usage, &ask, PATIENCE).await;
+    let unknown: Result<Told, _> = b.call("z", Tag::Config, &ask, PATIENCE).await;
+
+    assert_eq!(told.from, "b");
+    assert_eq!(told.text, "hi");
+    assert_eq!(unheard, Err(CallError::Malformed));
+    assert_eq!(unknown, Err(CallError::Unknown));
+}
+
+#[tokio::test]
+async fn another_key_is_refused_by_both_sides() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "other", vec![]).await;
+    b.list(&[a.me().clone()]);
+
+    until("b sees a stranger", || b.reach("a") == Reach::Stranger).await;
+
+    assert!(a.alive().is_empty());
+}
+
+#[tokio::test]
+async fn a_call_without_a_proof_is_refused_and_counted() {
+    let a = instance("a", "key", vec![]).await;
+
+    let status = raw(a.me().addr, "/m/4", "1", Bytes::from_static(b"x")).await;
+
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    assert_eq!(a.counts().strangers, 1);
+}
+
+#[tokio::test]
+async fn other_versions_are_told_so() {
+    let a = instance("a", "key", vec![]).await;
+
+    for version in ["0", "2", "none"] {
+        let status = raw(a.me().addr, "/hello", version, Bytes::new()).await;
+        assert_eq!(status, StatusCode::UPGRADE_REQUIRED, "version {version}");
+    }
+
+    assert_eq!(a.counts().foreign, 3);
+}
+
+#[tokio::test]
+async fn malformed_and_oversized_hellos_are_refused_and_counted() {
+    let a = instance("a", "key", vec![]).await;
+    let large = Bytes::from(vec![0; MAX_FRAME + 1]);
+
+    let malformed = raw(a.me().addr, "/hello", "1", Bytes::from_static(&[255; 40])).await;
+    let oversized = raw(a.me().addr, "/hello", "1", large).await;
+
+    assert_eq!(malformed, StatusCode::BAD_REQUEST);
+    assert_eq!(oversized, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(a.counts().malformed, 2);
+}
+
+#[tokio::test]
+async fn a_malformed_message_of_a_peer_is_counted() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "key", vec![a.me().addr]).await;
+    until("b knows a", || b.alive().len() == 1).await;
+
+    let answer: Result<Told, _> = b.call("a", Tag::Config, &u64::MAX, PATIENCE).await;
+
+    assert_eq!(answer, Err(CallError::Malformed));
+    assert_eq!(a.counts().malformed, 1);
+}
+
+#[tokio::test]
+async fn a_process_that_is_gone_is_told_from_one_that_is_silent() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "key", vec![a.me().addr]).await;
+    let mute = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let c = member("c", mute.local_addr().unwrap());
+    a.list(&[c]);
+    until("a knows b", || a.reach("b") == Reach::Alive).await;
+
+    b.close();
+
+    until("b is dead", || a.reach("b") == Reach::Dead).await;
+    until("c is silent", || a.reach("c") == Reach::Silent).await;
+}
+
+#[tokio::test]
+async fn a_leaving_peer_is_not_alive() {
+    let a = instance("a", "key", vec![]).await;
+    let b = instance("b", "key", vec![a.me().addr]).await;
+    until("a knows b", || a.alive().len() == 1).await;
+
+    b.leave();
+
+    until("b has left", || a.alive().is_empty()).await;
+    assert_eq!(a.reach("b"), Reach::Alive);
+}
+
+#[test]
+fn a_domain_is_cut_off_when_nobody_in_it_answers() {
+    let now = Instant::now();
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut members = Members::new("me".into(), PERIOD);
+    let (b, c) = (member("b", addr), member("c", addr));
+    members.list(&[b.clone(), c.clone()], now);
+    let beat = |from: Member| Heartbeat {
+        from,
+        incarnation: 1,
+        leaving: false,
+        others: vec![],
+    };
+    members.hear(&beat(b), now);
+    members.hear(&beat(c), now);
+
+    members.witness("b", Evidence::TimedOut, now + PERIOD);
+    let early = members.reach("b");
+    members.witness("b", Evidence::TimedOut, now + 4 * PERIOD);
+    let one = members.cut_off("a");
+    members.witness("c", Evidence::TimedOut, now + 4 * PERIOD);
+
+    assert_eq!(early, Reach::Alive, "one missed heartbeat is no evidence");
+    assert!(!one);
+    assert!(members.cut_off("a"));
+}
