Wire the caller front

Cause: the thin path needs a front, an instance and a process harness. Change: the front's routes, keys and drain; the roster feeds the router.

--- /dev/null
+++ b/src/caller/completions.rs
@@ -0,0 +1,309 @@
+//! Generations over HTTP: checks of the request, admission, and the answer's stream.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use futures_util::stream;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue};
+use http_body::Frame;
+use http_body_util::StreamBody;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::answer::tagged;
+use super::event::{self, Shape, Writer};
+use super::front::{Front, read_body};
+use super::identity;
+use super::server::Running;
+use crate::config::Kind;
+use crate::failure::Failure;
+use crate::generation::{Event, Reader, Start};
+use crate::ident::{RequestKey, digest};
+use crate::telemetry::{Span, Stage};
+
+/// Tokens of an answer when the caller names no number.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// Most tokens of one answer.
+const MAX_TOKENS: u32 = 100_000;
+
+/// Time to the end of an answer when the caller names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3600);
+
+/// Bytes of events after which a frame is sent although more tokens wait.
+const FRAME: usize = 16 * 1024;
+
+/// The body of both calls; which fields are needed depends on the call.
+#[derive(Debug, Deserialize)]
+struct Ask {
+    model: SmolStr,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Option<Vec<Message>>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority: i64,
+    #[serde(default)]
+    deadline_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: SmolStr,
+    content: String,
+}
+
+/// `POST /v1/completions`.
+pub(crate) async fn text(State(front): State<Front>, request: Request) -> Response {
+    answer(front, Shape::Text, request).await
+}
+
+/// `POST /v1/chat/completions`.
+pub(crate) async fn chat(State(front): State<Front>, request: Request) -> Response {
+    answer(front, Shape::Chat, request).await
+}
+
+async fn answer(front: Front, shape: Shape, request: Request) -> Response {
+    let arrival = Instant::now();
+    let running = front.drain.enter();
+    let headers = request.headers().clone();
+    let key = match identity::idempotency_key(&headers) {
+        Ok(Some(key)) => key,
+        Ok(None) => identity::fresh_key(),
+        Err(failure) => return failure.into_response(),
+    };
+    let response = match prepare(&front, shape, &headers, &key, request, arrival).await {
+        Err(failure) => {
+            front.instance.metrics.refused(failure.reason);
+            failure.into_response()
+        }
+        Ok(call) if call.stream => streamed(call, shape, &key, running),
+        Ok(call) => collected(call, shape, &key).await,
+    };
+    tagged(response, &key)
+}
+
+/// A generation that is open for reading.
+struct Call {
+    reader: Reader,
+    clock: Clock,
+    model: SmolStr,
+    stream: bool,
+}
+
+async fn prepare(
+    front: &Front,
+    shape: Shape,
+    headers: &HeaderMap,
+    key: &str,
+    request: Request,
+    arrival: Instant,
+) -> Result<Call, Failure> {
+    let instance = &front.instance;
+    let view = instance.config.view();
+    let caller = identity::authenticate(&view, headers)?;
+    let cursor = identity::last_event(headers)?;
+    let bytes = read_body(front, request).await?;
+    let body = parse(&bytes)?;
+    let prompt = prompt(shape, &body)?;
+    let max = tokens(&body)?;
+    let name = &body.model;
+    let service = view
+        .services
+        .get(name)
+        .filter(|s| s.value.kind == Kind::Generation)
+        .ok_or_else(|| {
+            Failure::not_run(404, "unknown_model", format!("no model is named {name}"))
+        })?;
+    let key = RequestKey::new(&caller.name, key);
+    let version = instance.version(name, &service.value, key);
+    let model = service.value.versions.get(&version).map(|v| v.model.clone());
+    let start = Start {
+        key,
+        account: caller.name.clone(),
+        service: name.clone(),
+        version,
+        model: model.unwrap_or_default(),
+        prompt: Arc::from(prompt.as_str()),
+        max_tokens: max.into(),
+        priority: body.priority,
+        deadline: (arrival + body.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis)).into(),
+        body_digest: digest(&[name, &prompt, &max.to_string()]),
+    };
+    let reader = instance.generate(start, cursor, &caller.account).await?;
+    Ok(Call {
+        reader,
+        clock: Clock::new(instance.metrics.span(&caller.name), arrival),
+        model: body.model,
+        stream: body.stream,
+    })
+}
+
+fn parse(bytes: &[u8]) -> Result<Ask, Failure> {
+    serde_json::from_slice(bytes)
+        .map_err(|e| Failure::not_run(400, "bad_json", format!("could not read the body: {e}")))
+}
+
+fn prompt(shape: Shape, body: &Ask) -> Result<String, Failure> {
+    match (shape, &body.prompt, &body.messages) {
+        (Shape::Text, Some(prompt), None) => Ok(prompt.clone()),
+        (Shape::Chat, None, Some(messages)) if !messages.is_empty() => Ok(joined(messages)),
+        (Shape::Text, ..) => Err(Failure::not_run(
+            400,
+            "bad_prompt",
+            "send prompt, and no messages",
+        )),
+        (Shape::Chat, ..) => Err(Failure::not_run(
+            400,
+            "bad_prompt",
+            "send at least one of messages, and no prompt",
+        )),
+    }
+}
+
+fn joined(messages: &[Message]) -> String {
+    messages
+        .iter()
+        .map(|m| format!("{}: {}\n", m.role, m.content))
+        .collect()
+}
+
+fn tokens(body: &Ask) -> Result<u32, Failure> {
+    match body.max_tokens.unwrap_or(DEFAULT_TOKENS) {
+        n @ 1..=MAX_TOKENS => Ok(n),
+        _ => Err(Failure::not_run(
+            400,
+            "bad_max_tokens",
+            format!("max_tokens must be 1 to {MAX_TOKENS}"),
+        )),
+    }
+}
+
+/// Times of one answer as the caller sees them.
+struct Clock {
+    span: Span,
+    arrival: Instant,
+    last: Option<Instant>,
+}
+
+impl Clock {
+    fn new(span: Span, arrival: Instant) -> Self {
+        Self {
+            span,
+            arrival,
+            last: None,
+        }
+    }
+
+    fn token(&mut self) {
+        let now = Instant::now();
+        match self.last {
+            None => self.span.record(Stage::FirstToken, now - self.arrival),
+            Some(last) => self.span.record(Stage::TokenGap, now - last),
+        }
+        self.last = Some(now);
+    }
+
+    fn end(&self) {
+        self.span.record(Stage::EndToEnd, self.arrival.elapsed());
+    }
+}
+
+struct Streaming {
+    reader: Reader,
+    writer: Writer,
+    clock: Clock,
+    done: bool,
+    _running: Running,
+}
+
+fn streamed(call: Call, shape: Shape, id: &str, running: Running) -> Response {
+    let state = Streaming {
+        writer: Writer::new(shape, id, &call.model),
+        reader: call.reader,
+        clock: call.clock,
+        done: false,
+        _running: running,
+    };
+    let frames = stream::unfold(state, |mut state| async move {
+        let out = state.frame().await?;
+        let frame = Frame::data(Bytes::from(out));
+        Some((Ok::<_, Infallible>(frame), state))
+    });
+    let mut response = Response::new(Body::new(StreamBody::new(frames)));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+impl Streaming {
+    /// The next frame: all tokens that are ready, up to a bound. `None` after the end.
+    async fn frame(&mut self) -> Option<String> {
+        if self.done {
+            return None;
+        }
+        let mut out = String::new();
+        let mut next = Some(self.reader.next().await);
+        while let Some(event) = next {
+            self.write(&mut out, event);
+            next = match self.done || out.len() >= FRAME {
+                true => None,
+                false => self.reader.try_next(),
+            };
+        }
+        Some(out)
+    }
+
+    fn write(&mut self, out: &mut String, event: Event) {
+        match event {
+            Event::Token { index, text } => {
+                self.clock.token();
+                self.writer.token(out, index, &text);
+            }
+            Event::End { reason, .. } => {
+                self.clock.end();
+                self.writer.end(out, reason);
+                self.done = true;
+            }
+            Event::Failed(failure) => {
+                Writer::failure(out, &failure);
+                self.done = true;
+            }
+        }
+    }
+}
+
+async fn collected(call: Call, shape: Shape, id: &str) -> Response {
+    let mut reader = call.reader;
+    let mut text = String::new();
+    let mut count = 0;
+    let mut clock = call.clock;
+    loop {
+        match reader.next().await {
+            Event::Token { text: part, .. } => {
+                clock.token();
+                text.push_str(&part);
+                count += 1;
+            }
+            Event::End { reason, .. } => {
+                clock.end();
+                let body = event::whole(shape, id, &call.model, &text, reason, count);
+                return axum::Json(body).into_response();
+            }
+            Event::Failed(failure) => {
+                return failure.into_response();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/caller/front.rs
@@ -0,0 +1,77 @@
+//! Routes of the caller front and the checks that all calls share.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+
+use super::server::Drain;
+use super::completions;
+use crate::failure::Failure;
+use crate::instance::Instance;
+
+/// What the front's handlers share.
+#[derive(Clone, Debug)]
+pub struct Front {
+    /// The instance's parts.
+    pub instance: Arc<Instance>,
+    /// The shutdown's state.
+    pub drain: Arc<Drain>,
+}
+
+/// The front's routes.
+pub fn router(front: Front) -> Router {
+    Router::new()
+        .route("/v1/completions", post(completions::text))
+        .route("/v1/chat/completions", post(completions::chat))
+        .route("/healthz", get(|| async { "alive\n" }))
+        .route("/readyz", get(ready))
+        .fallback(unknown)
+        .with_state(front)
+}
+
+async fn ready(State(front): State<Front>) -> Response {
+    match (front.drain.draining(), front.instance.ready()) {
+        (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response(),
+        (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response(),
+        (false, true) => "ready\n".into_response(),
+    }
+}
+
+async fn unknown() -> Failure {
+    Failure::not_run(404, "unknown_path", "no such call; see docs/interfaces.md")
+}
+
+/// Reads a whole request body within the limits.
+///
+/// # Errors
+/// 413 when it is too large, 408 when it came too slowly, 400 when it broke off.
+pub(crate) async fn read_body(front: &Front, request: Request<Body>) -> Result<Bytes, Failure> {
+    let limits = front.instance.settings.limits;
+    let body = Limited::new(request.into_body(), limits.body).collect();
+    match tokio::time::timeout(limits.receive, body).await {
+        Err(_) => Err(Failure::not_run(
+            408,
+            "slow_request",
+            "the request's body did not arrive in time",
+        )),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::not_run(
+            413,
+            "body_too_large",
+            format!("the body is larger than {} bytes", limits.body),
+        )),
+        Ok(Err(_)) => Err(Failure::not_run(
+            400,
+            "broken_body",
+            "the request's body broke off",
+        )),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+    }
+}
+
--- /dev/null
+++ b/src/caller/identity.rs
@@ -0,0 +1,90 @@
+//! Who calls, and the name of the request.
+
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use sha2::{Digest, Sha256};
+use smol_str::{SmolStr, format_smolstr};
+use subtle::ConstantTimeEq;
+
+use crate::config::{Account, View};
+use crate::failure::Failure;
+
+/// Longest idempotency key in bytes.
+const MAX_KEY: usize = 256;
+
+/// An account that showed its key.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    /// Account name.
+    pub(crate) name: SmolStr,
+    /// The account's settings at this moment.
+    pub(crate) account: std::sync::Arc<Account>,
+}
+
+/// Finds the account whose key the request carries.
+///
+/// # Errors
+/// 401 when there is no key or none that is known.
+pub(crate) fn authenticate(view: &View, headers: &HeaderMap) -> Result<Caller, Failure> {
+    let shown = headers
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.strip_prefix("Bearer "))
+        .ok_or_else(|| Failure::not_run(401, "no_key", "send the account key as a bearer token"))?;
+    let hash = hex::encode(Sha256::digest(shown.as_bytes()));
+    let known = view.keys.get(hash.as_str()).and_then(|name| {
+        let account = view.accounts.get(name)?;
+        let same = account.value.key_sha256.as_bytes().ct_eq(hash.as_bytes());
+        bool::from(same).then(|| Caller {
+            name: name.clone(),
+            account: std::sync::Arc::clone(&account.value),
+        })
+    });
+    known.ok_or_else(|| Failure::not_run(401, "unknown_key", "the account key is not known"))
+}
+
+/// The caller's idempotency key, if it sent one.
+///
+/// # Errors
+/// 400 when the key is empty, too long or not visible ASCII.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<SmolStr>, Failure> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    match text.len() {
+        1..=MAX_KEY => Ok(Some(SmolStr::new(text))),
+        _ => Err(Failure::not_run(
+            400,
+            "bad_key",
+            format_smolstr!("Idempotency-Key must be 1 to {MAX_KEY} visible ASCII characters"),
+        )),
+    }
+}
+
+/// The index of the last token that a returning caller has.
+///
+/// # Errors
+/// 400 when it is not a whole number.
+pub(crate) fn last_event(headers: &HeaderMap) -> Result<Option<u64>, Failure> {
+    let Some(value) = headers.get("last-event-id") else {
+        return Ok(None);
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|v| v.trim().parse().ok())
+        .map(Some)
+        .ok_or_else(|| {
+            Failure::not_run(
+                400,
+                "bad_cursor",
+                "Last-Event-ID must be the id of a token event",
+            )
+        })
+}
+
+/// A fresh name for a request that came without one.
+pub(crate) fn fresh_key() -> SmolStr {
+    format_smolstr!("{:032x}", rand::random::<u128>())
+}
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -1,1 +1,11 @@
-//! The HTTP front for callers.
+//! The HTTP front for callers: keys, limits, generations, plain calls and graceful shutdown.
+
+mod answer;
+mod completions;
+mod event;
+mod front;
+mod identity;
+mod server;
+
+pub use front::{Front, router};
+pub use server::{Drain, serve};
--- /dev/null
+++ b/src/caller/server.rs
@@ -0,0 +1,168 @@
+//! Accepts callers' connections and drains them at shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::service::TowerToHyperService;
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::settings::Limits;
+
+/// Shortest time that the listener stays open after the instance said that it is not ready, so
+/// that the balancer learns of it first.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Time without a new connection after which the listener may close.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept, for instance when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The state of a shutdown, shared by the server, the front and the readiness check.
+#[derive(Debug, Default)]
+pub struct Drain {
+    draining: AtomicBool,
+    requests: AtomicUsize,
+    arrivals: AtomicU64,
+    last: Mutex<Option<Instant>>,
+}
+
+impl Drain {
+    /// Whether the instance is shutting down.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Starts to shut down.
+    pub fn begin(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Requests that are running.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    /// Connections accepted since the start.
+    #[must_use]
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    #[must_use]
+    pub(crate) fn enter(self: &Arc<Self>) -> Running {
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        Running(Arc::clone(self))
+    }
+
+    fn arrived(&self) {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        *self.last.lock() = Some(Instant::now());
+    }
+
+    fn quiet(&self, since: Instant) -> bool {
+        let last = self.last.lock().unwrap_or(since);
+        self.running() == 0 && last.elapsed() >= QUIET
+    }
+}
+
+/// Counts one running request.
+#[derive(Debug)]
+pub(crate) struct Running(Arc<Drain>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves `router` on `listener` until [`Drain::begin`] was called and the last request ended, or
+/// `timeout` passed after it.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: Limits,
+    drain: Arc<Drain>,
+    timeout: Duration,
+) {
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    let accepting = accept(&listener, &router, limits, &drain, &slots);
+    tokio::select! {
+        () = accepting => {}
+        () = drained(&drain, timeout) => {}
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    router: &Router,
+    limits: Limits,
+    drain: &Arc<Drain>,
+    slots: &Arc<Semaphore>,
+) {
+    loop {
+        let Ok(permit) = Arc::clone(slots).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        drain.arrived();
+        let router = router.clone();
+        let drain = Arc::clone(drain);
+        tokio::spawn(async move {
+            connection(stream, router, limits, drain).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
+    // Tokens are small and must not wait for an acknowledgement of the one before.
+    let _ = stream.set_nodelay(true);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.headers.max(8 * 1024));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.headers as u32)
+        .keep_alive_interval(Some(limits.idle));
+    let service = TowerToHyperService::new(router);
+    let served = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    tokio::select! {
+        _ = served.as_mut() => return,
+        () = until_draining(&drain) => {}
+    }
+    served.as_mut().graceful_shutdown();
+    let _ = served.await;
+}
+
+async fn until_draining(drain: &Drain) {
+    while !drain.draining() {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+}
+
+async fn drained(drain: &Drain, timeout: Duration) {
+    until_draining(drain).await;
+    let begun = Instant::now();
+    tokio::time::sleep(LINGER).await;
+    while !drain.quiet(begun) && begun.elapsed() < timeout {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -117,6 +117,12 @@
         self.roster.subscribe()
     }
 
+    /// The key of the target `name`.
+    #[must_use]
+    pub fn key(&self, name: &str) -> Option<TargetKey> {
+        self.arena.lock().slots.get(name).map(|s| s.target.key)
+    }
+
     /// Takes over the platform's list. A target that is missing counts as leaving.
     pub fn sync(&self, list: &[InstanceEntry], now: Instant) {
         let mut arena = self.arena.lock();
--- a/src/instance.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! One entry instance: its parts and how they are wired.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform;
 pub mod rollout;
 pub mod routing;
+pub mod serve;
 pub mod settings;
 pub mod target;
 pub mod telemetry;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,5 +13,4 @@
 pub use load::Report;
 pub use policy::{Costs, Policy};
 pub use router::{Lease, Query, Router, Supply};
-pub use table::Target;
 pub use word::{Count, Word};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -13,7 +13,8 @@
 use super::health::Fitness;
 use super::load::Report;
 use super::policy::{Choice, Costs, Policy};
-use super::table::{Entry, Table, Target};
+use super::table::{Entry, Table};
+use crate::fleet::Target;
 use super::word::{Count, Word};
 use crate::ident::TargetKey;
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,6 +1,5 @@
 //! The targets of one fleet reading, indexed by service, version and failure domain.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -11,32 +10,12 @@
 
 use super::health::Health;
 use super::load::{Hold, Load};
+use crate::fleet::Target;
 use crate::ident::TargetKey;
 
 /// Points of each target on a group's ring.
 const POINTS: u64 = 8;
 
-/// One target as the fleet knows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Target {
-    /// Its key in the fleet's arena.
-    pub key: TargetKey,
-    /// Its name, unique in the fleet.
-    pub name: SmolStr,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Failure domain.
-    pub domain: SmolStr,
-    /// Region.
-    pub region: SmolStr,
-    /// Service that it runs.
-    pub service: SmolStr,
-    /// Version that it runs.
-    pub version: SmolStr,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
-
 /// A target with what is known of it.
 #[derive(Debug)]
 pub(crate) struct Entry {
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,109 @@
+//! Runs one entry instance from its settings to its graceful shutdown.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::caller::{self, Drain, Front};
+use crate::instance::Instance;
+use crate::settings::Settings;
+use crate::telemetry;
+
+/// The listeners of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For operators.
+    pub admin: TcpListener,
+    /// For other instances.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    pub async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        let listen = settings.listen;
+        Ok(Self {
+            caller: bind("caller", listen.caller).await?,
+            admin: bind("admin", listen.admin).await?,
+            peer: bind("peer", listen.peer).await?,
+        })
+    }
+
+    /// One line that names the bound addresses.
+    ///
+    /// # Errors
+    /// When the system does not know an address.
+    pub fn banner(&self) -> anyhow::Result<String> {
+        Ok(format!(
+            "listening caller {} admin {} peer {}",
+            self.caller.local_addr()?,
+            self.admin.local_addr()?,
+            self.peer.local_addr()?,
+        ))
+    }
+}
+
+async fn bind(name: &str, addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("could not listen on {addr} for [listen] {name}"))
+}
+
+/// Serves until SIGTERM or SIGINT and then drains.
+///
+/// # Errors
+/// When an address cannot be bound or signals cannot be received.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let (log, _guard) = telemetry::logger(&settings.log);
+    let listeners = Listeners::bind(&settings).await?;
+    println!("{}", listeners.banner()?);
+    let drain = Arc::<Drain>::default();
+    let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
+    let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
+    let instance = Arc::new(Instance::new(settings, log.clone()));
+    info!(log, "serve: started"; "name" => instance.settings.instance.name.as_str());
+    let stop = Arc::clone(&drain);
+    let signals = async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        info!(log, "serve: draining");
+        stop.begin();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = serve(Arc::clone(&instance), listeners, drain) => {}
+        () = signals => {}
+    }
+    info!(instance.log, "serve: stopped");
+    Ok(())
+}
+
+/// Serves on `listeners` until `drain` has begun and the last request has ended.
+pub async fn serve(instance: Arc<Instance>, listeners: Listeners, drain: Arc<Drain>) {
+    instance.start();
+    let limits = instance.settings.limits;
+    let timeout = instance.settings.drain;
+    let front = Front {
+        instance,
+        drain: Arc::clone(&drain),
+    };
+    caller::serve(
+        listeners.caller,
+        caller::router(front),
+        limits,
+        drain,
+        timeout,
+    )
+    .await;
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,123 @@
+//! The whole path through separate processes, without faults.
+
+mod support;
+
+use std::time::Duration;
+
+use http::Method;
+use serde_json::json;
+use support::caller::Ask;
+use support::world::World;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_is_served_the_same_through_two_instances() {
+    let world = World::usual(2, 2, &["--token-ms", "2"]).await;
+
+    let first = Ask::completion(world.entries[0].caller, "llm", "tell me", 50);
+    let seen = first.all(&world.client).await;
+    let other = first.clone().at(world.entries[1].caller);
+    let again = other.all(&world.client).await;
+
+    assert!(seen.done, "{seen:?}");
+    assert_eq!(seen.tokens.len(), 50);
+    assert!(seen.in_order(0));
+    assert_eq!(seen.finish.as_deref(), Some("length"));
+    assert_eq!(seen.texts(), again.texts());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_not_streamed_holds_the_same_text() {
+    let world = World::usual(1, 1, &["--token-ms", "2"]).await;
+    let ask = Ask::completion(world.entries[0].caller, "llm", "tell me", 20);
+
+    let seen = ask.all(&world.client).await;
+    let mut body = ask.body.clone();
+    body["stream"] = false.into();
+    let (status, whole) = ask.clone().body(body).whole(&world.client).await.unwrap();
+
+    assert_eq!(status, 200, "{whole}");
+    assert_eq!(whole["choices"][0]["text"], seen.texts().concat());
+    assert_eq!(whole["usage"]["completion_tokens"], 20);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_read_and_an_action_are_served() {
+    let world = World::usual(0, 2, &[]).await;
+    let entry = world.entries[0].caller;
+
+    let read = Ask::service(entry, Method::GET, "desk", "/jobs/7");
+    let action = Ask::service(entry, Method::POST, "desk", "/actions/deposit")
+        .key("deposit-1")
+        .body(json!({"amount": 5}));
+    let read = read.whole(&world.client).await.unwrap();
+    let first = action.whole(&world.client).await.unwrap();
+    let second = action.at(world.entries[1].caller);
+    let second = second.whole(&world.client).await.unwrap();
+
+    assert!(read.0.is_success(), "{read:?}");
+    assert!(first.0.is_success(), "{first:?}");
+    assert_eq!(first, second);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_stop_cuts_no_stream_and_refuses_no_connection() {
+    const STREAMS: usize = 200;
+    let mut world = World::usual(4, 2, &["--token-ms", "20", "--slots", "128"]).await;
+    let entry = world.entries[0].caller;
+    let asks = (0..STREAMS)
+        .map(|i| Ask::completion(entry, "llm", &format!("stream {i}"), 100 + (i as u32 % 50)));
+    let streams: Vec<_> = asks
+        .map(|ask| {
+            let client = world.client.clone();
+            tokio::spawn(async move { (ask.all(&client).await, ask) })
+        })
+        .collect();
+    support::world::until("all streams run", async || {
+        let load = world.engines.iter().map(|e| world.read(e.addr, "/control/log"));
+        let mut starts = 0;
+        for log in load {
+            starts += count_starts(&log.await);
+        }
+        starts >= STREAMS
+    })
+    .await;
+
+    world.entries[0].process.signal("TERM");
+    let late = arrivals_until_closed(&world, entry).await;
+    let mut cut = 0;
+    for stream in streams {
+        let (seen, ask) = stream.await.unwrap();
+        let whole = seen.done && seen.tokens.len() as u64 == ask.body["max_tokens"].as_u64().unwrap();
+        cut += usize::from(!whole);
+    }
+
+    assert_eq!(cut, 0, "streams were cut");
+    assert!(late > 0, "new connections arrived while it drained");
+    let ended = world.entries[0].process.ended(Duration::from_secs(20));
+    assert_eq!(ended, Some(true));
+}
+
+fn count_starts(log: &serde_json::Value) -> usize {
+    log["starts"].as_array().map_or(0, Vec::len)
+}
+
+/// Sends short requests over new connections until the listener is closed, as a balancer does
+/// that learns of it late; it stops sending when the instance says that it is not ready.
+async fn arrivals_until_closed(world: &World, entry: std::net::SocketAddr) -> usize {
+    let mut served = 0;
+    loop {
+        let ask = Ask::completion(entry, "llm", &format!("late {served}"), 2);
+        let seen = ask.all(&world.client).await;
+        assert!(seen.done, "a new request was cut or refused: {seen:?}");
+        served += 1;
+        let url = format!("http://{entry}/readyz");
+        let ready = endivefork::http::request(Method::GET, &url, "");
+        let ready = world
+            .client
+            .send(endivefork::http::Via::Fresh, ready, support::world::LIMIT)
+            .await;
+        if ready.is_ok_and(|a| a.status == 503) && served > 20 {
+            return served;
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,99 @@
+//! Child processes that end with the test.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// Longest wait for a process to say where it listens.
+const START: Duration = Duration::from_secs(20);
+
+/// A running child process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub banner: String,
+}
+
+impl Process {
+    /// Starts `command` and waits for its first line of output.
+    pub fn start(command: &mut Command) -> Self {
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|e| panic!("could not start {command:?}: {e}"));
+        let out = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let (send, receive) = mpsc::channel();
+        thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                let _ = send.send(line);
+            }
+        });
+        let banner = receive.recv_timeout(START).unwrap_or_else(|e| {
+            let _ = child.kill();
+            panic!("no first line from {command:?}: {e}")
+        });
+        Self { child, banner }
+    }
+
+    /// The address behind `word` in the first line.
+    pub fn addr(&self, word: &str) -> SocketAddr {
+        let mut words = self.banner.split_whitespace();
+        words.find(|w| *w == word);
+        let addr = words
+            .next()
+            .unwrap_or_else(|| panic!("no {word} in {:?}", self.banner));
+        addr.parse().expect("an address")
+    }
+
+    /// Ends it without notice.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends the signal `name` (`STOP`, `CONT`, `TERM`).
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .expect("could not run kill");
+        assert!(status.success(), "kill -{name} failed");
+    }
+
+    /// Waits up to `limit` for its end. Returns whether it ended well, or `None` when it still runs.
+    pub fn ended(&mut self, limit: Duration) -> Option<bool> {
+        let step = Duration::from_millis(20);
+        for _ in 0..=limit.as_millis() / step.as_millis() {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            thread::sleep(step);
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The built example program `name`.
+pub fn example(name: &str) -> PathBuf {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_endivefork"));
+    let path = binary.with_file_name("examples").join(name);
+    assert!(
+        path.exists(),
+        "{} is missing: run cargo build --examples",
+        path.display()
+    );
+    path
+}
