Run actions at most once through claim objects

Cause: a doubled deposit or invoice must not happen, whatever dies in between. Change: a pure aggregate decides each try; a driver connects to the target first, claims, marks the claim as sent by conditional update and only then sends. A claim that was not sent is taken over, one that was sent never. Lost platform answers are read back by nonce. A mark that may still land after a try gave up is undone in the background by conditional writes. Lost service answers are looked up by a declared status call. Repeat-safe calls retry within a budget for each service. Ruled out: sending over pooled connections, as an idle one may be silent and the action cannot be sent again; retries inside the platform client.

--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -1,1 +1,21 @@
-//! Actions that must not repeat: claim, send, outcome.
+//! Calls of plain services: actions that run at most once, and calls that may be repeated.
+//!
+//! A non-repeatable action holds a claim, an object of the platform. See docs/design/actions.md.
+
+mod call;
+mod claim;
+mod driver;
+mod outcome;
+mod recent;
+mod record;
+mod safe;
+mod settle;
+mod verdict;
+
+pub use call::{Call, Choose, Hook, Pick, Point, Report};
+pub use claim::{Cause, Claim, Command, Event, Held, Now, Rules, Terms, Verdict};
+pub use driver::Actions;
+pub use outcome::{OUTCOME_LIMIT, Outcome};
+pub use record::{KIND, Record, Stage, claim_name};
+pub use safe::Budget;
+pub use settle::Leftover;
--- /dev/null
+++ b/src/action/outcome.rs
@@ -0,0 +1,66 @@
+//! The answer of a service, as it is kept for a repeat.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Most bytes of an answer's body that are kept.
+pub const OUTCOME_LIMIT: usize = 128 << 10;
+
+/// What a service answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Wire", try_from = "Wire")]
+pub struct Outcome {
+    /// HTTP status code.
+    pub status: u16,
+    /// Content type; empty when the service named none.
+    pub content: SmolStr,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// JSON has no bytes: text stays readable, anything else is written in hex.
+#[derive(Clone, Serialize, Deserialize)]
+struct Wire {
+    status: u16,
+    content: SmolStr,
+    #[serde(flatten)]
+    body: WireBody,
+}
+
+#[derive(Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireBody {
+    Text(String),
+    Hex(String),
+}
+
+impl From<Outcome> for Wire {
+    fn from(outcome: Outcome) -> Self {
+        let body = match str::from_utf8(&outcome.body) {
+            Ok(text) => WireBody::Text(text.to_owned()),
+            Err(_) => WireBody::Hex(hex::encode(&outcome.body)),
+        };
+        Self {
+            status: outcome.status,
+            content: outcome.content,
+            body,
+        }
+    }
+}
+
+impl TryFrom<Wire> for Outcome {
+    type Error = hex::FromHexError;
+
+    fn try_from(wire: Wire) -> Result<Self, Self::Error> {
+        let body = match wire.body {
+            WireBody::Text(text) => Bytes::from(text),
+            WireBody::Hex(text) => Bytes::from(hex::decode(text)?),
+        };
+        Ok(Self {
+            status: wire.status,
+            content: wire.content,
+            body,
+        })
+    }
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -1,1 +1,3 @@
 //! Clients of engines and plain services.
+
+pub mod plain;
