--- a/src/action/claim.rs
+++ b/src/action/claim.rs
@@ -430,12 +430,14 @@
             Stage::Released => self.begin(held.rev, now),
             Stage::Claimed if mine => self.mark(held.rev, now),
             Stage::Sent if mine => self.send(held.rev, now.at, now),
-            Stage::Claimed | Stage::Sent => self.wait(held, now.at, 0),
+            Stage::Claimed | Stage::Sent => self.wait(held, now.at, 0, now),
         }
     }
 
-    fn wait(&mut self, held: Held, since: Instant, polls: u32) -> Command {
-        let pause = (self.rules.poll * 2_u32.saturating_pow(polls.min(10))).min(POLL_MAX);
+    fn wait(&mut self, held: Held, since: Instant, polls: u32, now: Now) -> Command {
+        let left = self.terms.deadline.saturating_duration_since(now.at);
+        let pause = self.rules.poll * 2_u32.pow(polls.min(10));
+        let pause = pause.min(POLL_MAX).min(left);
         self.phase = Phase::Waiting(held, since, polls + 1);
         Command::Wait(pause)
     }
@@ -453,7 +455,7 @@
             Event::Read(Some(_)) => self.unchanged(held, since, polls, now),
             Event::Read(None) if held.record.stage == Stage::Claimed => self.begin(0, now),
             _ if self.is_hopeless(&held, since, now) => give_up(&held),
-            _ => self.wait(held, since, polls),
+            _ => self.wait(held, since, polls, now),
         }
     }
 
@@ -470,7 +472,7 @@
                 Command::Check(path)
             }
             _ if hopeless => give_up(&held),
-            _ => self.wait(held, since, polls),
+            _ => self.wait(held, since, polls, now),
         }
     }
 
@@ -492,7 +494,7 @@
                 }
             }
             _ if self.is_hopeless(&held, since, now) => give_up(&held),
-            _ => self.wait(held, since, polls),
+            _ => self.wait(held, since, polls, now),
         }
     }
 
--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -127,7 +127,11 @@
         })?;
     let key = RequestKey::new(&caller.name, key);
     let version = instance.version(name, &service.value, key);
-    let model = service.value.versions.get(&version).map(|v| v.model.clone());
+    let model = service
+        .value
+        .versions
+        .get(&version)
+        .map(|v| v.model.clone());
     let start = Start {
         key,
         account: caller.name.clone(),
@@ -137,7 +141,11 @@
         prompt: Arc::from(prompt.as_str()),
         max_tokens: max.into(),
         priority: body.priority,
-        deadline: (arrival + body.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis)).into(),
+        deadline: (arrival
+            + body
+                .deadline_ms
+                .map_or(DEFAULT_DEADLINE, Duration::from_millis))
+        .into(),
         body_digest: digest(&[name, &prompt, &max.to_string()]),
     };
     let reader = instance.generate(start, cursor, &caller.account).await?;
--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -11,8 +11,8 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use super::server::Drain;
 use super::completions;
+use super::server::Drain;
 use crate::failure::Failure;
 use crate::instance::Instance;
 
@@ -39,7 +39,9 @@
 async fn ready(State(front): State<Front>) -> Response {
     match (front.drain.draining(), front.instance.ready()) {
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response(),
-        (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response(),
+        (false, false) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response()
+        }
         (false, true) => "ready\n".into_response(),
     }
 }
@@ -74,4 +76,3 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
     }
 }
-
