--- a/src/caller/event.rs
+++ b/src/caller/event.rs
@@ -64,8 +64,9 @@
         };
         let _ = write!(
             out,
-            "data: {}{empty},\"finish_reason\":\"{finish}\"}}]}}\n\ndata: [DONE]\n\n",
-            self.head
+            "data: {}{empty},\"finish_reason\":\"{}\"}}]}}\n\ndata: [DONE]\n\n",
+            self.head,
+            finish.as_str(),
         );
     }
 
@@ -84,7 +85,7 @@
     finish: Reason,
     tokens: u64,
 ) -> serde_json::Value {
-    let finish = finish.to_string();
+    let finish = finish.as_str();
     let choice = match shape {
         Shape::Text => serde_json::json!({"index": 0, "text": text, "finish_reason": finish}),
         Shape::Chat => serde_json::json!({
--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -5,14 +5,16 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{Request, State};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use bytes::Bytes;
-use http::StatusCode;
+use http::header::CONNECTION;
+use http::{HeaderValue, StatusCode, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use super::server::Drain;
 use super::completions;
+use super::server::Drain;
 use crate::failure::Failure;
 use crate::instance::Instance;
 
@@ -33,13 +35,27 @@
         .route("/healthz", get(|| async { "alive\n" }))
         .route("/readyz", get(ready))
         .fallback(unknown)
+        .layer(from_fn_with_state(Arc::clone(&front.drain), say_close))
         .with_state(front)
 }
 
+/// Tells HTTP/1 callers of a draining instance to bring their next request elsewhere.
+async fn say_close(State(drain): State<Arc<Drain>>, request: Request, next: Next) -> Response {
+    let http1 = request.version() < Version::HTTP_2;
+    let mut response = next.run(request).await;
+    if http1 && drain.draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 async fn ready(State(front): State<Front>) -> Response {
     match (front.drain.draining(), front.instance.ready()) {
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "draining\n").into_response(),
-        (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response(),
+        (false, false) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n").into_response()
+        }
         (false, true) => "ready\n".into_response(),
     }
 }
@@ -74,4 +90,3 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
     }
 }
-
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -1,7 +1,7 @@
 //! Accepts callers' connections and drains them at shutdown.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use crate::settings::Limits;
 
@@ -18,9 +19,15 @@
 /// that the balancer learns of it first.
 const LINGER: Duration = Duration::from_secs(3);
 
-/// Time without a new connection after which the listener may close.
+/// Time without a new connection or request after which the listener may close.
 const QUIET: Duration = Duration::from_secs(1);
 
+/// Smallest buffer that the HTTP/1 library accepts, in bytes.
+const MIN_HTTP1_BUFFER: usize = 8 * 1024;
+
+/// Pause before another look at the first bytes of a connection.
+const PEEK_PAUSE: Duration = Duration::from_millis(5);
+
 /// Pause after a failed accept, for instance when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -29,7 +36,6 @@
 pub struct Drain {
     draining: AtomicBool,
     requests: AtomicUsize,
-    arrivals: AtomicU64,
     last: Mutex<Option<Instant>>,
 }
 
@@ -51,22 +57,18 @@
         self.requests.load(Ordering::Acquire)
     }
 
-    /// Connections accepted since the start.
-    #[must_use]
-    pub fn arrivals(&self) -> u64 {
-        self.arrivals.load(Ordering::Relaxed)
-    }
-
     /// Counts a request until the guard is dropped.
     #[must_use]
     pub(crate) fn enter(self: &Arc<Self>) -> Running {
         self.requests.fetch_add(1, Ordering::AcqRel);
+        self.arrived();
         Running(Arc::clone(self))
     }
 
     fn arrived(&self) {
-        self.arrivals.fetch_add(1, Ordering::Relaxed);
-        *self.last.lock() = Some(Instant::now());
+        if self.draining() {
+            *self.last.lock() = Some(Instant::now());
+        }
     }
 
     fn quiet(&self, since: Instant) -> bool {
@@ -86,19 +88,19 @@
 }
 
 /// Serves `router` on `listener` until [`Drain::begin`] was called and the last request ended, or
-/// `timeout` passed after it.
+/// `longest` passed after it.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
     limits: Limits,
     drain: Arc<Drain>,
-    timeout: Duration,
+    longest: Duration,
 ) {
     let slots = Arc::new(Semaphore::new(limits.connections));
     let accepting = accept(&listener, &router, limits, &drain, &slots);
     tokio::select! {
         () = accepting => {}
-        () = drained(&drain, timeout) => {}
+        () = drained(&drain, longest) => {}
     }
 }
 
@@ -130,12 +132,15 @@
 async fn connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
     // Tokens are small and must not wait for an acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
+    let Ok(multiplexed) = timeout(limits.idle, is_http2(&stream)).await else {
+        return;
+    };
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
-        .max_buf_size(limits.headers.max(8 * 1024));
+        .max_buf_size(limits.headers.max(MIN_HTTP1_BUFFER));
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -146,23 +151,39 @@
     tokio::pin!(served);
     tokio::select! {
         _ = served.as_mut() => return,
-        () = until_draining(&drain) => {}
+        () = until_draining(&drain), if multiplexed => {}
     }
     served.as_mut().graceful_shutdown();
     let _ = served.await;
 }
 
+/// Whether the caller speaks HTTP/2, which can be told to open no more streams. An HTTP/1
+/// connection is left open, since a request may be on its way; its answers say `close`.
+async fn is_http2(stream: &TcpStream) -> bool {
+    const PREFACE: &[u8; 3] = b"PRI";
+    let mut head = [0; PREFACE.len()];
+    loop {
+        match stream.peek(&mut head).await {
+            Ok(n) if n > 0 && n < head.len() && PREFACE.starts_with(&head[..n]) => {
+                tokio::time::sleep(PEEK_PAUSE).await;
+            }
+            Ok(n) => return n == head.len() && head == *PREFACE,
+            Err(_) => return false,
+        }
+    }
+}
+
 async fn until_draining(drain: &Drain) {
     while !drain.draining() {
         tokio::time::sleep(Duration::from_millis(250)).await;
     }
 }
 
-async fn drained(drain: &Drain, timeout: Duration) {
+async fn drained(drain: &Drain, longest: Duration) {
     until_draining(drain).await;
     let begun = Instant::now();
     tokio::time::sleep(LINGER).await;
-    while !drain.quiet(begun) && begun.elapsed() < timeout {
+    while !drain.quiet(begun) && begun.elapsed() < longest {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -87,9 +87,15 @@
     /// A client with an empty pool.
     #[must_use]
     pub fn new() -> Self {
+        Self::connecting_within(CONNECT_TIMEOUT)
+    }
+
+    /// A client that waits up to `limit` for a TCP connection.
+    #[must_use]
+    pub fn connecting_within(limit: Duration) -> Self {
         Self {
-            pool: pool(usize::MAX),
-            fresh: pool(0),
+            pool: pool(usize::MAX, limit),
+            fresh: pool(0, limit),
         }
     }
 
@@ -109,8 +115,8 @@
         };
         match tokio::time::timeout(timeout, pool.request(request)).await {
             Err(_) => Err(Error::Timeout(timeout)),
-            Ok(Err(e)) if e.is_connect() => Err(Error::Connect(e.to_string())),
-            Ok(Err(e)) => Err(Error::Lost(e.to_string())),
+            Ok(Err(e)) if e.is_connect() => Err(Error::Connect(chain(&e))),
+            Ok(Err(e)) => Err(Error::Lost(chain(&e))),
             Ok(Ok(response)) => Ok(response),
         }
     }
@@ -162,10 +168,17 @@
         .expect("the URL is built from checked parts")
 }
 
-fn pool(idle: usize) -> Pool<HttpConnector, Full<Bytes>> {
+/// The text of an error with its causes.
+fn chain(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |e| e.source());
+    let texts: Vec<_> = causes.map(ToString::to_string).collect();
+    texts.join(": ")
+}
+
+fn pool(idle: usize, limit: Duration) -> Pool<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(limit));
     Pool::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -24,7 +24,9 @@
                     self.router.sync(self.fleet.roster().targets.clone());
                     self.listed.store(true, Ordering::Release);
                 }
-                Err(e) => debug!(self.log, "fleet: could not read the instance list"; "error" => %e),
+                Err(e) => {
+                    debug!(self.log, "fleet: could not read the instance list"; "error" => %e)
+                }
             }
             tokio::time::sleep(self.settings.platform.poll).await;
         }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -14,8 +14,8 @@
 use super::load::Report;
 use super::policy::{Choice, Costs, Policy};
 use super::table::{Entry, Table};
-use crate::fleet::Target;
 use super::word::{Count, Word};
+use crate::fleet::Target;
 use crate::ident::TargetKey;
 
 /// What a request needs of a target.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -69,11 +69,25 @@
     let streams: Vec<_> = asks
         .map(|ask| {
             let client = world.client.clone();
-            tokio::spawn(async move { (ask.all(&client).await, ask) })
+            tokio::spawn(async move {
+                let seen = ask.all(&client).await;
+                if !seen.done {
+                    eprintln!(
+                        "BAD {:?} {:?} {}",
+                        seen.status,
+                        seen.error,
+                        seen.tokens.len()
+                    );
+                }
+                (seen, ask)
+            })
         })
         .collect();
     support::world::until("all streams run", async || {
-        let load = world.engines.iter().map(|e| world.read(e.addr, "/control/log"));
+        let load = world
+            .engines
+            .iter()
+            .map(|e| world.read(e.addr, "/control/log"));
         let mut starts = 0;
         for log in load {
             starts += count_starts(&log.await);
@@ -87,7 +101,8 @@
     let mut cut = 0;
     for stream in streams {
         let (seen, ask) = stream.await.unwrap();
-        let whole = seen.done && seen.tokens.len() as u64 == ask.body["max_tokens"].as_u64().unwrap();
+        let whole =
+            seen.done && seen.tokens.len() as u64 == ask.body["max_tokens"].as_u64().unwrap();
         cut += usize::from(!whole);
     }
 
@@ -98,7 +113,8 @@
 }
 
 fn count_starts(log: &serde_json::Value) -> usize {
-    log["starts"].as_array().map_or(0, Vec::len)
+    let entries = log["entries"].as_array().map_or(&[][..], Vec::as_slice);
+    entries.iter().filter(|e| e["op"] == "start").count()
 }
 
 /// Sends short requests over new connections until the listener is closed, as a balancer does
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use endivefork::fleet::Target;
 use endivefork::ident::TargetKey;
-use endivefork::routing::{Costs, Count, Policy, Query, Report, Router, Target, Word};
+use endivefork::routing::{Costs, Count, Policy, Query, Report, Router, Word};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -185,7 +185,10 @@
     pub async fn stream(&self, client: &Client, stop: impl Fn(&Token) -> bool) -> Seen {
         let response = match client.open(Via::Fresh, self.request(), PATIENCE).await {
             Ok(response) => response,
-            Err(_) => return unreached(),
+            Err(e) => {
+                eprintln!("caller: {e}");
+                return unreached();
+            }
         };
         let mut seen = Seen {
             status: response.status(),
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -50,7 +50,7 @@
         command.args(["--listen", "127.0.0.1:0"]);
         let process = Process::start(&mut command);
         Self {
-            client: Client::new(),
+            client: Client::connecting_within(LIMIT),
             platform: Node {
                 name: "platform".into(),
                 addr: process.addr("listening"),
@@ -106,10 +106,14 @@
 
     /// Stores an object on the platform, whatever stood there.
     pub async fn store(&self, kind: &str, name: &str, value: &Value) {
-        let url = format!("http://{}/v1/objects/{kind}/{name}", self.platform.addr);
+        let path = format!("/v1/objects/{kind}/{name}");
+        let rev = self.read(self.platform.addr, &path).await["rev"].clone();
+        let rev = rev.as_u64().unwrap_or(0);
+        let url = format!("http://{}{path}?if_rev={rev}", self.platform.addr);
         let request = request(Method::PUT, &url, value.to_string());
         let answer = self.client.send(Via::Pool, request, LIMIT).await;
-        assert!(answer.expect("the platform answers").status.is_success());
+        let answer = answer.expect("the platform answers");
+        assert!(answer.status.is_success(), "{answer:?}");
     }
 
     /// Sends `body` to a stand-in's control route and returns its answer.
@@ -177,14 +181,8 @@
         let name = format!("entry-{}", self.entries.len());
         let settings = self.settings(&name, more);
         let instance = start_entry(&name, settings);
-        self.list(
-            &name,
-            "entry",
-            instance.caller,
-            Some(instance.peer),
-            None,
-        )
-        .await;
+        self.list(&name, "entry", instance.caller, Some(instance.peer), None)
+            .await;
         self.entries.push(instance);
         self.entries.len() - 1
     }
