Serve plain calls and actions through the caller front

Cause: the action driver stood without a front. Change: routes of a plain service decide what may be repeated (a call without a route may not); targets are chosen by the router.

--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -7,14 +7,14 @@
 use axum::extract::{Request, State};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post};
+use axum::routing::{any, get, post};
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, StatusCode, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use super::completions;
 use super::server::Drain;
+use super::{completions, services};
 use crate::failure::Failure;
 use crate::instance::Instance;
 
@@ -32,6 +32,7 @@
     Router::new()
         .route("/v1/completions", post(completions::text))
         .route("/v1/chat/completions", post(completions::chat))
+        .route("/services/{service}/{*path}", any(services::call))
         .route("/healthz", get(|| async { "alive\n" }))
         .route("/readyz", get(ready))
         .fallback(unknown)
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -6,6 +6,7 @@
 mod front;
 mod identity;
 mod server;
+mod services;
 
 pub use front::{Front, router};
 pub use server::{Drain, serve};
--- /dev/null
+++ b/src/caller/services.rs
@@ -0,0 +1,116 @@
+//! Calls to plain services over HTTP.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::response::{IntoResponse, Response};
+use http::header::{CONTENT_TYPE, HeaderName};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use smol_str::SmolStr;
+
+use super::answer::tagged;
+use super::front::{Front, read_body};
+use super::identity;
+use crate::action::{Call, Outcome};
+use crate::config::Kind;
+use crate::failure::Failure;
+
+/// Time for claims and retries beside the service's own answer time.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Headers of the caller that a plain service gets.
+const PASSED: [HeaderName; 3] = [
+    CONTENT_TYPE,
+    http::header::ACCEPT,
+    http::header::ACCEPT_LANGUAGE,
+];
+
+/// `ANY /services/{service}/{path}`.
+pub(crate) async fn call(
+    State(front): State<Front>,
+    Path((service, path)): Path<(SmolStr, String)>,
+    request: Request,
+) -> Response {
+    let _running = front.drain.enter();
+    let key = match identity::idempotency_key(request.headers()) {
+        Ok(key) => key,
+        Err(failure) => return failure.into_response(),
+    };
+    let id = key.clone().unwrap_or_else(identity::fresh_key);
+    let response = match run(&front, service, path, key, request).await {
+        Ok(outcome) => outcome_response(outcome),
+        Err(failure) => {
+            front.instance.metrics.refused(failure.reason);
+            failure.into_response()
+        }
+    };
+    tagged(response, &id)
+}
+
+async fn run(
+    front: &Front,
+    service: SmolStr,
+    path: String,
+    key: Option<SmolStr>,
+    request: Request,
+) -> Result<Outcome, Failure> {
+    let instance = &front.instance;
+    let view = instance.config.view();
+    let caller = identity::authenticate(&view, request.headers())?;
+    let known = view
+        .services
+        .get(&service)
+        .filter(|s| s.value.kind == Kind::Plain)
+        .ok_or_else(|| {
+            Failure::not_run(
+                404,
+                "unknown_service",
+                format!("no service is named {service}"),
+            )
+        })?;
+    let method = request.method().clone();
+    let headers = passed(request.headers());
+    let path = full_path(&path, request.uri().query());
+    let body = read_body(front, request).await?;
+    let timeout = Duration::from_millis(known.value.timeout_ms);
+    let route = known.value.route(method.as_str(), &path);
+    let call = Call {
+        service,
+        account: caller.name,
+        key,
+        method,
+        path: path.into(),
+        headers,
+        body,
+        repeat: route.map(|r| r.repeat).unwrap_or_default(),
+        status: route.and_then(|r| r.status.clone()),
+        timeout,
+        deadline: timeout + GRACE,
+    };
+    instance.actions.run(call).await
+}
+
+fn full_path(path: &str, query: Option<&str>) -> String {
+    match query {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    }
+}
+
+fn passed(headers: &HeaderMap) -> HeaderMap {
+    PASSED
+        .iter()
+        .filter_map(|name| Some((name.clone(), headers.get(name)?.clone())))
+        .collect()
+}
+
+fn outcome_response(outcome: Outcome) -> Response {
+    let mut response = Response::new(Body::from(outcome.body));
+    *response.status_mut() =
+        StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(kind) = HeaderValue::from_str(&outcome.content) {
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    response
+}
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -87,6 +87,18 @@
     pub timeout_ms: u64,
 }
 
+impl Service {
+    /// The first route that matches a call. A call without a route may not be repeated.
+    #[must_use]
+    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
+        let fits = |r: &&Route| r.method == "*" || r.method.eq_ignore_ascii_case(method);
+        self.routes
+            .iter()
+            .filter(fits)
+            .find(|r| path.starts_with(r.path.as_str()))
+    }
+}
+
 fn default_timeout() -> u64 {
     10_000
 }
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -25,7 +25,7 @@
                     self.listed.store(true, Ordering::Release);
                 }
                 Err(e) => {
-                    debug!(self.log, "fleet: could not read the instance list"; "error" => %e)
+                    debug!(self.log, "fleet: could not read the instance list"; "error" => %e);
                 }
             }
             tokio::time::sleep(self.settings.platform.poll).await;
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,5 +1,6 @@
 //! One entry instance: its parts and how they are wired.
 
+mod act;
 mod follow;
 mod generate;
 
@@ -9,6 +10,7 @@
 use slog::Logger;
 use smol_str::SmolStr;
 
+use crate::action::{Actions, Rules};
 use crate::config;
 use crate::fleet::Fleet;
 use crate::generation::Generations;
@@ -38,6 +40,8 @@
     pub router: Arc<Router>,
     /// The generations that run here.
     pub generations: Generations,
+    /// Calls of plain services.
+    pub actions: Actions,
     listed: AtomicBool,
 }
 
@@ -49,15 +53,20 @@
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
         let hooks = generate::hooks(&settings.instance, &fleet, &router);
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
+        let config = Arc::<config::Store>::default();
+        let choose = act::chooser(&settings.instance, &config, &router);
+        let name = settings.instance.name.clone();
+        let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         Self {
             settings,
             log,
             metrics: Metrics::new(),
             platform: Arc::new(platform),
-            config: Arc::default(),
+            config,
             fleet,
             router,
             generations: Generations::new(hooks, Client::new()),
+            actions,
             listed: AtomicBool::new(false),
         }
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -214,6 +214,16 @@
         supply
     }
 
+    /// The target that takes work at `addr`.
+    #[must_use]
+    pub fn key_at(&self, addr: SocketAddr) -> Option<TargetKey> {
+        let table = self.table();
+        let mut entries = table.entries();
+        entries
+            .find(|e| e.target.addr == addr)
+            .map(|e| e.target.key)
+    }
+
     /// Estimated requests at a target.
     #[must_use]
     pub fn estimate(&self, key: TargetKey, now: Instant) -> Option<u32> {
