--- /dev/null
+++ b/src/admission/meter.rs
@@ -0,0 +1,79 @@
+//! Rates measured over the last seconds.
+
+use std::time::{Duration, Instant};
+
+/// Time over which a rate is averaged.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Weight of one measured hold time in the mean.
+const HOLD_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Exponentially averaged rate of some amount a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Meter {
+    rate: f64,
+    at: Option<Instant>,
+}
+
+impl Meter {
+    pub(crate) fn add(&mut self, amount: f64, now: Instant) {
+        self.rate = self.rate(now) + amount / WINDOW.as_secs_f64();
+        self.at = Some(now);
+    }
+
+    pub(crate) fn rate(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return 0.0 };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.rate * (-age / WINDOW.as_secs_f64()).exp()
+    }
+}
+
+/// How fast a service works off cost, by Little's law: slots over the time that one unit of cost
+/// holds a slot. When all slots are taken and less comes out than that, what comes out counts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Drain {
+    hold: f64,
+    out: Meter,
+    full_since: Option<Instant>,
+}
+
+impl Drain {
+    /// `hold` is the time that one unit of cost holds a slot, until it is measured.
+    pub(crate) fn new(hold: Duration) -> Self {
+        Self {
+            hold: hold.as_secs_f64(),
+            out: Meter::default(),
+            full_since: None,
+        }
+    }
+
+    /// A request of `cost` held a slot for `held`.
+    pub(crate) fn ended(&mut self, cost: f64, held: Duration, now: Instant) {
+        self.hold += (held.as_secs_f64() / cost - self.hold) * HOLD_WEIGHT;
+        self.out.add(cost, now);
+    }
+
+    /// Whether all slots are taken from `now` on.
+    pub(crate) fn full(&mut self, full: bool, now: Instant) {
+        self.full_since = match self.full_since {
+            _ if !full => None,
+            None => Some(now),
+            since => since,
+        };
+    }
+
+    /// Seconds that one unit of cost holds a slot.
+    pub(crate) fn hold(&self) -> f64 {
+        self.hold.max(1e-9)
+    }
+
+    /// Cost a second with `slots` slots.
+    pub(crate) fn rate(&self, slots: f64, now: Instant) -> f64 {
+        let little = slots / self.hold();
+        let settled = self.full_since.is_some_and(|at| at + 2 * WINDOW < now);
+        match self.out.rate(now) {
+            out if settled && out < little / 2.0 => out.max(little / 20.0),
+            _ => little,
+        }
+    }
+}
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -100,10 +100,15 @@
     ) -> Result<u64, Error> {
         let body = serde_json::to_vec(value).map_err(|e| Error::Rejected(e.to_string()))?;
         if body.len() > VALUE_LIMIT {
-            return Err(Error::Rejected(format!("{} bytes are too many", body.len())));
+            return Err(Error::Rejected(format!(
+                "{} bytes are too many",
+                body.len()
+            )));
         }
         let path = format!("{}?if_rev={}", object_path(kind, name), expect.rev());
-        let answer = self.send(Op::Write, Method::PUT, &path, body.into()).await?;
+        let answer = self
+            .send(Op::Write, Method::PUT, &path, body.into())
+            .await?;
         written(&answer)
     }
 
@@ -153,7 +158,9 @@
             encode(prefix),
             encode(after)
         );
-        let answer = self.send(Op::List, Method::GET, &path, Bytes::new()).await?;
+        let answer = self
+            .send(Op::List, Method::GET, &path, Bytes::new())
+            .await?;
         decode(&answer)
     }
 
@@ -185,13 +192,7 @@
         decode(&answer)
     }
 
-    async fn send(
-        &self,
-        op: Op,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<Answer, Error> {
+    async fn send(&self, op: Op, method: Method, path: &str, body: Bytes) -> Result<Answer, Error> {
         self.send_within(op, method, path, body, self.timeout).await
     }
 
