--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -107,6 +107,11 @@
         span(cost, self.share())
     }
 
+    /// Cost that this account may start in a virtual length: the inverse of [`Self::span`].
+    pub(crate) fn cost_of(&self, span: u64) -> f64 {
+        span as f64 * self.share() as f64 / (SCALE * SCALE) as f64
+    }
+
     /// Cost of waiting requests that go before `rank`.
     pub(crate) fn ahead(&self, rank: &Rank) -> u64 {
         match self.queue.last_key_value() {
--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -36,6 +36,12 @@
 /// Slots assumed until the supply is known.
 const SLOTS_DEFAULT: f64 = 64.0;
 
+/// One slot in so many is kept for accounts that use less than their share.
+const RESERVE: u32 = 48;
+
+/// Error of the floating-point division of slots.
+const ROUNDING: f64 = 1e-6;
+
 /// Time that one unit of cost holds a slot, until it is measured.
 const HOLD_DEFAULT: Duration = Duration::from_millis(20);
 
@@ -109,7 +115,8 @@
         if returns {
             self.flows[key].returned.add(cost as f64, now);
         }
-        if self.spare() && self.flows[key].free() && self.flows[key].queue.is_empty() {
+        let flow = &self.flows[key];
+        if flow.free() && flow.queue.is_empty() && self.spare(key) {
             return Decision::Run(self.run(key, cost, now));
         }
         self.queue_or_refuse(key, ask, cost, returns, now)
@@ -195,7 +202,8 @@
     /// Slots that this instance may use.
     #[must_use]
     pub fn limit(&self) -> u32 {
-        (self.supply.unwrap_or(SLOTS_DEFAULT) * self.part).ceil() as u32
+        let slots = self.supply.unwrap_or(SLOTS_DEFAULT) * self.part;
+        (slots - ROUNDING).ceil() as u32
     }
 
     /// Requests that run.
@@ -261,16 +269,31 @@
         Decision::Wait(Waiter { flow: key, rank }, until)
     }
 
-    /// Expected wait of a request of the flow.
+    /// Expected wait of a request of the flow: what starts before it, at the drain rate.
+    ///
+    /// That is what waits before it in its own flow, and of each other flow with a waiting request
+    /// what fair queuing lets start until the flow's virtual time has come.
     fn expected(&self, key: FlowKey, rank: &Rank, cost: u64, now: Instant) -> Duration {
         let flow = &self.flows[key];
-        let rate = self.rate(key, now);
+        let whole = self.drain.rate(f64::from(self.limit()), now);
+        let horizon = RETURN_WAIT_MAX.as_secs_f64();
         let returns = match rank.fresh {
             true => flow.returned.rate(now) * WAIT_MAX.as_secs_f64(),
             false => 0.0,
         };
-        let ahead = (flow.ahead(rank) + cost) as f64 + returns;
-        Duration::from_secs_f64((ahead / rate).min(1e6))
+        let own = flow.ahead(rank) as f64 + returns;
+        let start = flow.finish.max(self.virtual_floor()) + flow.span(own as u64);
+        let mut ahead = own + cost as f64;
+        for (tag, rival) in self.ready.range(..(start, key)).filter(|r| r.1 != key) {
+            let rival = &self.flows[*rival];
+            let fair = rival.cost_of(start - tag);
+            let most = rival.queued as f64 + rival.offered.rate(now) * horizon;
+            ahead += fair.min(most);
+            if ahead > whole * horizon {
+                break;
+            }
+        }
+        Duration::from_secs_f64((ahead / whole.max(1e-6)).min(1e6))
     }
 
     /// Cost a second that the flow can expect: its share, or more when it lately got more.
@@ -314,17 +337,22 @@
         }
     }
 
-    fn spare(&self) -> bool {
-        self.running < self.limit()
+    /// Whether there is a slot for the flow: the last ones are kept for those below their share.
+    fn spare(&self, key: FlowKey) -> bool {
+        let limit = self.limit();
+        let flow = &self.flows[key];
+        let rivals = self.weights - flow.weighed + flow.share();
+        let fair = f64::from(limit) * flow.share() as f64 / rivals as f64;
+        match f64::from(flow.running) < fair {
+            true => self.running < limit,
+            false => self.running + limit / RESERVE < limit,
+        }
     }
 
     /// Starts waiting requests while there are slots, least virtual start first.
     fn dispatch(&mut self, now: Instant) -> Vec<Grant> {
         let mut grants = Vec::new();
-        while self.spare() {
-            let Some((_, key)) = self.ready.first().copied() else {
-                break;
-            };
+        while let Some((_, key)) = self.ready.first().copied().filter(|r| self.spare(r.1)) {
             let flow = &mut self.flows[key];
             let Some((rank, cost)) = flow.queue.pop_first() else {
                 break;
@@ -334,11 +362,17 @@
             let waiter = Waiter { flow: key, rank };
             grants.push(Grant { waiter, ticket });
         }
-        let full = !self.spare();
-        self.drain.full(full, now);
+        self.note_full(now);
         grants
     }
 
+    /// Tells the drain whether all slots but the kept ones are taken.
+    fn note_full(&mut self, now: Instant) {
+        let limit = self.limit();
+        let full = self.running + limit / RESERVE >= limit;
+        self.drain.full(full, now);
+    }
+
     fn run(&mut self, key: FlowKey, cost: u64, now: Instant) -> Ticket {
         let floor = self.virtual_floor();
         let flow = &mut self.flows[key];
@@ -347,8 +381,7 @@
         self.virtual_now = self.virtual_now.max(start);
         self.running += 1;
         self.settle(key);
-        let full = !self.spare();
-        self.drain.full(full, now);
+        self.note_full(now);
         Ticket {
             flow: key,
             cost,
