Poll loads by few instances and share them among peers

Cause: nothing fed the router's load reports, and a leaving mark could never be lifted, not even by the restarted target's own word.

Two instances of a target's failure domain, chosen by rendezvous hashing, poll it and tell the others; an instance that hears nothing for 2.5 s polls it itself. A refused connection marks a target dead, three polls without an answer on new connections too; one makes it suspect. A connection that was used before may have gone silent, so its silence alone is no evidence. Leaving comes from the roster, from the target's own word, and from a peer's word while it is repeated; hearsay is not passed on.

--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -11,6 +11,9 @@
 /// How long a target that a peer found dead gets nothing.
 const PEER_HOLD: Duration = Duration::from_secs(3);
 
+/// How long a peer's word that a target leaves holds unless it is repeated.
+const PEER_LEAVING: Duration = Duration::from_secs(10);
+
 /// Own evidence of life this fresh outweighs a peer's word.
 const ALIVE_FRESH: Duration = Duration::from_secs(1);
 
@@ -36,7 +39,9 @@
 /// Health of one target.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
-    leaving: bool,
+    listed_leaving: bool,
+    told_leaving: Option<Instant>,
+    peer_leaving: Option<Instant>,
     suspicion: f64,
     at: Option<Instant>,
     hold: Option<Instant>,
@@ -45,13 +50,34 @@
 }
 
 impl Health {
-    /// A target that leaves never comes back under the same key.
-    pub(crate) fn leave(&mut self) {
-        self.leaving = true;
+    /// What the fleet's roster says about leaving.
+    pub(crate) fn list_leaving(&mut self, leaving: bool) {
+        self.listed_leaving = leaving;
+    }
+
+    /// The target's own word that it leaves. The list may lag behind it.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        self.told_leaving = Some(now);
+    }
+
+    /// The target's own word, sampled at `at`, that it does not leave, as after a restart.
+    pub(crate) fn stay(&mut self, at: Instant) {
+        self.told_leaving = self.told_leaving.filter(|told| *told >= at);
+    }
+
+    /// A peer heard from the target that it leaves.
+    pub(crate) fn peer_leave(&mut self, now: Instant) {
+        self.peer_leaving = Some(now);
+    }
+
+    /// Whether the target itself told this instance that it leaves.
+    pub(crate) fn told_leaving(&self) -> bool {
+        self.told_leaving.is_some()
     }
 
-    pub(crate) fn leaving(&self) -> bool {
-        self.leaving
+    fn leaving(&self, now: Instant) -> bool {
+        let peer = self.peer_leaving.is_some_and(|at| at + PEER_LEAVING > now);
+        self.listed_leaving || self.told_leaving() || peer
     }
 
     /// A refused connection or a silent stream.
@@ -97,7 +123,7 @@
 
     pub(crate) fn fitness(&self, now: Instant) -> Fitness {
         match () {
-            () if self.leaving || self.held(now) => Fitness::Unfit,
+            () if self.leaving(now) || self.held(now) => Fitness::Unfit,
             () if self.level(now) >= SUSPECT => Fitness::Doubtful,
             () if self.hold.is_some() => Fitness::Trial,
             () => Fitness::Well,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,11 +6,13 @@
 mod health;
 mod load;
 mod policy;
+mod poll;
 mod router;
 mod table;
 mod word;
 
 pub use load::Report;
 pub use policy::{Costs, Policy};
+pub use poll::{Polled, Poller, Sight, TargetLoad, Views, poll};
 pub use router::{Lease, Query, Router, Supply};
 pub use word::{Count, Word};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -14,8 +14,8 @@
 use super::load::Report;
 use super::policy::{Choice, Costs, Policy};
 use super::table::{Entry, Table};
-use crate::fleet::Target;
 use super::word::{Count, Word};
+use crate::fleet::Target;
 use crate::ident::TargetKey;
 
 /// What a request needs of a target.
@@ -74,8 +74,7 @@
 
     /// Takes a fleet reading: all targets there are.
     ///
-    /// A target keeps what is known of it while its key, name and place stay the same. Leaving is
-    /// never taken back.
+    /// A target keeps what is known of it while its key, name and place stay the same.
     pub fn sync(&self, targets: Vec<Target>) {
         let mut table = self.table.write();
         *table = Arc::new(Table::build(targets, &table, self.base));
@@ -115,8 +114,11 @@
         self.with(key, |entry| {
             let mut state = entry.state.lock();
             state.load.report(report, now);
-            if report.leaving {
-                state.health.leave();
+            match report.leaving {
+                true => state.health.leave(now),
+                false => state
+                    .health
+                    .stay(now.checked_sub(report.age).unwrap_or(now)),
             }
         });
     }
@@ -136,9 +138,9 @@
         self.with(key, |entry| entry.state.lock().health.alive(since));
     }
 
-    /// The target's own word, or the fleet's, that it is leaving.
-    pub fn mark_leaving(&self, key: TargetKey) {
-        self.with(key, |entry| entry.state.lock().health.leave());
+    /// The target's own word that it is leaving.
+    pub fn mark_leaving(&self, key: TargetKey, now: Instant) {
+        self.with(key, |entry| entry.state.lock().health.leave(now));
     }
 
     /// Forgets a peer that is gone.
@@ -162,7 +164,7 @@
             if state.health.found_dead(now) {
                 word.dead.push(name.clone());
             }
-            if state.health.leaving() {
+            if state.health.told_leaving() {
                 word.leaving.push(name.clone());
             }
         }
@@ -190,7 +192,7 @@
             entry.state.lock().health.peer_dead(now);
         }
         for entry in word.leaving.iter().filter_map(|name| table.named(name)) {
-            entry.state.lock().health.leave();
+            entry.state.lock().health.peer_leave(now);
         }
     }
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -35,9 +35,7 @@
 impl Entry {
     fn new(target: Target, hold: Arc<Hold>, base: Instant) -> Self {
         let mut health = Health::default();
-        if target.leaving {
-            health.leave();
-        }
+        health.list_leaving(target.leaving);
         Self {
             hash: xxh3_64(target.name.as_bytes()),
             target,
@@ -178,9 +176,7 @@
     if !same {
         return Arc::new(Entry::new(target, hold, base));
     }
-    if target.leaving {
-        entry.state.lock().health.leave();
-    }
+    entry.state.lock().health.list_leaving(target.leaving);
     Arc::clone(entry)
 }
 
--- /dev/null
+++ b/tests/routing_views.rs
@@ -0,0 +1,188 @@
+//! Load views: who polls, and what is learnt from whom.
+
+use std::time::{Duration, Instant};
+
+use axum::Json;
+use axum::routing::get;
+use endivefork::fleet::Target;
+use endivefork::http::Client;
+use endivefork::ident::TargetKey;
+use endivefork::routing::{
+    Costs, Policy, Polled, Poller, Query, Report, Router, Views, poll,
+};
+use serde_json::json;
+
+const PERIOD: Duration = Duration::from_millis(500);
+
+fn poller(name: &str, domain: &str) -> Poller {
+    Poller {
+        name: name.into(),
+        domain: domain.into(),
+    }
+}
+
+fn targets() -> Vec<Target> {
+    (0..30)
+        .map(|key| {
+            let domain = ["a", "b", "c"][key as usize % 3];
+            Target {
+                key: TargetKey(key),
+                name: format!("engine-{key}").into(),
+                addr: ([127, 0, 0, 1], 9000).into(),
+                domain: domain.into(),
+                region: domain.into(),
+                service: "drafting".into(),
+                version: "v1".into(),
+                leaving: false,
+            }
+        })
+        .collect()
+}
+
+fn report(running: u32) -> Report {
+    Report {
+        running,
+        queued: 0,
+        slots: 8,
+        age: Duration::from_secs(2),
+        leaving: false,
+    }
+}
+
+/// Two instances in each of the domains `a` and `b`; none in `c`.
+fn instances() -> Vec<Poller> {
+    [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("b2", "b")]
+        .map(|(name, domain)| poller(name, domain))
+        .to_vec()
+}
+
+fn peers_of(me: &Poller) -> Vec<Poller> {
+    instances().into_iter().filter(|p| p != me).collect()
+}
+
+#[test]
+fn two_instances_poll_each_target_of_their_domain() {
+    let now = Instant::now();
+
+    let polls: Vec<_> = instances()
+        .into_iter()
+        .flat_map(|me| {
+            let due = Views::new(me.clone()).due(&targets(), &peers_of(&me), now);
+            due.into_iter().map(move |target| (me.clone(), target))
+        })
+        .collect();
+
+    for target in targets() {
+        let of: Vec<_> = polls.iter().filter(|(_, t)| *t == target).collect();
+        assert_eq!(of.len(), 2, "{}", target.name);
+        let near = of.iter().all(|(me, _)| me.domain == target.domain);
+        assert!(near || target.domain == "c");
+    }
+}
+
+#[test]
+fn own_polls_when_nobody_tells() {
+    let me = poller("a1", "a");
+    let (views, router) = (Views::new(me.clone()), router());
+    let now = Instant::now();
+    let mine = views.due(&targets(), &peers_of(&me), now).len();
+    let told = Views::new(poller("b1", "b"));
+    told.due(&targets(), &peers_of(&poller("b1", "b")), now);
+    let at = now + Duration::from_secs(2);
+    for target in targets() {
+        told.polled(&router, &target, Polled::Load(report(1)), now);
+    }
+    views.hear(&router, "b1", &told.sight(&router, now), at);
+
+    let after_word = views.due(&targets(), &peers_of(&me), at + 2 * PERIOD).len();
+    let after_silence = views.due(&targets(), &peers_of(&me), at + 6 * PERIOD).len();
+
+    assert_eq!(after_word, mine);
+    assert_eq!(after_silence, targets().len());
+}
+
+#[test]
+fn a_peers_poll_reaches_the_router() {
+    let me = poller("a1", "a");
+    let (here, there) = (router(), router());
+    let now = Instant::now();
+    let (views, peer) = (Views::new(me.clone()), Views::new(poller("a2", "a")));
+    views.due(&targets(), &peers_of(&me), now);
+    peer.due(&targets(), &peers_of(&me), now);
+    peer.polled(&there, &targets()[0], Polled::Load(report(5)), now);
+    peer.polled(&there, &targets()[3], Polled::Refused, now);
+
+    views.hear(&here, "a2", &peer.sight(&there, now), now);
+
+    assert_eq!(here.estimate(TargetKey(0), now), Some(5));
+    let dead = TargetKey(3);
+    let excluded: Vec<_> = (0..30).map(TargetKey).filter(|k| *k != dead).collect();
+    assert!(here.choose(&query(&excluded), now).is_none());
+}
+
+#[test]
+fn a_target_that_never_answers_becomes_suspect_then_dead() {
+    let (views, router) = (Views::new(poller("a1", "a")), router());
+    let now = Instant::now();
+    let target = &targets()[0];
+    views.due(&targets(), &[], now);
+    let excluded: Vec<_> = (1..30).map(TargetKey).collect();
+
+    views.polled(&router, target, Polled::Silent, now);
+    let suspect = router.choose(&query(&excluded), Instant::now());
+    views.polled(&router, target, Polled::Silent, now);
+    views.polled(&router, target, Polled::Silent, now);
+    let dead = router.choose(&query(&excluded), Instant::now());
+
+    assert!(suspect.is_some(), "a suspect is the last resort");
+    assert!(dead.is_none());
+    views.polled(&router, target, Polled::Alive, Instant::now());
+    assert!(router.choose(&query(&excluded), Instant::now()).is_some());
+}
+
+#[tokio::test]
+async fn a_poll_reads_the_report_and_tells_refused_from_silent() {
+    let body = json!({"running": 3, "queued": 1, "slots": 8, "leaving": true, "age_ms": 700});
+    let routes = axum::Router::new().route("/v1/load", get(|| async { Json(body) }));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async { axum::serve(listener, routes).await });
+    let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let gone_addr = gone.local_addr().unwrap();
+    drop(gone);
+    let mute = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new();
+
+    let answered = poll(&client, addr).await;
+    let refused = poll(&client, gone_addr).await;
+    let silent = poll(&client, mute.local_addr().unwrap()).await;
+
+    let expected = Report {
+        running: 3,
+        queued: 1,
+        slots: 8,
+        age: Duration::from_millis(700),
+        leaving: true,
+    };
+    assert_eq!(answered, Polled::Load(expected));
+    assert_eq!(refused, Polled::Refused);
+    assert_eq!(silent, Polled::Silent);
+}
+
+fn router() -> Router {
+    let router = Router::new(Policy::Cost, Costs::default());
+    router.sync(targets());
+    router
+}
+
+fn query(excluded: &[TargetKey]) -> Query<'_> {
+    Query {
+        service: "drafting",
+        version: "v1",
+        domain: "a",
+        region: "a",
+        prefix: None,
+        excluded,
+        bytes: 4_000,
+    }
+}
