--- a/examples/standin/plain/mod.rs
+++ b/examples/standin/plain/mod.rs
@@ -1,5 +1,7 @@
 //! A plain service in memory: it answers reads and counts how often an action ran.
 
+// Loaded once by each stand-in, as a test may hold several of them.
+#[allow(clippy::duplicate_mod)]
 #[path = "../conn.rs"]
 mod conn;
 mod faults;
--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -126,7 +126,7 @@
             Failure::not_run(404, "unknown_model", format!("no model is named {name}"))
         })?;
     let key = RequestKey::new(&caller.name, key);
-    let version = instance.version(name, &service.value, key);
+    let version = instance.version(name, key);
     let model = service
         .value
         .versions
--- a/tests/action/aggregate.rs
+++ b/tests/action/aggregate.rs
@@ -95,10 +95,10 @@
     }
 
     /// The platform's conditional write.
-    fn put(&mut self, record: Record, over: u64) -> Result<u64, Option<Held>> {
+    fn put(&mut self, record: Record, over: u64) -> Result<u64, Box<Option<Held>>> {
         let present = self.present();
         if present.as_ref().map_or(0, |h| h.rev) != over {
-            return Err(present);
+            return Err(Box::new(present));
         }
         self.rev += 1;
         let held = Held {
@@ -113,7 +113,7 @@
         match fate % 8 {
             0..=3 => match self.put(record, over) {
                 Ok(rev) => Event::Written(rev),
-                Err(present) => Event::Conflict(present),
+                Err(present) => Event::Conflict(*present),
             },
             4 => {
                 self.put(record, over).ok();
@@ -179,7 +179,7 @@
                 event
             }
             Command::Check(_) => {
-                let ran = self.runs > 0 && fate % 2 == 0;
+                let ran = self.runs > 0 && fate.is_multiple_of(2);
                 Event::Checked(ran.then(first_run))
             }
             Command::Wait(time) => {
@@ -213,7 +213,7 @@
             }
             _ => self.put(leftover.record.clone(), leftover.over),
         };
-        if let Err(Some(held)) = written
+        if let Err(Some(held)) = written.map_err(|present| *present)
             && let Some(rev) = leftover.next(held.rev, &held.record)
         {
             leftover.over = rev;
@@ -227,7 +227,7 @@
             let (record, over) = self.late.remove(index);
             self.put(record, over).ok();
         }
-        if self.flying > 0 && fate % 2 == 0 {
+        if self.flying > 0 && fate.is_multiple_of(2) {
             self.flying -= 1;
             self.run();
         }
@@ -244,7 +244,7 @@
             i if i < TRIES => self.add_try(),
             3 => self.settle(fate),
             4 => self.land(fate),
-            5 if fate % 16 == 0 => {
+            5 if fate.is_multiple_of(16) => {
                 let victim = usize::from(fate / 16) % TRIES;
                 if let Some(one) = self.tries.get_mut(victim) {
                     one.killed = true;
--- a/tests/action/history.rs
+++ b/tests/action/history.rs
@@ -224,20 +224,18 @@
     let mut rng = StdRng::seed_from_u64(seed);
     for _ in 0..14 {
         let late = rng.random_range(60..300);
-        match rng.random_range(0..8) {
-            0 => world.platform_fault(json!({"lose_answers": 1})).await,
-            1 => {
-                world
-                    .platform_fault(json!({"late_writes": 2, "late_ms": late}))
-                    .await
-            }
-            2 => world.platform_fault(json!({"outage": "drop"})).await,
-            3 => world.platform_fault(json!({"outage": "refuse"})).await,
-            4 => world.platform_fault(json!({"stale_ms": late})).await,
-            5 => world.platform_fault(json!({"silent": true})).await,
-            6 => world.plain_fault(json!({"lose_answers": 1})).await,
-            _ => world.plain_fault(json!({"delay_ms": late})).await,
-        }
+        let (platform, plain) = match rng.random_range(0..8) {
+            0 => (json!({"lose_answers": 1}), json!({})),
+            1 => (json!({"late_writes": 2, "late_ms": late}), json!({})),
+            2 => (json!({"outage": "drop"}), json!({})),
+            3 => (json!({"outage": "refuse"}), json!({})),
+            4 => (json!({"stale_ms": late}), json!({})),
+            5 => (json!({"silent": true}), json!({})),
+            6 => (json!({}), json!({"lose_answers": 1})),
+            _ => (json!({}), json!({"delay_ms": late})),
+        };
+        world.platform_fault(platform).await;
+        world.plain_fault(plain).await;
         tokio::time::sleep(Duration::from_millis(rng.random_range(20..120))).await;
         world
             .platform_fault(json!({"outage": "none", "stale_ms": 0}))
