Add the command line, the questionnaire and the services file

Cause: a new team should get from answers to checked configuration, and an operator needs each administration call as a verb with exit codes. Ruled out: keys on the command line, where other users of a machine can read them; a services file that loses its line numbers. Change: one file per subcommand; init generates settings for each entry instance, a services file and new keys from answers given in a file or one by one; check accepts both kinds of file and lists all findings; apply puts a services file in force; move wait ends with 0, 10 or 11.

--- a/src/admin/object.rs
+++ b/src/admin/object.rs
@@ -56,14 +56,31 @@
 
 pub(crate) async fn services(State(parts): Shared) -> Json<Items<Service>> {
     let view = parts.store.view();
-    Json(items(view.rev, &view.services))
+    let mut all = items(view.rev, &view.services);
+    for item in &mut all.items {
+        fold(item, &view);
+    }
+    Json(all)
+}
+
+/// Shows the version that the last move left in force, so that an edit of what was read keeps it.
+fn fold(item: &mut Item<Service>, view: &View) {
+    match check::version_in_force(&item.name, view) {
+        Some(version) if version != item.value.version => {
+            Arc::make_mut(&mut item.value).version = version;
+        }
+        _ => {}
+    }
 }
 
 pub(crate) async fn service(
     State(parts): Shared,
     Path(name): Path<SmolStr>,
 ) -> Outcome<Item<Service>> {
-    find(&parts.store.view().services, SERVICE, &name)
+    let view = parts.store.view();
+    let mut found = find(&view.services, SERVICE, &name)?;
+    fold(&mut found, &view);
+    Ok(found)
 }
 
 pub(crate) async fn put_service(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod routing;
 pub mod serve;
 pub mod settings;
+pub mod setup;
 pub mod target;
 pub mod telemetry;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 
 pub use finding::{Finding, Findings};
+pub(crate) use ini::{Document, Section};
 pub use key::{KEYS, Key};
 
 /// A text that is never shown.
