--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -10,23 +10,26 @@
 mod moves;
 mod object;
 mod status;
+mod wire;
 
 use std::fmt;
 use std::sync::Arc;
 
 use axum::Router;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::State;
 use axum::http::StatusCode;
 use axum::middleware::from_fn_with_state;
 use axum::routing::{get, post, put};
 use indexmap::IndexMap;
 use slog::Logger;
 use smol_str::SmolStr;
+use tokio::net::TcpListener;
 
 pub use check::Fault;
 pub use event::{Event, Events, follow};
 pub use moves::{Start, Withdraw};
 pub use status::{Fleet, InstanceStatus, TargetStatus};
+pub use wire::parts;
 
 use crate::config::Store;
 use crate::platform;
@@ -93,7 +96,6 @@
         .route("/v1/moves/{service}", get(moves::show).post(moves::start))
         .route("/v1/moves/{service}/withdraw", post(moves::withdraw))
         .fallback(answer::no_route)
-        .layer(DefaultBodyLimit::max(platform::VALUE_LIMIT))
         .layer(from_fn_with_state(Arc::clone(&parts), auth::require));
     Router::new()
         .route("/healthz", get(async || "ok\n"))
@@ -102,6 +104,14 @@
         .with_state(parts)
 }
 
+/// Serves the administration API on `listener` for as long as it is polled.
+///
+/// # Errors
+/// When connections can no longer be accepted.
+pub async fn serve(listener: TcpListener, parts: Arc<Parts>) -> std::io::Result<()> {
+    axum::serve(listener, router(parts)).await
+}
+
 async fn metrics(State(parts): Shared) -> String {
     parts.metrics.render()
 }
--- a/src/admin/moves.rs
+++ b/src/admin/moves.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use axum::body::Body;
 use axum::extract::{Path, Query, State};
 use axum::{Extension, Json};
 use serde::{Deserialize, Serialize};
@@ -11,7 +12,7 @@
 use super::answer::Refusal;
 use super::auth::Operator;
 use super::event::unix_ms;
-use super::object::{Base, Body, Changed, Item, Items, Outcome, decode, find, items, no_faults};
+use super::object::{Base, Changed, Item, Items, Outcome, decode, find, items, no_faults};
 use super::{Shared, check};
 use crate::rollout::{Move, Phase};
 
@@ -59,7 +60,7 @@
     body: Body,
 ) -> Outcome<Changed> {
     let base = base.rev()?;
-    let asked: Start = decode(body)?;
+    let asked: Start = decode(body).await?;
     let view = parts.store.view();
     match view.moves.get(&service) {
         Some(last) if !last.value.phase.is_final() => {
@@ -94,7 +95,7 @@
     body: Body,
 ) -> Outcome<Changed> {
     let base = base.rev()?;
-    let asked: Withdraw = decode(body)?;
+    let asked: Withdraw = decode(body).await?;
     let view = parts.store.view();
     let Some(last) = view.moves.get(&service) else {
         return Err(Refusal::not_found(MOVE, &service));
--- a/src/admin/object.rs
+++ b/src/admin/object.rs
@@ -1,12 +1,11 @@
 //! Services, their versions, and accounts.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use axum::body::Bytes;
-use axum::extract::rejection::BytesRejection;
+use axum::body::Body;
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
-use axum::response::IntoResponse;
 use axum::{Extension, Json};
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
@@ -19,6 +18,8 @@
 use super::auth::Operator;
 use super::{Fault, Parts, Shared, change, check};
 use crate::config::{Account, Revised, Service, Version, View};
+use crate::http::{BodyError, read_body};
+use crate::platform::VALUE_LIMIT;
 
 pub(crate) const SERVICE: &str = "service";
 const ACCOUNT: &str = "account";
@@ -52,7 +53,9 @@
 }
 
 pub(crate) type Outcome<T> = Result<Json<T>, Refusal>;
-pub(crate) type Body = Result<Bytes, BytesRejection>;
+
+/// Time that an operator may take to send a body.
+const RECEIVE: Duration = Duration::from_secs(10);
 
 pub(crate) async fn services(State(parts): Shared) -> Json<Items<Service>> {
     let view = parts.store.view();
@@ -91,7 +94,7 @@
     body: Body,
 ) -> Outcome<Changed> {
     let base = base.rev()?;
-    let value: Service = decode(body)?;
+    let value: Service = decode(body).await?;
     no_faults(faults(&name, &value, &parts.store.view()))?;
     parts.put(&operator, SERVICE, name, &value, base).await
 }
@@ -116,7 +119,7 @@
     body: Body,
 ) -> Outcome<Changed> {
     let base = base.rev()?;
-    let value: Version = decode(body)?;
+    let value: Version = decode(body).await?;
     let mut service = parts.based_on(&name, base)?;
     service.versions.insert(version, value);
     no_faults(faults(&name, &service, &parts.store.view()))?;
@@ -158,7 +161,7 @@
     body: Body,
 ) -> Outcome<Changed> {
     let base = base.rev()?;
-    let mut value: Account = decode(body)?;
+    let mut value: Account = decode(body).await?;
     value.key_sha256 = value.key_sha256.to_ascii_lowercase().into();
     no_faults(check::account(&name, &value, &parts.store.view()))?;
     parts.put(&operator, ACCOUNT, name, &value, base).await
@@ -236,11 +239,26 @@
     }
 }
 
-pub(crate) fn decode<T: DeserializeOwned>(body: Body) -> Result<T, Refusal> {
-    let bytes = body.map_err(|rejection| {
-        let message = "the body is too large or was cut off";
-        Refusal::new(rejection.into_response().status(), "bad_body", message)
-    })?;
+pub(crate) async fn decode<T: DeserializeOwned>(body: Body) -> Result<T, Refusal> {
+    let read = read_body(body, VALUE_LIMIT);
+    let bytes = match tokio::time::timeout(RECEIVE, read).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(error)) => {
+            let status = match error {
+                BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+                BodyError::Broken => StatusCode::BAD_REQUEST,
+            };
+            return Err(Refusal::new(status, "bad_body", error.to_string()));
+        }
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            return Err(Refusal::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "slow_request",
+                message,
+            ));
+        }
+    };
     serde_json::from_slice(&bytes).map_err(|error| {
         let fault = Fault::new(
             "",
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -38,8 +38,8 @@
     pub domain: SmolStr,
     /// `live`, `leaving` or `lost`.
     pub state: SmolStr,
-    /// Requests of this instance that it runs.
-    pub running: u64,
+    /// Requests of this instance that it runs; none when that is not known.
+    pub running: Option<u64>,
 }
 
 /// What an instance knows of others.
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,6 +18,9 @@
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// How many times its limit a body is read before its connection is given up.
+const DISCARD_FACTOR: usize = 16;
+
 /// Which connection a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Via {
@@ -151,6 +154,46 @@
     }
 }
 
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// It has more bytes than are allowed.
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// It broke off.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// Reads a whole body of at most `limit` bytes. What is beyond is read and dropped up to a
+/// bound, so that the sender gets to read the refusal rather than a reset.
+///
+/// # Errors
+/// When the body is too large or breaks off.
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let mut body = body;
+    let mut kept = BytesMut::new();
+    let mut total = 0_usize;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        total = total.saturating_add(data.len());
+        match total {
+            total if total <= limit => kept.extend_from_slice(&data),
+            total if total <= limit.saturating_mul(DISCARD_FACTOR) => kept.clear(),
+            _ => break,
+        }
+    }
+    match total {
+        total if total <= limit => Ok(kept.freeze()),
+        _ => Err(BodyError::TooLarge(limit)),
+    }
+}
+
 /// Builds a JSON request without further headers.
 #[must_use]
 pub fn request(method: Method, url: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::admin;
 use crate::caller::{self, Drain, Front};
 use crate::instance::Instance;
 use crate::settings::Settings;
@@ -70,6 +71,7 @@
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
     let instance = Arc::new(Instance::new(settings, log.clone()));
+    instance.metrics.install();
     info!(log, "serve: started"; "name" => instance.settings.instance.name.as_str());
     let stop = Arc::clone(&drain);
     let signals = async move {
@@ -92,6 +94,8 @@
 /// Serves on `listeners` until `drain` has begun and the last request has ended.
 pub async fn serve(instance: Arc<Instance>, listeners: Listeners, drain: Arc<Drain>) {
     instance.start();
+    let parts = admin::parts(&instance, &drain);
+    tokio::spawn(admin::serve(listeners.admin, parts));
     let limits = instance.settings.limits;
     let timeout = instance.settings.drain;
     let front = Front {
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use metrics::{Counter, Gauge, Key, Label, Level, Metadata, Recorder};
+use metrics::{
+    Counter, Gauge, Histogram, Key, KeyName, Label, Level, Metadata, Recorder, SharedString, Unit,
+};
 use metrics_exporter_prometheus::{
     Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
@@ -56,7 +58,7 @@
 /// The histograms of one account, resolved once for each request.
 #[derive(Clone, Debug)]
 pub struct Span {
-    stages: [metrics::Histogram; 4],
+    stages: [Histogram; 4],
 }
 
 impl Span {
@@ -105,6 +107,14 @@
         }
     }
 
+    /// Takes the metrics of parts that know no instance, such as the platform's client; the
+    /// first instance of a process gets them.
+    pub fn install(&self) {
+        let global = Global(Arc::clone(&self.inner));
+        // Another instance of this process was first.
+        let _ = metrics::set_global_recorder(global);
+    }
+
     /// The histograms of `account`, or of all accounts beyond the bound on labels.
     #[must_use]
     pub fn span(&self, account: &str) -> Span {
@@ -164,6 +174,34 @@
     }
 }
 
+struct Global(Arc<Inner>);
+
+impl Recorder for Global {
+    fn describe_counter(&self, key: KeyName, unit: Option<Unit>, text: SharedString) {
+        self.0.recorder.describe_counter(key, unit, text);
+    }
+
+    fn describe_gauge(&self, key: KeyName, unit: Option<Unit>, text: SharedString) {
+        self.0.recorder.describe_gauge(key, unit, text);
+    }
+
+    fn describe_histogram(&self, key: KeyName, unit: Option<Unit>, text: SharedString) {
+        self.0.recorder.describe_histogram(key, unit, text);
+    }
+
+    fn register_counter(&self, key: &Key, metadata: &Metadata<'_>) -> Counter {
+        self.0.recorder.register_counter(key, metadata)
+    }
+
+    fn register_gauge(&self, key: &Key, metadata: &Metadata<'_>) -> Gauge {
+        self.0.recorder.register_gauge(key, metadata)
+    }
+
+    fn register_histogram(&self, key: &Key, metadata: &Metadata<'_>) -> Histogram {
+        self.0.recorder.register_histogram(key, metadata)
+    }
+}
+
 static METADATA: Metadata<'static> = Metadata::new("endivefork", Level::INFO, None);
 
 fn key(name: &'static str, labels: &[(&'static str, &str)]) -> Key {
