--- a/examples/standin/engine/mod.rs
+++ b/examples/standin/engine/mod.rs
@@ -79,6 +79,11 @@
         self.batch.lock().log.clone()
     }
 
+    /// Number of attempts that run.
+    pub fn running(&self) -> usize {
+        self.batch.lock().running().count()
+    }
+
     /// Waits while the engine is frozen.
     async fn thawed(&self) {
         loop {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -73,7 +73,10 @@
         })
         .collect();
     support::world::until("all streams run", async || {
-        let load = world.engines.iter().map(|e| world.read(e.addr, "/control/log"));
+        let load = world
+            .engines
+            .iter()
+            .map(|e| world.read(e.addr, "/control/log"));
         let mut starts = 0;
         for log in load {
             starts += count_starts(&log.await);
@@ -87,7 +90,8 @@
     let mut cut = 0;
     for stream in streams {
         let (seen, ask) = stream.await.unwrap();
-        let whole = seen.done && seen.tokens.len() as u64 == ask.body["max_tokens"].as_u64().unwrap();
+        let whole =
+            seen.done && seen.tokens.len() as u64 == ask.body["max_tokens"].as_u64().unwrap();
         cut += usize::from(!whole);
     }
 
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -177,14 +177,8 @@
         let name = format!("entry-{}", self.entries.len());
         let settings = self.settings(&name, more);
         let instance = start_entry(&name, settings);
-        self.list(
-            &name,
-            "entry",
-            instance.caller,
-            Some(instance.peer),
-            None,
-        )
-        .await;
+        self.list(&name, "entry", instance.caller, Some(instance.peer), None)
+            .await;
         self.entries.push(instance);
         self.entries.len() - 1
     }
