--- a/examples/engine.rs
+++ b/examples/engine.rs
@@ -1,5 +1,6 @@
 //! A model engine's stand-in as a program. See docs/interfaces.md.
 
+#[allow(dead_code, reason = "other programs use the rest")]
 #[path = "standin/engine/mod.rs"]
 mod engine;
 
