--- a/tests/routing_views.rs
+++ b/tests/routing_views.rs
@@ -7,9 +7,7 @@
 use endivefork::fleet::Target;
 use endivefork::http::Client;
 use endivefork::ident::TargetKey;
-use endivefork::routing::{
-    Costs, Policy, Polled, Poller, Query, Report, Router, Views, poll,
-};
+use endivefork::routing::{Costs, Policy, Polled, Poller, Query, Report, Router, Views, poll};
 use serde_json::json;
 
 const PERIOD: Duration = Duration::from_millis(500);
@@ -51,9 +49,15 @@
 
 /// Two instances in each of the domains `a` and `b`; none in `c`.
 fn instances() -> Vec<Poller> {
-    [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("b2", "b")]
-        .map(|(name, domain)| poller(name, domain))
-        .to_vec()
+    [
+        ("a1", "a"),
+        ("a2", "a"),
+        ("a3", "a"),
+        ("b1", "b"),
+        ("b2", "b"),
+    ]
+    .map(|(name, domain)| poller(name, domain))
+    .to_vec()
 }
 
 fn peers_of(me: &Poller) -> Vec<Poller> {
