Remove old claims without trusting a clock

Cause: keys cannot be kept for ever, and each removal is a write that the platform limits. Change: a marks object holds its own past revisions; an instance adds one only after it has seen the object unchanged for an interval of its monotonic clock, so age is counted in intervals and a wrong wall clock cannot forget a key early. Running tries count as unsettled for a graceful stop. Ruled out: ages by wall time, since one instance with a clock ahead would let actions run again.

--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -21,9 +22,9 @@
 };
 use crate::config::Repeat;
 use crate::failure::Failure;
-use crate::http::{Answer, Client as Http, Via, request};
+use crate::http::{Client as Http, Via, request};
 use crate::platform::{Client, Error, Expect, Object};
-use crate::target::plain::{self, Connection, SendError};
+use crate::target::plain::{Connection, SendError};
 
 /// Most characters of an idempotency key.
 pub(crate) const KEY_LIMIT: usize = 255;
@@ -50,6 +51,7 @@
     rules: Rules,
     hook: Option<Hook>,
     settler: Settler,
+    running: AtomicUsize,
     recent: Recent,
     pub(crate) http: Http,
     pub(crate) budgets: Budgets,
@@ -80,6 +82,7 @@
         let inner = Inner {
             name,
             settler: Settler::new(platform.clone()),
+            running: AtomicUsize::new(0),
             platform,
             choose,
             rules,
@@ -93,11 +96,11 @@
         }
     }
 
-    /// Number of claims that are still being settled in the background. A graceful stop waits
-    /// for 0.
+    /// Number of tries that run, their callers there or not, and of claims that are still being
+    /// settled in the background. A graceful stop waits for 0.
     #[must_use]
     pub fn unsettled(&self) -> usize {
-        self.inner.settler.pending()
+        self.inner.running.load(Ordering::Relaxed) + self.inner.settler.pending()
     }
 
     /// Makes a call. A non-repeatable one goes on to its end when its caller goes away.
@@ -110,9 +113,16 @@
             return self.run_safe(call).await;
         }
         let key = check_key(call.key.as_deref())?;
-        let task = Try::new(Arc::clone(&self.inner), call, key).run();
+        let one = Try::new(Arc::clone(&self.inner), call, key);
+        self.inner.running.fetch_add(1, Ordering::Relaxed);
+        let inner = Arc::clone(&self.inner);
+        let task = tokio::spawn(async move {
+            let told = one.run().await;
+            inner.running.fetch_sub(1, Ordering::Relaxed);
+            told
+        });
         let lost = |_| Failure::unknown("internal", "the try was cut off inside the instance");
-        tokio::spawn(task).await.unwrap_or_else(|e| Err(lost(e)))
+        task.await.unwrap_or_else(|e| Err(lost(e)))
     }
 }
 
@@ -314,7 +324,7 @@
         match connection.send(request, call.timeout).await {
             Ok(answer) => {
                 (pick.report)(Report::Answered(answer.status.as_u16()));
-                Event::Answered(outcome(answer))
+                Event::Answered(Outcome::from_answer(answer))
             }
             Err(SendError::NotSent) => {
                 (pick.report)(Report::Unused);
@@ -335,12 +345,7 @@
         let url = format!("http://{}{path}", pick.addr);
         let ask = request(Method::GET, &url, Bytes::new());
         let answer = self.inner.http.send(Via::Fresh, ask, CHECK_TIMEOUT).await;
-        let ran = answer.ok().as_ref().and_then(plain::ran);
-        Event::Checked(ran.map(|(status, body)| Outcome {
-            status,
-            content: "application/json".into(),
-            body,
-        }))
+        Event::Checked(answer.ok().as_ref().and_then(Outcome::from_status))
     }
 
     /// Keeps what is final.
@@ -365,11 +370,3 @@
         record,
     })
 }
-
-pub(crate) fn outcome(answer: Answer) -> Outcome {
-    Outcome {
-        status: answer.status.as_u16(),
-        content: plain::content_type(&answer.headers).into(),
-        body: answer.body,
-    }
-}
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -5,17 +5,21 @@
 mod call;
 mod claim;
 mod driver;
+mod marks;
 mod outcome;
 mod recent;
 mod record;
 mod safe;
 mod settle;
+mod sweep;
 mod verdict;
 
 pub use call::{Call, Choose, Hook, Pick, Point, Report};
 pub use claim::{Cause, Claim, Command, Event, Held, Now, Rules, Terms, Verdict};
 pub use driver::Actions;
+pub use marks::{MARKS, Marks, Watcher};
 pub use outcome::{OUTCOME_LIMIT, Outcome};
 pub use record::{KIND, Record, Stage, claim_name};
 pub use safe::Budget;
 pub use settle::Leftover;
+pub use sweep::{Live, Retention, Sweep, Sweeper};
--- a/src/action/outcome.rs
+++ b/src/action/outcome.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::http::Answer;
+use crate::target::plain;
+
 /// Most bytes of an answer's body that are kept.
 pub const OUTCOME_LIMIT: usize = 128 << 10;
 
@@ -19,6 +22,30 @@
     pub body: Bytes,
 }
 
+impl Outcome {
+    /// Content type of an outcome that a status call tells.
+    const STATUS_CONTENT: &str = "application/json";
+
+    /// An answer as it came.
+    pub(crate) fn from_answer(answer: Answer) -> Self {
+        Self {
+            status: answer.status.as_u16(),
+            content: plain::content_type(&answer.headers).into(),
+            body: answer.body,
+        }
+    }
+
+    /// What a status call tells of an action that ran.
+    pub(crate) fn from_status(answer: &Answer) -> Option<Self> {
+        let (status, body) = plain::ran(answer)?;
+        Some(Self {
+            status,
+            content: Self::STATUS_CONTENT.into(),
+            body,
+        })
+    }
+}
+
 /// JSON has no bytes: text stays readable, anything else is written in hex.
 #[derive(Clone, Serialize, Deserialize)]
 struct Wire {
--- a/src/action/safe.rs
+++ b/src/action/safe.rs
@@ -94,7 +94,7 @@
             excluded.push(pick.addr);
             let slice = slice(left, SENDS - sent);
             match self.send_safe(&call, pick, slice, sent).await {
-                Ok(answer) => return Ok(super::driver::outcome(answer)),
+                Ok(answer) => return Ok(Outcome::from_answer(answer)),
                 Err(failure) => last = failure,
             }
         }
--- a/tests/action/history.rs
+++ b/tests/action/history.rs
@@ -16,7 +16,7 @@
 use crate::fixture::{World, call, checked, rules, word};
 
 const SEEDS: u64 = 60;
-const AT_ONCE: u64 = 10;
+const AT_ONCE: u64 = 20;
 const ENTRIES: usize = 3;
 const KEYS: [&str; 2] = ["k0", "k1"];
 const TRIES: usize = 5;
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -12,3 +12,4 @@
 mod faults;
 mod fixture;
 mod history;
+mod sweep;
