Join instances: peers, load polls, usage, budgets and administration

Cause: each subsystem stood alone; an instance had no peers and no administration API, targets' loads were not read, retries had no budget.

Ruled out: a second copy of the administration wiring inside the instance (the one in src/admin stays and now tells which peers answer).

A draining instance tells its peers.

--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -7,7 +7,6 @@
 use anyhow::{Context as _, bail, ensure};
 use endivefork::caller::Drain;
 use endivefork::http::{Client, Via, request};
-use endivefork::instance::Instance;
 use endivefork::serve::{self, Listeners};
 use endivefork::settings::Settings;
 use http::Method;
@@ -198,8 +197,8 @@
     let listeners = Listeners::bind(&settings).await?;
     let addrs = (listeners.caller.local_addr()?, listeners.peer.local_addr()?);
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let instance = Arc::new(Instance::new(settings, log));
-    tokio::spawn(serve::serve(instance, listeners, Arc::<Drain>::default()));
+    let drain = Arc::<Drain>::default();
+    tokio::spawn(serve::serve(settings, log, listeners, drain));
     Ok(addrs)
 }
 
--- a/src/admin/wire.rs
+++ b/src/admin/wire.rs
@@ -8,6 +8,7 @@
 use crate::caller::Drain;
 use crate::fleet::Roster;
 use crate::instance::Instance;
+use crate::peer::Reach;
 
 /// The parts of `instance` that the administration API works on. Must be called within a
 /// runtime; follows the configuration for as long as the instance lives.
@@ -37,28 +38,45 @@
 
 fn fleet(instance: &Instance) -> Fleet {
     let roster = instance.fleet.roster();
-    let rev = instance.config.view().rev;
-    let me = &instance.settings.instance.name;
     Fleet {
-        instances: instances(&roster, me, rev),
+        instances: instances(instance, &roster),
         targets: targets(&roster),
     }
 }
 
-fn instances(roster: &Roster, me: &SmolStr, rev: u64) -> Vec<InstanceStatus> {
+fn instances(instance: &Instance, roster: &Roster) -> Vec<InstanceStatus> {
+    let me = &instance.settings.instance.name;
+    let rev = instance.config.view().rev;
     let entries = roster.entries.values();
     entries
-        .map(|entry| InstanceStatus {
-            name: entry.name.clone(),
-            domain: entry.domain.clone(),
-            region: entry.region.clone(),
-            state: state(entry.leaving),
-            rev: (entry.name == *me).then_some(rev),
-            age_ms: (entry.name == *me).then_some(0),
+        .map(|entry| {
+            let own = entry.name == *me;
+            InstanceStatus {
+                name: entry.name.clone(),
+                domain: entry.domain.clone(),
+                region: entry.region.clone(),
+                state: match own {
+                    true => state(entry.leaving),
+                    false => reach(instance.peers.reach(&entry.name)),
+                },
+                rev: own.then_some(rev),
+                age_ms: own.then_some(0),
+            }
         })
         .collect()
 }
 
+fn reach(reach: Reach) -> SmolStr {
+    SmolStr::new_static(match reach {
+        Reach::Alive => "live",
+        Reach::Dead => "dead",
+        Reach::Silent => "silent",
+        Reach::Stranger => "wrong key",
+        Reach::Foreign => "other version",
+        Reach::Unknown => "unknown",
+    })
+}
+
 fn targets(roster: &Roster) -> Vec<TargetStatus> {
     let targets = roster.targets.iter();
     targets
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -28,6 +28,9 @@
 /// Pause before another look at the first bytes of a connection.
 const PEEK_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time between two looks whether a shutdown has begun.
+const DRAIN_TICK: Duration = Duration::from_millis(100);
+
 /// Pause after a failed accept, for instance when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -51,6 +54,13 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Waits until the instance shuts down.
+    pub async fn begun(&self) {
+        while !self.draining() {
+            tokio::time::sleep(DRAIN_TICK).await;
+        }
+    }
+
     /// Requests that are running.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -151,7 +161,7 @@
     tokio::pin!(served);
     tokio::select! {
         _ = served.as_mut() => return,
-        () = until_draining(&drain), if multiplexed => {}
+        () = drain.begun(), if multiplexed => {}
     }
     served.as_mut().graceful_shutdown();
     let _ = served.await;
@@ -173,14 +183,8 @@
     }
 }
 
-async fn until_draining(drain: &Drain) {
-    while !drain.draining() {
-        tokio::time::sleep(Duration::from_millis(250)).await;
-    }
-}
-
 async fn drained(drain: &Drain, longest: Duration) {
-    until_draining(drain).await;
+    drain.begun().await;
     let begun = Instant::now();
     tokio::time::sleep(LINGER).await;
     while !drain.quiet(begun) && begun.elapsed() < longest {
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -7,6 +7,8 @@
 use slog::{debug, warn};
 
 use super::Instance;
+use crate::fleet::Entry;
+use crate::peer::Member;
 use crate::{config, platform};
 
 /// Pause after a failed call of the platform.
@@ -21,7 +23,10 @@
             match self.platform.instances().await {
                 Ok(list) => {
                     self.fleet.sync(&list.items, Instant::now());
-                    self.router.sync(self.fleet.roster().targets.clone());
+                    let roster = self.fleet.roster();
+                    self.router.sync(roster.targets.clone());
+                    let members: Vec<_> = roster.entries.values().map(member).collect();
+                    self.peers.list(&members);
                     self.listed.store(true, Ordering::Release);
                 }
                 Err(e) => {
@@ -57,6 +62,15 @@
     }
 }
 
+fn member(entry: &Entry) -> Member {
+    Member {
+        name: entry.name.clone(),
+        addr: entry.peer,
+        domain: entry.domain.clone(),
+        region: entry.region.clone(),
+    }
+}
+
 fn entry(object: &platform::Object) -> config::Entry {
     config::Entry {
         kind: object.kind.clone(),
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::Instance;
+use crate::admission::Budget;
 use crate::config::Account;
 use crate::failure::Failure;
 use crate::fleet::Fleet;
@@ -38,13 +39,18 @@
 }
 
 /// The closures through which generations reach the fleet.
-pub(super) fn hooks(identity: &Identity, fleet: &Arc<Fleet>, router: &Arc<Router>) -> Hooks {
+pub(super) fn hooks(
+    identity: &Identity,
+    fleet: &Arc<Fleet>,
+    router: &Arc<Router>,
+    budget: &Arc<Budget>,
+) -> Hooks {
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
         router: Arc::clone(router),
     };
-    let (fleet, router) = (Arc::clone(fleet), Arc::clone(router));
+    let (fleet, router, budget) = (Arc::clone(fleet), Arc::clone(router), Arc::clone(budget));
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
         observe: Box::new(move |_, target, seen| {
@@ -52,7 +58,9 @@
                 observe(&router, key, seen);
             }
         }),
-        retry: Box::new(|_| true),
+        retry: Box::new(move |start| {
+            budget.try_take(&start.account, &start.service, Instant::now())
+        }),
     }
 }
 
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,6 +1,7 @@
 //! One entry instance: its parts and how they are wired.
 
 mod act;
+mod exchange;
 mod follow;
 mod generate;
 
@@ -9,15 +10,18 @@
 
 use slog::Logger;
 use smol_str::SmolStr;
+use tokio::net::TcpListener;
 
 use crate::action::{Actions, Rules};
+use crate::admission::{Budget, Gate};
 use crate::config;
 use crate::fleet::Fleet;
 use crate::generation::Generations;
 use crate::http::Client;
 use crate::ident::RequestKey;
+use crate::peer::{Member, Options, PeerKey, Peers};
 use crate::platform;
-use crate::routing::{Costs, Policy, Router};
+use crate::routing::{Costs, Policy, Poller, Router, Views};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -38,6 +42,16 @@
     pub fleet: Arc<Fleet>,
     /// The choice of targets.
     pub router: Arc<Router>,
+    /// What is known of the targets' loads.
+    pub views: Views,
+    /// Who may start work.
+    pub gate: Gate,
+    /// What retries may be spent.
+    pub budget: Arc<Budget>,
+    /// Other instances.
+    pub peers: Peers,
+    /// Client of the targets.
+    pub client: Client,
     /// The generations that run here.
     pub generations: Generations,
     /// Calls of plain services.
@@ -46,12 +60,20 @@
 }
 
 impl Instance {
-    /// An instance that has not read anything yet. Must be called within a runtime.
+    /// An instance that has not read anything yet and takes its peers' messages on `peer`. Must
+    /// be called within a runtime.
     #[must_use]
-    pub fn new(settings: Settings, log: Logger) -> Self {
+    pub fn new(settings: Settings, log: Logger, peer: TcpListener) -> Self {
         let fleet = Arc::<Fleet>::default();
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
-        let hooks = generate::hooks(&settings.instance, &fleet, &router);
+        let budget = Arc::new(Budget::new());
+        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
+        let peers = peers(&settings, peer);
+        let generations = Generations::new(hooks, Client::new());
+        let views = Views::new(Poller {
+            name: settings.instance.name.clone(),
+            domain: settings.instance.domain.clone(),
+        });
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router);
@@ -65,7 +87,12 @@
             config,
             fleet,
             router,
-            generations: Generations::new(hooks, Client::new()),
+            views,
+            gate: Gate::new(rand::random()),
+            budget,
+            peers,
+            client: Client::new(),
+            generations,
             actions,
             listed: AtomicBool::new(false),
         }
@@ -87,9 +114,29 @@
 
     /// Starts the tasks that keep the instance's picture of the world.
     pub fn start(self: &Arc<Self>) {
+        self.listen_to_peers();
         tokio::spawn(Arc::clone(self).follow_fleet());
+        tokio::spawn(Arc::clone(self).poll_targets());
+        tokio::spawn(Arc::clone(self).tell_peers());
         for kind in config::KINDS {
             tokio::spawn(Arc::clone(self).follow_config(kind));
         }
     }
 }
+
+fn peers(settings: &Settings, listener: TcpListener) -> Peers {
+    let addr = listener.local_addr().unwrap_or(settings.listen.peer);
+    let me = Member {
+        name: settings.instance.name.clone(),
+        addr,
+        domain: settings.instance.domain.clone(),
+        region: settings.instance.region.clone(),
+    };
+    let options = Options {
+        me,
+        key: PeerKey::new(&settings.peers.key.0),
+        period: settings.peers.heartbeat,
+        seeds: settings.peers.seeds.clone(),
+    };
+    Peers::start(listener, options)
+}
--- a/src/routing/poll.rs
+++ b/src/routing/poll.rs
@@ -99,6 +99,14 @@
     Silent,
 }
 
+impl Polled {
+    /// Whether the target itself said that it leaves.
+    #[must_use]
+    pub fn leaving(self) -> bool {
+        matches!(self, Self::Load(report) if report.leaving)
+    }
+}
+
 /// What is known of the targets' loads, apart from the router's estimate.
 #[derive(Debug)]
 pub struct Views {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use anyhow::Context as _;
-use slog::info;
+use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -70,44 +70,49 @@
     let drain = Arc::<Drain>::default();
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
-    let instance = Arc::new(Instance::new(settings, log.clone()));
-    instance.metrics.install();
-    info!(log, "serve: started"; "name" => instance.settings.instance.name.as_str());
-    let stop = Arc::clone(&drain);
-    let signals = async move {
+    info!(log, "serve: started"; "name" => settings.instance.name.as_str());
+    let serving = serve(settings, log.clone(), listeners, Arc::clone(&drain));
+    let signals = async {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
         info!(log, "serve: draining");
-        stop.begin();
+        drain.begin();
         std::future::pending::<()>().await;
     };
     tokio::select! {
-        () = serve(Arc::clone(&instance), listeners, drain) => {}
+        () = serving => {}
         () = signals => {}
     }
-    info!(instance.log, "serve: stopped");
+    info!(log, "serve: stopped");
     Ok(())
 }
 
-/// Serves on `listeners` until `drain` has begun and the last request has ended.
-pub async fn serve(instance: Arc<Instance>, listeners: Listeners, drain: Arc<Drain>) {
+/// Serves on `listeners` until `drain` has begun and the last request has ended. Must be called
+/// within a runtime.
+pub async fn serve(settings: Settings, log: Logger, listeners: Listeners, drain: Arc<Drain>) {
+    let instance = Arc::new(Instance::new(settings, log, listeners.peer));
+    instance.metrics.install();
     instance.start();
     let parts = admin::parts(&instance, &drain);
-    tokio::spawn(admin::serve(listeners.admin, parts));
+    let administration = tokio::spawn(admin::serve(listeners.admin, parts));
     let limits = instance.settings.limits;
-    let timeout = instance.settings.drain;
+    let longest = instance.settings.drain;
     let front = Front {
-        instance,
+        instance: Arc::clone(&instance),
         drain: Arc::clone(&drain),
     };
-    caller::serve(
-        listeners.caller,
-        caller::router(front),
-        limits,
-        drain,
-        timeout,
-    )
-    .await;
+    let router = caller::router(front);
+    let leave = async {
+        drain.begun().await;
+        instance.peers.leave();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = caller::serve(listeners.caller, router, limits, Arc::clone(&drain), longest) => {}
+        () = leave => {}
+    }
+    administration.abort();
+    instance.peers.close();
 }
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -158,7 +158,8 @@
          [peers]\nkey = k\n[operators]\nnight = {digest}\n"
     ));
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let instance = Arc::new(Instance::new(settings.unwrap(), log));
+    let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let instance = Arc::new(Instance::new(settings.unwrap(), log, peer));
     instance.start();
     let drain = Arc::<Drain>::default();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
