--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -126,8 +126,12 @@
             Failure::not_run(404, "unknown_model", format!("no model is named {name}"))
         })?;
     let key = RequestKey::new(&caller.name, key);
-    let version = instance.version(name, &service.value, key);
-    let model = service.value.versions.get(&version).map(|v| v.model.clone());
+    let version = instance.version(name, key);
+    let model = service
+        .value
+        .versions
+        .get(&version)
+        .map(|v| v.model.clone());
     let start = Start {
         key,
         account: caller.name.clone(),
@@ -137,7 +141,11 @@
         prompt: Arc::from(prompt.as_str()),
         max_tokens: max.into(),
         priority: body.priority,
-        deadline: (arrival + body.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis)).into(),
+        deadline: (arrival
+            + body
+                .deadline_ms
+                .map_or(DEFAULT_DEADLINE, Duration::from_millis))
+        .into(),
         body_digest: digest(&[name, &prompt, &max.to_string()]),
     };
     let reader = instance.generate(start, cursor, &caller.account).await?;
--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -5,14 +5,19 @@
 use std::time::Duration;
 
 use futures_util::future::{BoxFuture, FutureExt as _};
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::hooks::{Choice, Lease, Observation};
+use super::hooks::{Choice, Lease, Observation, Target};
+use super::journal::{Change, Place};
 use super::pace::Pace;
 use super::run::Run;
 use super::state::{Command, Event, Generation, Loss, Outcome};
-use super::table::Shared;
+use super::suspect::{Crash, Verdict};
+use super::table::{Shared, quarantined, suspect_digest};
+use super::writer::Placement;
+use crate::failure::{Certainty, Failure};
 use crate::target::engine::{Engine, Line, Position, Refusal, Start, Stream};
 
 /// Longest wait for the head of an attempt's stream.
@@ -27,13 +32,17 @@
 /// Tries of a cancellation whose connection broke.
 const CANCEL_TRIES: u32 = 3;
 
+/// Tokens of one attempt that clear a suspect.
+const CLEARING: u64 = 16;
+
 /// An attempt at a target.
 struct Attempt {
     number: u32,
     name: SmolStr,
-    lease: Lease,
+    target: Target,
+    _lease: Option<Lease>,
     engine: Engine,
-    pace: Arc<parking_lot::Mutex<Pace>>,
+    pace: Arc<Mutex<Pace>>,
     began: Instant,
     heard: Option<Instant>,
 }
@@ -48,7 +57,8 @@
     Lines(bool),
     Answer(Answer),
     Tick,
-    Stopped,
+    Taken,
+    Orphaned,
 }
 
 /// Drives one generation to its end.
@@ -56,18 +66,28 @@
     run: Arc<Run>,
     shared: Arc<Shared>,
     state: Generation,
+    digest: u128,
+    suspect: bool,
     attempt: Option<Attempt>,
     stream: Option<Stream>,
     call: Option<BoxFuture<'static, Answer>>,
     excluded: Vec<SmolStr>,
     lines: Vec<Line>,
     fresh: Vec<SmolStr>,
+    outcome: Option<Outcome>,
+    placement: Placement,
 }
 
 impl Driver {
     pub(crate) fn new(run: Arc<Run>, shared: Arc<Shared>) -> Self {
-        let state = Generation::new(run.len(), run.start.deadline, Instant::now());
+        let (next, deadline, now) = (run.len(), run.start.deadline, Instant::now());
+        let state = match run.place() {
+            Some(place) => Generation::attached(next, place.number, deadline, now),
+            None => Generation::new(next, deadline, now),
+        };
         Self {
+            digest: suspect_digest(&run.start),
+            suspect: false,
             run,
             shared,
             state,
@@ -77,18 +97,26 @@
             excluded: Vec::new(),
             lines: Vec::new(),
             fresh: Vec::new(),
+            outcome: None,
+            placement: Placement::default(),
         }
     }
 
     /// Runs until the generation has ended or is stopped.
     pub(crate) async fn drive(mut self) {
+        if let Some(place) = self.run.place() {
+            self.attach(place);
+        }
+        self.write(Change::Snapshot(self.run.journal())).await;
         while !self.run.ended() {
             match self.wait().await {
                 Next::Lines(open) => self.read(open),
                 Next::Answer(answer) => self.answered(answer),
                 Next::Tick => self.apply(Event::Tick),
-                Next::Stopped => return self.stopped(),
+                Next::Taken => return,
+                Next::Orphaned => self.abandon(),
             }
+            self.commit().await;
         }
     }
 
@@ -111,13 +139,56 @@
         };
         tokio::select! {
             biased;
-            () = self.run.stop.cancelled() => Next::Stopped,
+            () = self.run.taken.cancelled() => Next::Taken,
+            () = self.run.orphaned.cancelled() => Next::Orphaned,
             open = read => Next::Lines(open),
             answer = answer => Next::Answer(answer),
             () = tokio::time::sleep_until(wake) => Next::Tick,
         }
     }
 
+    /// Makes what was decided known: first to the replicas, then to the readers.
+    async fn commit(&mut self) {
+        if !self.fresh.is_empty() {
+            self.observe_tokens();
+            let change = Change::Tokens(self.run.len(), self.fresh.clone());
+            self.write(change).await;
+            self.run.publish(&mut self.fresh);
+        }
+        if let Some(outcome) = self.outcome.take() {
+            self.run.finish(outcome.clone());
+            self.write(match outcome {
+                Outcome::Whole(reason) => Change::Whole(reason),
+                Outcome::Failed(_) => Change::Failed,
+            })
+            .await;
+        }
+    }
+
+    async fn write(&mut self, change: Change) {
+        let Some(net) = self.shared.net.get() else {
+            return;
+        };
+        let run = &self.run;
+        let tail = match &change {
+            Change::Tokens(_, texts) => texts.clone(),
+            _ => Vec::new(),
+        };
+        let snapshot = || {
+            let mut journal = run.journal();
+            journal.tokens.extend_from_slice(&tail);
+            Change::Snapshot(journal)
+        };
+        net.write(
+            run.start.key,
+            run.epoch,
+            &mut self.placement,
+            change,
+            snapshot,
+        )
+        .await;
+    }
+
     fn read(&mut self, open: bool) {
         for line in std::mem::take(&mut self.lines) {
             match line {
@@ -127,10 +198,6 @@
                 Line::Failed(reason) => self.apply(Event::Faulted(reason)),
             }
         }
-        if !self.fresh.is_empty() {
-            self.observe_tokens();
-            self.run.publish(&mut self.fresh);
-        }
         if !open && self.stream.take().is_some() {
             self.apply(Event::Broken);
         }
@@ -148,62 +215,128 @@
 
     fn apply(&mut self, event: Event) {
         let number = self.attempt.as_ref().map_or(0, |a| a.number);
-        for command in self.state.apply(number, event, Instant::now()) {
-            self.execute(command);
-        }
+        let commands = self.state.apply(number, event, Instant::now());
+        self.execute(commands);
     }
 
-    fn execute(&mut self, command: Command) {
-        match command {
-            Command::Deliver(text) => self.fresh.push(text),
-            Command::Start(number) => self.start(number),
-            Command::Resume => self.resume(),
-            Command::Probe => self.probe(),
-            Command::Cancel(number) => self.cancel(number),
-            Command::Lose(loss) => self.lose(loss),
-            Command::Avoid => self.avoid(),
-            Command::Finish(outcome) => self.finish(outcome),
+    fn execute(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Deliver(text) => self.fresh.push(text),
+                Command::Start(number) => self.start(number),
+                Command::Resume => self.resume(),
+                Command::Probe => self.probe(),
+                Command::Cancel(number) => self.cancel(number),
+                Command::Lose(loss) => self.lose(loss),
+                Command::Avoid => self.leave(Observation::Refused),
+                Command::Finish(outcome) => self.finish(outcome),
+            }
         }
     }
 
+    fn give_up(&mut self, failure: Failure) {
+        let commands = self.state.give_up(failure);
+        self.execute(commands);
+    }
+
     fn start(&mut self, number: u32) {
         self.stream = None;
+        self.call = None;
         self.attempt = None;
-        let choice = Choice {
-            start: &self.run.start,
-            excluded: &self.excluded,
-            isolate: false,
-            resumes: self.state.next() > 0,
-        };
-        match (self.shared.hooks.choose)(&choice) {
+        if let Some(failure) = self.obstacle(number) {
+            return self.give_up(failure);
+        }
+        match self.choose() {
             Ok(lease) => self.open(number, lease),
             Err(failure) => {
                 self.excluded.clear();
-                for command in self
-                    .state
-                    .apply(number, Event::NoTarget(failure), Instant::now())
-                {
-                    self.execute(command);
-                }
+                let event = Event::NoTarget(failure);
+                let commands = self.state.apply(number, event, Instant::now());
+                self.execute(commands);
             }
         }
     }
 
+    /// Why no further attempt may be made.
+    fn obstacle(&mut self, number: u32) -> Option<Failure> {
+        let verdict = self
+            .shared
+            .suspects
+            .lock()
+            .verdict(self.digest, Instant::now());
+        self.suspect = verdict != Verdict::Clear;
+        let start = &self.run.start;
+        let again = number > 1 && self.state.next() == 0;
+        match verdict {
+            Verdict::Quarantined(left) => Some(self.certain(quarantined(left))),
+            _ if self.state.next() < self.run.floor() => Some(Failure::failed(
+                410,
+                "cannot_continue",
+                "tokens that the caller has were lost",
+            )),
+            _ if again && !(self.shared.hooks.retry)(start) => {
+                let text = "its attempt failed and the retry budget is used up";
+                let failure = Failure::not_run(503, "retry_budget", text);
+                Some(self.certain(failure.retry_after(Duration::from_secs(1))))
+            }
+            _ => None,
+        }
+    }
+
+    /// Says that it ran, if it did.
+    fn certain(&self, mut failure: Failure) -> Failure {
+        if self.state.ran() {
+            failure.outcome = Certainty::Failed;
+        }
+        failure
+    }
+
+    fn choose(&self) -> Result<Lease, Failure> {
+        let now = Instant::now();
+        let reserved = self.shared.suspects.lock().reserved(self.digest, now);
+        let mut excluded = self.excluded.clone();
+        excluded.extend(reserved);
+        let ask = |excluded: &[SmolStr]| {
+            (self.shared.hooks.choose)(&Choice {
+                start: &self.run.start,
+                excluded,
+                isolate: self.suspect,
+                resumes: self.state.next() > 0,
+            })
+        };
+        let lease = match ask(&excluded) {
+            Err(_) if excluded.len() > self.excluded.len() => ask(&self.excluded),
+            chosen => chosen,
+        }?;
+        if self.suspect {
+            let mut suspects = self.shared.suspects.lock();
+            suspects.isolate(self.digest, &lease.target.name, now);
+        }
+        Ok(lease)
+    }
+
     fn open(&mut self, number: u32, lease: Lease) {
         let run = Arc::clone(&self.run);
-        let name = SmolStr::from(format!("{}-{}-{number}", run.start.key, run.epoch));
-        let engine = Engine::new(self.shared.client.clone(), lease.target.addr);
-        let pace = self.shared.pace(&lease.target.name);
-        self.state.set_limit(pace.lock().limit());
-        self.attempt = Some(Attempt {
+        let name = SmolStr::from(format!("{}-{:x}-{number}", run.start.key, run.epoch));
+        let place = Place {
             number,
-            name: name.clone(),
-            lease,
-            engine: engine.clone(),
-            pace,
-            began: Instant::now(),
-            heard: None,
-        });
+            attempt: name.clone(),
+            target: lease.target.name.clone(),
+            addr: lease.target.addr,
+        };
+        run.set_place(place.clone());
+        if let Some(net) = self.shared.net.get() {
+            let snapshot = || Change::Snapshot(run.journal());
+            let change = Change::Place(place.clone());
+            net.post(
+                run.start.key,
+                run.epoch,
+                &mut self.placement,
+                change,
+                snapshot,
+            );
+        }
+        let engine = self.attend(place, Some(lease));
         let prefix = run.tokens();
         let call = async move {
             let request = run.start.key.to_string();
@@ -224,6 +357,32 @@
         self.call = Some(call.boxed());
     }
 
+    /// Reads on where an earlier owner's attempt runs.
+    fn attach(&mut self, place: Place) {
+        self.attend(place, None);
+        self.resume();
+    }
+
+    fn attend(&mut self, place: Place, lease: Option<Lease>) -> Engine {
+        let engine = Engine::new(self.shared.client.clone(), place.addr);
+        let pace = self.shared.pace(&place.target);
+        self.state.set_limit(pace.lock().limit());
+        self.attempt = Some(Attempt {
+            number: place.number,
+            name: place.attempt,
+            target: Target {
+                name: place.target,
+                addr: place.addr,
+            },
+            _lease: lease,
+            engine: engine.clone(),
+            pace,
+            began: Instant::now(),
+            heard: None,
+        });
+        engine
+    }
+
     fn resume(&mut self) {
         self.stream = None;
         let Some(attempt) = &self.attempt else { return };
@@ -240,32 +399,36 @@
         self.call = Some(call.boxed());
     }
 
-    fn cancel(&mut self, number: u32) {
-        match &self.attempt {
-            Some(a) if a.number == number => {
-                tokio::spawn(cancel(a.engine.clone(), a.name.clone()));
-            }
-            _ => {}
+    fn cancel(&self, number: u32) {
+        let attempt = self.attempt.as_ref().filter(|a| a.number == number);
+        if let Some(attempt) = attempt {
+            tokio::spawn(cancel(attempt.engine.clone(), attempt.name.clone()));
         }
     }
 
     fn lose(&mut self, loss: Loss) {
-        self.stream = None;
-        self.call = None;
-        self.observe(Observation::Lost(loss));
-        self.exclude();
+        self.leave(Observation::Lost(loss));
+        let Some(attempt) = self.attempt.as_ref().filter(|_| loss == Loss::Crashed) else {
+            return;
+        };
+        let crash = Crash {
+            digest: self.digest,
+            target: attempt.target.name.clone(),
+            strong: self.state.progress() == 0,
+        };
+        self.suspect = true;
+        if let Verdict::Quarantined(left) = self.shared.crash(crash) {
+            let failure = self.certain(quarantined(left));
+            self.give_up(failure);
+        }
     }
 
-    fn avoid(&mut self) {
+    fn leave(&mut self, seen: Observation) {
         self.stream = None;
         self.call = None;
-        self.observe(Observation::Refused);
-        self.exclude();
-    }
-
-    fn exclude(&mut self) {
+        self.observe(seen);
         if let Some(attempt) = &self.attempt {
-            self.excluded.push(attempt.lease.target.name.clone());
+            self.excluded.push(attempt.target.name.clone());
         }
     }
 
@@ -273,17 +436,22 @@
         if matches!(outcome, Outcome::Whole(_)) {
             self.observe(Observation::Ended);
         }
-        self.run.publish(&mut self.fresh);
-        self.run.finish(outcome);
+        self.outcome = Some(outcome);
     }
 
-    fn stopped(self) {
-        let Some(attempt) = self.attempt else { return };
-        tokio::spawn(cancel(attempt.engine, attempt.name));
+    /// Nobody reads it: gives it up and frees its slot.
+    fn abandon(&mut self) {
+        self.cancel(self.state.attempt());
+        let failure = Failure::failed(499, "abandoned", "no caller has read it for too long");
+        self.give_up(failure);
     }
 
     fn observe_tokens(&mut self) {
         let now = Instant::now();
+        if self.suspect && self.state.progress() >= CLEARING {
+            self.suspect = false;
+            self.shared.suspects.lock().clear(self.digest);
+        }
         let Some(attempt) = &mut self.attempt else {
             return;
         };
@@ -300,7 +468,7 @@
 
     fn observe(&self, seen: Observation) {
         if let Some(attempt) = &self.attempt {
-            (self.shared.hooks.observe)(&self.run.start, &attempt.lease.target, seen);
+            (self.shared.hooks.observe)(&self.run.start, &attempt.target, seen);
         }
     }
 }
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -2,13 +2,19 @@
 
 mod drive;
 mod hooks;
+mod journal;
 mod pace;
 mod run;
 mod state;
+mod suspect;
 mod table;
+mod takeover;
+mod writer;
 
 pub use hooks::{Choice, Hooks, Lease, Observation, Target};
+pub use journal::{Ack, Change, Entry, Journal, Journals, Place};
 pub use pace::Pace;
 pub use run::{Event, Reader, Start};
 pub use state::{Command, Event as Happened, Generation, Loss, Outcome};
+pub use suspect::{Crash, Suspects, Verdict};
 pub use table::Generations;
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::journal::{Journal, Place};
 use super::state::Outcome;
 use crate::failure::Failure;
 use crate::ident::RequestKey;
@@ -63,7 +64,9 @@
 struct Log {
     tokens: Vec<SmolStr>,
     outcome: Option<Outcome>,
+    place: Option<Place>,
     readers: usize,
+    floor: u64,
     idle: Instant,
 }
 
@@ -74,32 +77,62 @@
     pub(crate) start: Start,
     /// Higher after each takeover.
     pub(crate) epoch: u64,
-    /// Cancelled when another instance takes over or nobody reads.
-    pub(crate) stop: CancellationToken,
+    /// Cancelled when another instance takes over.
+    pub(crate) taken: CancellationToken,
+    /// Cancelled when nobody reads any more.
+    pub(crate) orphaned: CancellationToken,
     log: Mutex<Log>,
     news: Notify,
 }
 
 impl Run {
-    pub(crate) fn new(start: Start, epoch: u64, tokens: Vec<SmolStr>) -> Arc<Self> {
+    pub(crate) fn new(start: Start, epoch: u64) -> Arc<Self> {
+        Self::with(start, epoch, Vec::new(), None, None)
+    }
+
+    /// The run that goes on with a journal.
+    pub(crate) fn adopt(start: Start, epoch: u64, journal: Journal) -> Arc<Self> {
+        let start = Start {
+            version: journal.version,
+            model: journal.model,
+            ..start
+        };
+        let outcome = journal.whole.map(Outcome::Whole);
+        Self::with(start, epoch, journal.tokens, journal.place, outcome)
+    }
+
+    fn with(
+        start: Start,
+        epoch: u64,
+        tokens: Vec<SmolStr>,
+        place: Option<Place>,
+        outcome: Option<Outcome>,
+    ) -> Arc<Self> {
         let log = Log {
             tokens,
-            outcome: None,
+            outcome,
+            place,
             readers: 0,
+            floor: 0,
             idle: Instant::now(),
         };
         Arc::new(Self {
             start,
             epoch,
-            stop: CancellationToken::new(),
+            taken: CancellationToken::new(),
+            orphaned: CancellationToken::new(),
             log: Mutex::new(log),
             news: Notify::new(),
         })
     }
 
-    /// Adds tokens and wakes the readers.
+    /// Adds tokens and wakes the readers, unless it has ended.
     pub(crate) fn publish(&self, tokens: &mut Vec<SmolStr>) {
-        self.log.lock().tokens.append(tokens);
+        let mut log = self.log.lock();
+        if log.outcome.is_none() {
+            log.tokens.append(tokens);
+        }
+        drop(log);
         self.news.notify_waiters();
     }
 
@@ -112,6 +145,47 @@
         self.news.notify_waiters();
     }
 
+    /// Stops it, because another instance goes on with it.
+    pub(crate) fn supersede(&self) {
+        self.taken.cancel();
+        let failure = Failure::failed(409, "superseded", "another instance goes on with it");
+        self.finish(Outcome::Failed(failure));
+    }
+
+    /// What another instance needs to go on with it.
+    pub(crate) fn journal(&self) -> Journal {
+        let log = self.log.lock();
+        let whole = match &log.outcome {
+            Some(Outcome::Whole(reason)) => Some(*reason),
+            _ => None,
+        };
+        Journal {
+            key: self.start.key,
+            epoch: self.epoch,
+            body: self.start.body_digest,
+            version: self.start.version.clone(),
+            model: self.start.model.clone(),
+            place: log.place.clone(),
+            tokens: log.tokens.clone(),
+            whole,
+        }
+    }
+
+    /// Where its newest attempt runs.
+    pub(crate) fn place(&self) -> Option<Place> {
+        self.log.lock().place.clone()
+    }
+
+    /// Sets where its newest attempt runs.
+    pub(crate) fn set_place(&self, place: Place) {
+        self.log.lock().place = Some(place);
+    }
+
+    /// Tokens that some caller has seen. Only the attempt that made them may go on below that.
+    pub(crate) fn floor(&self) -> u64 {
+        self.log.lock().floor
+    }
+
     /// All tokens so far.
     pub(crate) fn tokens(&self) -> Vec<SmolStr> {
         self.log.lock().tokens.clone()
@@ -139,7 +213,10 @@
 
     /// A reader that begins with token `from`.
     pub(crate) fn read(self: &Arc<Self>, from: u64) -> Reader {
-        self.log.lock().readers += 1;
+        let mut log = self.log.lock();
+        log.readers += 1;
+        log.floor = log.floor.max(from);
+        drop(log);
         Reader {
             run: Arc::clone(self),
             next: from,
--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -45,6 +45,8 @@
     Silent,
     /// It answers but makes no tokens.
     Stalled,
+    /// It leaves and takes no new work.
+    Leaving,
 }
 
 /// What happened.
@@ -134,6 +136,8 @@
     refusals: u32,
     broken: u32,
     suspicions: u32,
+    /// The connection broke before it was known whether the target has the attempt.
+    unsure: bool,
 }
 
 impl Generation {
@@ -154,6 +158,7 @@
             refusals: 0,
             broken: 0,
             suspicions: 0,
+            unsure: false,
         }
     }
 
@@ -185,6 +190,12 @@
         self.progress
     }
 
+    /// Whether some attempt ran at a target, or may have.
+    #[must_use]
+    pub fn ran(&self) -> bool {
+        self.next > 0 || self.losses > 0 || self.faults > 0
+    }
+
     /// Targets lost.
     #[must_use]
     pub fn losses(&self) -> u32 {
@@ -264,6 +275,7 @@
             Phase::Choosing(at) if now >= at => {
                 self.attempt += 1;
                 self.progress = 0;
+                self.unsure = false;
                 self.phase = Phase::Opening;
                 out.push(Command::Start(self.attempt));
             }
@@ -277,6 +289,7 @@
     }
 
     fn opened(&mut self, now: Instant) {
+        self.unsure = false;
         if matches!(self.phase, Phase::Opening | Phase::Resuming) {
             self.phase = Phase::Streaming;
             self.asked = now;
@@ -333,7 +346,10 @@
         match (refusal, self.phase) {
             (Refusal::NotRun(_) | Refusal::Status(_), Phase::Opening) => {
                 self.refusals += 1;
-                out.push(Command::Avoid);
+                out.push(match refusal {
+                    Refusal::NotRun(reason) if reason == "leaving" => Command::Lose(Loss::Leaving),
+                    _ => Command::Avoid,
+                });
                 self.phase = Phase::Choosing(now);
                 if self.next == 0 && self.refusals >= MAX_REFUSALS {
                     let failure = Failure::not_run(503, "targets_busy", "no target admits it");
@@ -342,7 +358,14 @@
                 }
             }
             (Refusal::Unsent, Phase::Opening) => self.lose(Loss::Unsent, now, out),
-            (Refusal::Lost, Phase::Opening) => self.lose(Loss::Crashed, now, out),
+            (Refusal::Lost, Phase::Opening) => {
+                self.unsure = true;
+                self.resume(out);
+            }
+            (Refusal::Unknown, Phase::Resuming) if self.unsure => {
+                self.refusals += 1;
+                self.phase = Phase::Choosing(now);
+            }
             _ => self.lose(loss(refusal), now, out),
         }
     }
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -259,22 +259,33 @@
         message: &Q,
         limit: Duration,
     ) -> Result<A, CallError> {
+        let answer = self.send(name, tag, encode(message), limit).await?;
+        decode(&answer).ok_or(CallError::Malformed)
+    }
+
+    /// Sends an encoded message and returns the encoded answer.
+    pub(crate) async fn send(
+        &self,
+        name: &str,
+        tag: Tag,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, CallError> {
         let addr = self.hub.members.lock().addr(name);
         let addr = addr.ok_or(CallError::Unknown)?;
-        let exchange = self.hub.exchange(addr, tag, encode(message), limit);
+        let exchange = self.hub.exchange(addr, tag, body, limit);
         let answer = tokio::time::timeout(limit, exchange).await;
         let answer = answer.unwrap_or(Err(LinkError::TimedOut));
         if let Err(LinkError::Refused) = answer {
             let mut members = self.hub.members.lock();
             members.witness(name, Evidence::Refused, Instant::now());
         }
-        let answer = answer.map_err(|error| match error {
+        answer.map_err(|error| match error {
             LinkError::Refused => CallError::Refused,
             LinkError::Lost | LinkError::TimedOut => CallError::Lost,
             LinkError::WrongKey | LinkError::OtherVersion => CallError::NotPeer,
             LinkError::Status(_) => CallError::Malformed,
-        })?;
-        decode(&answer).ok_or(CallError::Malformed)
+        })
     }
 
     /// Sends a message to every instance that answers, all at once, and returns the answers that
--- a/src/target/engine.rs
+++ b/src/target/engine.rs
@@ -38,6 +38,12 @@
     }
 }
 
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 /// Body of a start.
 #[derive(Clone, Debug, Serialize)]
 pub struct Start<'a> {
--- /dev/null
+++ b/tests/generation_takeover.rs
@@ -0,0 +1,355 @@
+//! Entry instances are lost or paused and their callers return elsewhere. Each instance has its
+//! own runtime with one thread: shutting it down kills the instance, blocking the thread pauses it.
+
+#[path = "support/engines.rs"]
+mod engines;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use endivefork::generation::{Event, Generations, Reader, Start};
+use endivefork::http::Client;
+use endivefork::peer::{Member, Options as PeerOptions, PeerKey, Peers};
+use engines::engine::fault::Control;
+use engines::engine::options::Options;
+use engines::{Fleet, Seen, read, start};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::Instant;
+
+/// Time between tokens of the bars.
+const TOKEN: Duration = Duration::from_millis(41);
+
+/// Tokens of each stream.
+const TOKENS: u64 = 60;
+
+/// Tokens that a caller reads before its instance is lost.
+const READ: usize = 15;
+
+/// The rest starts within this after the caller's return.
+const RETURN_BAR: Duration = Duration::from_secs(1);
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Entry {
+    runtime: Option<Runtime>,
+    generations: Generations,
+    peers: Peers,
+}
+
+impl Entry {
+    async fn start(fleet: &Arc<Fleet>, name: &str, domain: &str, seeds: Vec<SocketAddr>) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let hooks = fleet.hooks();
+        let (name, domain) = (name.into(), domain.into());
+        let made = runtime.spawn(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let me = Member {
+                name,
+                addr: listener.local_addr().unwrap(),
+                domain,
+                region: "r".into(),
+            };
+            let opts = PeerOptions {
+                me,
+                key: PeerKey::new("key"),
+                period: Duration::from_millis(100),
+                seeds,
+            };
+            let peers = Peers::start(listener, opts);
+            let generations = Generations::new(hooks, Client::new());
+            generations.join(&peers);
+            (generations, peers)
+        });
+        let (generations, peers) = made.await.unwrap();
+        Self {
+            runtime: Some(runtime),
+            generations,
+            peers,
+        }
+    }
+
+    async fn open(&self, start: Start, from: Option<u64>) -> Reader {
+        let generations = self.generations.clone();
+        let runtime = self.runtime.as_ref().unwrap();
+        let opened = runtime.spawn(async move { generations.open(start, from).await });
+        opened.await.unwrap().unwrap()
+    }
+
+    fn kill(&mut self) {
+        self.runtime.take().unwrap().shutdown_background();
+    }
+
+    fn pause(&self, time: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move { std::thread::sleep(time) });
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+struct World {
+    fleet: Arc<Fleet>,
+    entries: Vec<Entry>,
+}
+
+/// `entries` instances in one failure domain that know each other, and some engines.
+async fn world(engines: usize, entries: usize) -> World {
+    let opts = Options {
+        token: TOKEN,
+        ..Options::default()
+    };
+    let fleet = Fleet::start(engines, &opts).await;
+    let mut all: Vec<Entry> = Vec::new();
+    for i in 0..entries {
+        let seeds = all.iter().map(|e| e.peers.me().addr).collect();
+        all.push(Entry::start(&fleet, &format!("entry-{i}"), "a", seeds).await);
+    }
+    let deadline = Instant::now() + PATIENCE;
+    while all.iter().any(|e| e.peers.alive().len() + 1 < entries) {
+        assert!(Instant::now() < deadline, "the instances do not meet");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The list of replicas is read again a little after the peers are alive.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    World {
+        fleet,
+        entries: all,
+    }
+}
+
+fn prompt(i: usize) -> String {
+    format!("long transcript number {i}")
+}
+
+fn request(i: usize) -> Start {
+    start(&format!("key-{i}"), &prompt(i), TOKENS)
+}
+
+/// Opens `count` streams at the first instance and reads the beginning of each.
+async fn begin(world: &World, count: usize) -> Vec<(Reader, Seen)> {
+    let mut readers = Vec::new();
+    for i in 0..count {
+        readers.push(world.entries[0].open(request(i), None).await);
+    }
+    let mut begun = Vec::new();
+    for mut reader in readers {
+        let seen = read(&mut reader, READ).await;
+        begun.push((reader, seen));
+    }
+    begun
+}
+
+/// Returns at `entry`, with or without the last token, and reads to the end.
+async fn come_back(entry: &Entry, i: usize, last: Option<u64>) -> (Duration, Seen) {
+    let begun = Instant::now();
+    let mut reader = entry.open(request(i), last).await;
+    let first = read(&mut reader, 1).await;
+    let took = begun.elapsed();
+    let mut seen = read(&mut reader, usize::MAX).await;
+    seen.tokens.splice(0..0, first.tokens);
+    (took, seen)
+}
+
+fn report(what: &str, mut times: Vec<Duration>, fleet: &Fleet, count: usize) {
+    times.sort();
+    let worst = times.last().copied().unwrap_or_default();
+    let due = count as u64 * TOKENS;
+    println!(
+        "{what}: rest after {:?} median, {worst:?} worst; {} tokens generated for {due}",
+        times[times.len() / 2],
+        fleet.tokens(),
+    );
+    assert!(worst <= RETURN_BAR, "{what}: {worst:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_returns_with_its_last_token() {
+    const STREAMS: usize = 16;
+    let mut world = world(3, 3).await;
+    let begun = begin(&world, STREAMS).await;
+
+    world.entries[0].kill();
+    let mut times = Vec::new();
+    let returns =
+        (0..STREAMS).map(|i| come_back(&world.entries[1 + i % 2], i, Some(READ as u64 - 1)));
+    for (i, (took, seen)) in futures_util::future::join_all(returns)
+        .await
+        .into_iter()
+        .enumerate()
+    {
+        seen.assert_exact(&prompt(i), READ as u64, TOKENS);
+        times.push(took);
+    }
+
+    drop(begun);
+    report("entry killed", times, &world.fleet, STREAMS);
+    assert_eq!(
+        world.fleet.tokens(),
+        STREAMS as u64 * TOKENS,
+        "generated once"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_returns_without_its_last_token() {
+    const STREAMS: usize = 16;
+    let mut world = world(3, 3).await;
+    let begun = begin(&world, STREAMS).await;
+
+    world.entries[0].kill();
+    let mut times = Vec::new();
+    let returns = (0..STREAMS).map(|i| come_back(&world.entries[1 + i % 2], i, None));
+    for (i, (took, seen)) in futures_util::future::join_all(returns)
+        .await
+        .into_iter()
+        .enumerate()
+    {
+        seen.assert_exact(&prompt(i), 0, TOKENS);
+        times.push(took);
+    }
+
+    drop(begun);
+    report("entry killed, from the start", times, &world.fleet, STREAMS);
+    assert_eq!(
+        world.fleet.tokens(),
+        STREAMS as u64 * TOKENS,
+        "generated once"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_and_engine_are_lost_together() {
+    const STREAMS: usize = 16;
+    let mut world = world(3, 3).await;
+    let begun = begin(&world, STREAMS).await;
+    let heard: Vec<_> = begun
+        .iter()
+        .map(|(_, seen)| seen.tokens.len() as u64)
+        .collect();
+
+    let control = Control {
+        crash: true,
+        ..Control::default()
+    };
+    world.fleet.engines[world.fleet.busiest()].control(control);
+    world.entries[0].kill();
+    let mut times = Vec::new();
+    let returns = (0..STREAMS).map(|i| come_back(&world.entries[1 + i % 2], i, Some(heard[i] - 1)));
+    for (i, (took, seen)) in futures_util::future::join_all(returns)
+        .await
+        .into_iter()
+        .enumerate()
+    {
+        seen.assert_exact(&prompt(i), heard[i], TOKENS);
+        times.push(took);
+    }
+
+    report("entry and engine killed", times, &world.fleet, STREAMS);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_owner_returns_while_the_new_one_streams() {
+    let world = world(2, 3).await;
+    let (mut old, _) = begin(&world, 1).await.remove(0);
+
+    world.entries[0].pause(Duration::from_millis(1200));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (took, seen) = come_back(&world.entries[1], 0, Some(READ as u64 - 1)).await;
+    let heard = read(&mut old, usize::MAX).await;
+
+    seen.assert_exact(&prompt(0), READ as u64, TOKENS);
+    let failure = heard.failure.expect("the old owner has stopped");
+    assert_eq!(failure.reason, "superseded");
+    assert!(took <= RETURN_BAR, "{took:?}");
+    println!(
+        "owner paused: rest after {took:?}; old owner spoke {} more tokens",
+        heard.tokens.len()
+    );
+    assert!(
+        heard.tokens.len() < TOKENS as usize - READ,
+        "it did not go on to the end"
+    );
+    assert_eq!(world.fleet.tokens(), TOKENS, "generated once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_running_owner_hands_over() {
+    let world = world(2, 2).await;
+    let (mut old, _) = begin(&world, 1).await.remove(0);
+
+    let (took, seen) = come_back(&world.entries[1], 0, Some(READ as u64 - 1)).await;
+    let event = old.next().await;
+
+    seen.assert_exact(&prompt(0), READ as u64, TOKENS);
+    assert!(took <= RETURN_BAR, "{took:?}");
+    assert!(!matches!(event, Event::End { .. }), "{event:?}");
+    assert_eq!(world.fleet.tokens(), TOKENS, "generated once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_finished_generation_is_replayed_elsewhere() {
+    let mut world = world(2, 2).await;
+    let mut reader = world.entries[0].open(request(0), None).await;
+    let whole = read(&mut reader, usize::MAX).await;
+    whole.assert_exact(&prompt(0), 0, TOKENS);
+
+    world.entries[0].kill();
+    let (_, seen) = come_back(&world.entries[1], 0, Some(9)).await;
+
+    seen.assert_exact(&prompt(0), 10, TOKENS);
+    assert_eq!(world.fleet.tokens(), TOKENS, "generated once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_refused_elsewhere() {
+    let world = world(1, 2).await;
+    drop(begin(&world, 1).await);
+
+    let other = start("key-0", "another prompt", TOKENS);
+    let refused = world.entries[1].generations.open(other, None).await;
+
+    assert_eq!(refused.unwrap_err().reason, "key_reused");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_return_to_an_unknown_generation_fails() {
+    let world = world(1, 2).await;
+
+    let refused = world.entries[1].generations.open(request(7), Some(3)).await;
+
+    assert_eq!(refused.unwrap_err().reason, "generation_unknown");
+    assert_eq!(world.fleet.tokens(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn journal_traffic_is_small() {
+    const STREAMS: usize = 32;
+    let world = world(3, 3).await;
+
+    let mut readers = Vec::new();
+    for i in 0..STREAMS {
+        readers.push(world.entries[0].open(request(i), None).await);
+    }
+    for reader in &mut readers {
+        read(reader, usize::MAX).await;
+    }
+    let (tokens, bytes) = world.entries[0].generations.journal_traffic();
+
+    let each = bytes as f64 / tokens as f64;
+    println!("journals: {each:.1} bytes a token over 2 replicas, {tokens} tokens");
+    assert_eq!(tokens, STREAMS as u64 * TOKENS);
+    assert!(each < 200.0, "{each}");
+}
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -1,7 +1,8 @@
 //! Engines in this process and generations over them.
 
+#![allow(dead_code, reason = "each test uses a part of it")]
+
 #[path = "../../examples/standin/engine/mod.rs"]
-#[allow(dead_code, reason = "each test uses a part of it")]
 pub mod engine;
 
 use std::collections::HashMap;
