Answer every bad call of a caller with its error body

Cause: a call with a wrong method had an empty body, a cursor beyond max_tokens was answered with 200, and a refusal of a large body could be lost to a reset. Ruled out: easing the table. Change: 405 with the error body, bad_cursor beyond max_tokens, the rest of a large body is read before the refusal.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -117,6 +117,7 @@
     let body = parse(&bytes)?;
     let prompt = prompt(shape, &body)?;
     let max = tokens(&body)?;
+    identity::check_cursor(cursor, max)?;
     let name = &body.model;
     let service = view
         .services
--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -11,11 +11,11 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, StatusCode, Version};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 
 use super::server::Drain;
 use super::{completions, services};
 use crate::failure::Failure;
+use crate::http::{BodyError, read_body as read_limited};
 use crate::instance::Instance;
 
 /// What the front's handlers share.
@@ -36,6 +36,7 @@
         .route("/healthz", get(|| async { "alive\n" }))
         .route("/readyz", get(ready))
         .fallback(unknown)
+        .method_not_allowed_fallback(wrong_method)
         .layer(from_fn_with_state(Arc::clone(&front.drain), say_close))
         .with_state(front)
 }
@@ -65,29 +66,37 @@
     Failure::not_run(404, "unknown_path", "no such call; see docs/interfaces.md")
 }
 
+async fn wrong_method() -> Failure {
+    Failure::not_run(
+        405,
+        "wrong_method",
+        "no such method on this path; see docs/interfaces.md",
+    )
+}
+
 /// Reads a whole request body within the limits.
 ///
 /// # Errors
 /// 413 when it is too large, 408 when it came too slowly, 400 when it broke off.
 pub(crate) async fn read_body(front: &Front, request: Request<Body>) -> Result<Bytes, Failure> {
     let limits = front.instance.settings.limits;
-    let body = Limited::new(request.into_body(), limits.body).collect();
+    let body = read_limited(request.into_body(), limits.body);
     match tokio::time::timeout(limits.receive, body).await {
         Err(_) => Err(Failure::not_run(
             408,
             "slow_request",
             "the request's body did not arrive in time",
         )),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::not_run(
+        Ok(Err(BodyError::TooLarge(_))) => Err(Failure::not_run(
             413,
             "body_too_large",
             format!("the body is larger than {} bytes", limits.body),
         )),
-        Ok(Err(_)) => Err(Failure::not_run(
+        Ok(Err(BodyError::Broken)) => Err(Failure::not_run(
             400,
             "broken_body",
             "the request's body broke off",
         )),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(body),
     }
 }
--- a/src/caller/identity.rs
+++ b/src/caller/identity.rs
@@ -84,6 +84,21 @@
         })
 }
 
+/// Refuses a cursor that no answer of at most `max` tokens can have sent.
+///
+/// # Errors
+/// 400 when it is beyond the last token.
+pub(crate) fn check_cursor(cursor: Option<u64>, max: u32) -> Result<(), Failure> {
+    match cursor {
+        Some(cursor) if cursor >= u64::from(max) => Err(Failure::not_run(
+            400,
+            "bad_cursor",
+            format_smolstr!("Last-Event-ID {cursor} is beyond max_tokens"),
+        )),
+        _ => Ok(()),
+    }
+}
+
 /// A fresh name for a request that came without one.
 pub(crate) fn fresh_key() -> SmolStr {
     format_smolstr!("{:032x}", rand::random::<u128>())
--- /dev/null
+++ b/tests/caller_contract.rs
@@ -0,0 +1,385 @@
+//! Contract of the caller front: bad input gets a clear 4xx, and what follows it is served.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use endivefork::http::{Answer, Via, request};
+use http::{HeaderMap, HeaderValue, Method};
+use serde_json::{Value, json};
+use support::caller::Ask;
+use support::world::World;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+/// Longest wait for an answer.
+const LIMIT: Duration = Duration::from_secs(20);
+
+const LIMITS: &str = "[limits]\nbody = 64KiB\nheaders = 16KiB\nreceive = 600ms\nidle = 2s\n";
+
+async fn world() -> World {
+    let mut world = World::new();
+    world.configure().await;
+    world.engine("v1", &["--token-ms", "1"]).await;
+    world.plain(&[]).await;
+    world.entry(LIMITS).await;
+    world.ready().await;
+    world
+}
+
+/// A call with headers and a body as they are.
+struct Raw {
+    method: Method,
+    path: &'static str,
+    headers: Vec<(&'static str, &'static str)>,
+    body: Vec<u8>,
+}
+
+impl Raw {
+    fn post(path: &'static str, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            method: Method::POST,
+            path,
+            headers: vec![("authorization", "Bearer key-one")],
+            body: body.into(),
+        }
+    }
+
+    fn completion(body: impl Into<Vec<u8>>) -> Self {
+        Self::post("/v1/completions", body)
+    }
+
+    fn method(mut self, method: Method) -> Self {
+        self.method = method;
+        self
+    }
+
+    fn header(mut self, name: &'static str, value: &'static str) -> Self {
+        self.headers.retain(|(other, _)| *other != name);
+        self.headers.push((name, value));
+        self
+    }
+
+    fn without(mut self, name: &'static str) -> Self {
+        self.headers.retain(|(other, _)| *other != name);
+        self
+    }
+
+    async fn send(&self, world: &World) -> Answer {
+        let url = format!("http://{}{}", world.entries[0].caller, self.path);
+        let mut request = request(self.method.clone(), &url, self.body.clone());
+        let headers: &mut HeaderMap = request.headers_mut();
+        for (name, value) in &self.headers {
+            headers.insert(*name, HeaderValue::from_static(value));
+        }
+        let answer = world.client.send(Via::Fresh, request, LIMIT).await;
+        answer.unwrap_or_else(|e| panic!("{} {}: {e}", self.method, self.path))
+    }
+}
+
+fn good() -> String {
+    json!({ "model": "llm", "prompt": "p", "max_tokens": 3 }).to_string()
+}
+
+/// A good body in which one field is another.
+fn changed(field: &str, value: Value) -> String {
+    let mut body = json!({ "model": "llm", "prompt": "p", "max_tokens": 3 });
+    body[field] = value;
+    body.to_string()
+}
+
+async fn serves(world: &World) -> bool {
+    let ask = Ask::completion(world.entries[0].caller, "llm", "after", 5);
+    let seen = ask.all(&world.client).await;
+    seen.done && seen.tokens.len() == 5
+}
+
+async fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    // The other side may close before it has read all.
+    let _ = stream.write_all(bytes).await;
+    read_all(&mut stream).await
+}
+
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(LIMIT, read).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_answers_a_clear_4xx() {
+    let world = world().await;
+    let chat = "/v1/chat/completions";
+    let table = [
+        (
+            Raw::completion(good()).without("authorization"),
+            401,
+            "no_key",
+        ),
+        (
+            Raw::completion(good()).header("authorization", "Bearer wrong"),
+            401,
+            "unknown_key",
+        ),
+        (
+            Raw::completion(good()).header("authorization", "Bearer "),
+            401,
+            "",
+        ),
+        (
+            Raw::completion(good()).header("authorization", "Basic key-one"),
+            401,
+            "no_key",
+        ),
+        (Raw::completion("{\"model\":"), 400, "bad_json"),
+        (Raw::completion(""), 400, "bad_json"),
+        (Raw::completion("[]"), 400, "bad_json"),
+        (Raw::completion(vec![0xff, 0xfe, b'{']), 400, "bad_json"),
+        (Raw::completion("{}"), 400, "bad_json"),
+        (
+            Raw::completion(changed("max_tokens", json!("many"))),
+            400,
+            "bad_json",
+        ),
+        (
+            Raw::completion(changed("max_tokens", json!(-1))),
+            400,
+            "bad_json",
+        ),
+        (
+            Raw::completion(changed("max_tokens", json!(0))),
+            400,
+            "bad_max_tokens",
+        ),
+        (
+            Raw::completion(changed("max_tokens", json!(4_000_000_000_u32))),
+            400,
+            "bad_max_tokens",
+        ),
+        (
+            Raw::completion(changed("prompt", Value::Null)),
+            400,
+            "bad_prompt",
+        ),
+        (
+            Raw::completion(changed("model", json!("none"))),
+            404,
+            "unknown_model",
+        ),
+        (
+            Raw::completion(changed("model", json!("desk"))),
+            404,
+            "unknown_model",
+        ),
+        (Raw::post(chat, good()), 400, "bad_prompt"),
+        (
+            Raw::post(chat, changed("messages", json!([]))),
+            400,
+            "bad_prompt",
+        ),
+        (Raw::completion(vec![b' '; 65 << 10]), 413, "body_too_large"),
+        (
+            Raw::completion(vec![b'x'; 900 << 10]),
+            413,
+            "body_too_large",
+        ),
+        (
+            Raw::completion(good()).header("last-event-id", "x"),
+            400,
+            "bad_cursor",
+        ),
+        (
+            Raw::completion(good()).header("last-event-id", "-1"),
+            400,
+            "bad_cursor",
+        ),
+        (
+            Raw::completion(good()).header("last-event-id", "99999999999999999999"),
+            400,
+            "bad_cursor",
+        ),
+        (
+            Raw::completion(good()).header("idempotency-key", ""),
+            400,
+            "bad_key",
+        ),
+        (
+            Raw::completion(good()).header("idempotency-key", LONG_KEY),
+            400,
+            "bad_key",
+        ),
+        (Raw::completion("").method(Method::GET), 405, ""),
+        (Raw::completion("").method(Method::DELETE), 405, ""),
+        (Raw::post("/v1/none", good()), 404, "unknown_path"),
+        (Raw::post("/", good()), 404, "unknown_path"),
+        (Raw::post("/services/none/x", ""), 404, "unknown_service"),
+        (Raw::post("/services/llm/x", ""), 404, "unknown_service"),
+        (
+            Raw::post("/services/desk/actions/x", "").without("authorization"),
+            401,
+            "no_key",
+        ),
+        (Raw::post("/services/desk/actions/x", "{}"), 400, ""),
+        (
+            Raw::post("/services/desk/actions/x", vec![b'x'; 65 << 10])
+                .header("idempotency-key", "k"),
+            413,
+            "body_too_large",
+        ),
+    ];
+    for (raw, status, reason) in table {
+        let answer = raw.send(&world).await;
+        let shown = String::from_utf8_lossy(&answer.body).into_owned();
+        let case = format!("{} {} {:?}: {shown}", raw.method, raw.path, raw.headers);
+        assert_eq!(answer.status.as_u16(), status, "{case}");
+        let error = &answer.json::<Value>().expect(&case)["error"];
+        assert_eq!(error["outcome"], "not_run", "{case}");
+        assert!(
+            error["message"]
+                .as_str()
+                .is_some_and(|text| !text.is_empty()),
+            "{case}"
+        );
+        let known = reason.is_empty() || error["reason"] == reason;
+        assert!(known, "wanted {reason}: {case}");
+        assert!(!shown.contains("key-one"), "{case}");
+    }
+    assert!(serves(&world).await);
+}
+
+const LONG_KEY: &str = "kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk\
+    kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk\
+    kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_paths_of_a_plain_service_are_passed_on_or_refused() {
+    let world = world().await;
+    for path in [
+        "/services/desk/a%20b",
+        "/services/desk/a%2Fb?q=%20",
+        "/services/desk/%E0%AE%95",
+    ] {
+        let answer = Raw::post(path, "").method(Method::GET).send(&world).await;
+        assert!(!answer.status.is_server_error(), "{path}: {answer:?}");
+    }
+    let broken = Raw::post("/services/desk/%ff", "")
+        .method(Method::GET)
+        .send(&world)
+        .await;
+
+    assert!(
+        broken.status.is_client_error() || broken.status.is_success(),
+        "{broken:?}"
+    );
+    assert!(serves(&world).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_refused_and_the_first_answer_stays() {
+    let world = world().await;
+    let first = Ask::completion(world.entries[0].caller, "llm", "one", 20).key("same");
+    let seen = first.all(&world.client).await;
+
+    let other = Ask::completion(world.entries[0].caller, "llm", "two", 20).key("same");
+    let (status, answer) = other.whole(&world.client).await.unwrap();
+    let again = first.all(&world.client).await;
+
+    assert_eq!(status, 422, "{answer}");
+    assert_eq!(answer["error"]["reason"], "key_reused");
+    assert_eq!(again.texts(), seen.texts());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cursor_beyond_the_end_is_refused() {
+    let world = world().await;
+    let ask = Ask::completion(world.entries[0].caller, "llm", "short", 5).key("cursor");
+    assert!(ask.all(&world.client).await.done);
+
+    let seen = ask.clone().last(1_000_000).all(&world.client).await;
+
+    assert!(seen.status.is_client_error(), "{seen:?}");
+    assert!(seen.tokens.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_sends_its_body_too_slowly_is_told_so_in_time() {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-one\r\n\
+                content-type: application/json\r\ncontent-length: 1000\r\n\r\n{\"model\":";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let begun = Instant::now();
+
+    let mut answer = vec![0; 1024];
+    let read = tokio::time::timeout(LIMIT, stream.read(&mut answer)).await;
+    let answer = String::from_utf8_lossy(&answer[..read.unwrap().unwrap()]).into_owned();
+
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("\"slow_request\""), "{answer}");
+    assert!(begun.elapsed() < Duration::from_secs(5));
+    assert!(serves(&world).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_never_finishes_its_headers_is_cut_off() {
+    let world = world().await;
+    let begun = Instant::now();
+
+    let answer = exchange(
+        world.entries[0].caller,
+        b"GET /healthz HTTP/1.1\r\nhost: x\r\nx-",
+    )
+    .await;
+
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        begun.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        begun.elapsed()
+    );
+    assert!(serves(&world).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_beyond_the_limit_and_what_is_not_http_are_refused() {
+    let world = world().await;
+    let addr = world.entries[0].caller;
+    let huge = format!(
+        "GET /healthz HTTP/1.1\r\nhost: x\r\nx-big: {}\r\n\r\n",
+        "x".repeat(200 << 10)
+    );
+
+    let large = exchange(addr, huge.as_bytes()).await;
+    let noise = exchange(addr, b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n").await;
+
+    assert!(!large.starts_with("HTTP/1.1 200"), "{large}");
+    assert!(
+        noise.is_empty() || noise.starts_with("HTTP/1.1 400"),
+        "{noise}"
+    );
+    assert!(serves(&world).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_breaks_off_runs_nothing() {
+    let world = world().await;
+    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
+    let head = "POST /services/desk/actions/x HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-one\r\n\
+                idempotency-key: broken\r\ncontent-length: 1000\r\n\r\n{\"amount\":";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+
+    read_all(&mut stream).await;
+
+    let url = format!("http://{}/v1/objects/claim", world.platform.addr);
+    let claims = world
+        .client
+        .send(Via::Fresh, request(Method::GET, &url, ""), LIMIT)
+        .await;
+    let claims: Value = claims.unwrap().json().unwrap();
+    assert_eq!(claims["items"], json!([]));
+    assert!(serves(&world).await);
+}
