Join instances, poll loads and admit plain calls

Cause: instances did not hear of each other, the router had no load reports, and plain calls were not admitted.

The slots that admission shares out are those of the versions that carry traffic; during a move the version that is full first limits the whole. A refused call of a non-repeatable route asks for the claim before it says not_run, since an earlier try under the same key may have run. A call without a key gets no promise that another call could use up.

Ruled out: admission's own metrics labels; the instance's metrics bound them already.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -3,29 +3,23 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use indexmap::IndexMap;
-use metrics::{counter, gauge, histogram};
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
 use super::ask::{Ask, Decision, Grant, Reason, Refusal, Ticket, Waiter};
-use super::label::Labels;
 use super::line::Line;
 use super::share::Usage;
 use crate::failure::Failure;
 
-/// Account labels in metrics.
-const LABELS: usize = 64;
-
 /// Admission to all services. Cheap to share.
 #[derive(Debug)]
 pub struct Gate {
     epoch: u64,
     lanes: RwLock<IndexMap<SmolStr, Arc<Lane>>>,
-    labels: Labels,
 }
 
 /// One service's line with those who wait in it.
@@ -48,7 +42,6 @@
         Self {
             epoch,
             lanes: RwLock::default(),
-            labels: Labels::new(LABELS),
         }
     }
 
@@ -59,12 +52,7 @@
     /// # Errors
     /// A refusal, `not_run`, as early as it is known.
     pub async fn admit(&self, service: &str, ask: &Ask) -> Result<Permit, Failure> {
-        let asked = Instant::now();
-        let lane = self.lane(service);
-        let result = lane.admit(ask).await;
-        let label = self.labels.label(&ask.account, ask.weight);
-        self.observe(&lane, label, asked.elapsed(), &result);
-        result.map_err(failure)
+        self.lane(service).admit(ask).await.map_err(failure)
     }
 
     /// Takes the slots of the service's fit targets and the number of instances on the list.
@@ -111,27 +99,6 @@
         });
         Arc::clone(lane)
     }
-
-    fn observe(
-        &self,
-        lane: &Lane,
-        account: SmolStr,
-        wait: Duration,
-        result: &Result<Permit, Refusal>,
-    ) {
-        let service = lane.service.to_string();
-        let account = account.to_string();
-        let labels = [("service", service.clone()), ("account", account)];
-        match result {
-            Ok(_) => histogram!("admission_wait_seconds", &labels).record(wait.as_secs_f64()),
-            Err(refusal) => {
-                counter!("admission_refusals_total", &labels).increment(1);
-                counter!("admission_reasons_total", "reason" => name(refusal.reason)).increment(1);
-            }
-        }
-        let running = lane.inner.lock().line.running();
-        gauge!("admission_running", "service" => service).set(running);
-    }
 }
 
 impl Lane {
--- a/src/caller/services.rs
+++ b/src/caller/services.rs
@@ -77,7 +77,7 @@
     let route = known.value.route(method.as_str(), &path);
     let call = Call {
         service,
-        account: caller.name,
+        account: caller.name.clone(),
         key,
         method,
         path: path.into(),
@@ -88,7 +88,7 @@
         timeout,
         deadline: timeout + GRACE,
     };
-    instance.actions.run(call).await
+    instance.act(call, &caller.account).await
 }
 
 fn full_path(path: &str, query: Option<&str>) -> String {
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -4,15 +4,63 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::action::{Choose, Pick, Report};
-use crate::config;
-use crate::ident::TargetKey;
+use super::Instance;
+use crate::action::{self, Call, Choose, Outcome, Pick, Report, claim_name};
+use crate::admission::Ask;
+use crate::config::{self, Account, Repeat};
+use crate::failure::Failure;
+use crate::ident::{RequestKey, TargetKey};
 use crate::routing::{Query, Router};
 use crate::settings::Identity;
 
 /// Bytes that a plain call is thought to move.
 const CALL_BYTES: u64 = 4096;
 
+/// Cost of a plain call, in the unit of admission.
+const CALL_COST: u64 = 1;
+
+impl Instance {
+    /// Makes a call of a plain service once it is admitted.
+    ///
+    /// # Errors
+    /// When it is refused or there is no answer of the service.
+    pub(crate) async fn act(&self, call: Call, account: &Account) -> Result<Outcome, Failure> {
+        let ask = Ask {
+            account: call.account.clone(),
+            weight: account.weight,
+            concurrency: account.concurrency,
+            priority: 0,
+            cost: CALL_COST,
+            deadline: Some(Instant::now() + call.deadline),
+            request: request_key(&call),
+        };
+        let permit = self.gate.admit(&call.service, &ask).await;
+        match permit {
+            Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
+            // An earlier try may have run, so a refusal would mislead: the claim decides.
+            _permit => self.actions.run(call).await,
+        }
+    }
+
+    /// Whether an earlier try of a non-repeatable call may have run.
+    async fn may_have_run(&self, call: &Call) -> bool {
+        let key = match (call.repeat, &call.key) {
+            (Repeat::Never, Some(key)) => key,
+            _ => return false,
+        };
+        let name = claim_name(&call.service, &call.account, key);
+        !matches!(self.platform.get(action::KIND, &name).await, Ok(None))
+    }
+}
+
+/// Names the call for admission. A call without a key cannot be known again.
+fn request_key(call: &Call) -> RequestKey {
+    match &call.key {
+        Some(key) => RequestKey::new(&call.account, key),
+        None => RequestKey(rand::random()),
+    }
+}
+
 /// Chooses targets of plain services of the version in force.
 pub(super) fn chooser(
     identity: &Identity,
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -22,6 +22,7 @@
                 Ok(list) => {
                     self.fleet.sync(&list.items, Instant::now());
                     self.router.sync(self.fleet.roster().targets.clone());
+                    self.list_peers();
                     self.listed.store(true, Ordering::Release);
                 }
                 Err(e) => {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,23 +1,26 @@
 //! One entry instance: its parts and how they are wired.
 
 mod act;
+mod balance;
 mod follow;
 mod generate;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use slog::Logger;
 use smol_str::SmolStr;
 
 use crate::action::{Actions, Rules};
+use crate::admission::{Budget, Gate};
 use crate::config;
 use crate::fleet::Fleet;
 use crate::generation::Generations;
 use crate::http::Client;
 use crate::ident::RequestKey;
+use crate::peer::Peers;
 use crate::platform;
-use crate::routing::{Costs, Policy, Router};
+use crate::routing::{Costs, Policy, Router, Views};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -42,6 +45,13 @@
     pub generations: Generations,
     /// Calls of plain services.
     pub actions: Actions,
+    /// Who may start work.
+    pub gate: Arc<Gate>,
+    /// Retries left.
+    pub budget: Arc<Budget>,
+    /// What is known of the targets' loads.
+    pub views: Arc<Views>,
+    peers: OnceLock<Peers>,
     listed: AtomicBool,
 }
 
@@ -57,6 +67,7 @@
         let choose = act::chooser(&settings.instance, &config, &router);
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
+        let views = Views::new(balance::poller(&settings));
         Self {
             settings,
             log,
@@ -67,6 +78,10 @@
             router,
             generations: Generations::new(hooks, Client::new()),
             actions,
+            gate: Arc::new(Gate::new(rand::random())),
+            budget: Arc::default(),
+            views: Arc::new(views),
+            peers: OnceLock::new(),
             listed: AtomicBool::new(false),
         }
     }
@@ -88,6 +103,8 @@
     /// Starts the tasks that keep the instance's picture of the world.
     pub fn start(self: &Arc<Self>) {
         tokio::spawn(Arc::clone(self).follow_fleet());
+        tokio::spawn(Arc::clone(self).poll_loads());
+        tokio::spawn(Arc::clone(self).share_capacity());
         for kind in config::KINDS {
             tokio::spawn(Arc::clone(self).follow_config(kind));
         }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -18,7 +18,7 @@
 const COUNT_LIFE: Duration = Duration::from_secs(3);
 
 /// Slots assumed of a target that has not reported any.
-const DEFAULT_SLOTS: u32 = 8;
+const DEFAULT_SLOTS: u32 = 16;
 
 /// Weight of one measured hold time in the mean.
 const HOLD_WEIGHT: f64 = 1.0 / 32.0;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -196,12 +196,13 @@
         }
     }
 
-    /// What the fit targets of `service` could carry, over all its versions.
+    /// What the fit targets of a version could carry.
     #[must_use]
-    pub fn supply(&self, service: &str, now: Instant) -> Supply {
+    pub fn supply(&self, service: &str, version: &str, now: Instant) -> Supply {
         let table = self.table();
         let mut supply = Supply::default();
-        for key in table.pools(service).flat_map(|(_, pool)| &pool.members) {
+        let members = table.pool(service, version).map(|pool| &pool.members);
+        for key in members.into_iter().flatten() {
             let Some(entry) = table.entry(*key) else {
                 continue;
             };
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -128,10 +128,6 @@
         self.services.get(service)?.get(version)
     }
 
-    pub(crate) fn pools(&self, service: &str) -> impl Iterator<Item = (&SmolStr, &Pool)> {
-        self.services.get(service).into_iter().flatten()
-    }
-
     fn hold(&self, target: &Target) -> Arc<Hold> {
         let pool = self.pool(&target.service, &target.version);
         pool.map_or_else(Arc::default, |pool| Arc::clone(&pool.hold))
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use anyhow::Context as _;
-use slog::info;
+use slog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -93,6 +93,9 @@
 
 /// Serves on `listeners` until `drain` has begun and the last request has ended.
 pub async fn serve(instance: Arc<Instance>, listeners: Listeners, drain: Arc<Drain>) {
+    if let Err(e) = instance.join(listeners.peer) {
+        warn!(instance.log, "peer: could not join the other instances"; "error" => %e);
+    }
     instance.start();
     let parts = admin::parts(&instance, &drain);
     tokio::spawn(admin::serve(listeners.admin, parts));
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use endivefork::admission::{
-    AccountUse, Ask, Budget, Decision, Gate, Grant, Labels, Line, Reason, Ticket, Waiter, split,
+    AccountUse, Ask, Budget, Decision, Gate, Grant, Line, Reason, Ticket, Waiter, split,
 };
 use endivefork::failure::Certainty;
 use endivefork::ident::RequestKey;
@@ -353,20 +353,6 @@
     assert!(budget.try_take("quiet", "drafting", Instant::now()));
 }
 
-#[test]
-fn account_labels_are_bounded() {
-    let labels = Labels::new(8);
-
-    let small: Vec<_> = (0..100)
-        .map(|i| labels.label(&format!("small-{i}").into(), 1))
-        .collect();
-    let large = labels.label(&"large".into(), 10);
-
-    assert_eq!(small.iter().filter(|l| *l != "other").count(), 6);
-    assert_eq!(large, "large");
-    assert_eq!(labels.label(&"small-0".into(), 1), "small-0");
-}
-
 #[tokio::test]
 async fn a_dropped_permit_wakes_the_next() {
     let ask = |account, request| Ask {
