--- /dev/null
+++ b/src/instance/balance.rs
@@ -0,0 +1,177 @@
+//! Tasks that keep load views, capacity and the exchange with other instances up to date.
+
+use std::future::ready;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Semaphore;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::Instance;
+use crate::admission::Usage;
+use crate::config::View;
+use crate::fleet::{Entry, Target};
+use crate::ident::RequestKey;
+use crate::peer::{Member, Tag};
+use crate::routing::{Poller, Router, Sight, poll};
+use crate::settings::Settings;
+
+/// Time between two looks at which targets are to be polled.
+const POLL_TICK: Duration = Duration::from_millis(125);
+
+/// Polls at once.
+const POLLS_MAX: usize = 64;
+
+/// Time between two exchanges with peers, and two readings of the capacity.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest wait for a peer to take what it is told.
+const TELL_LIMIT: Duration = Duration::from_millis(400);
+
+impl Instance {
+    /// Answers what peers tell of targets and accounts.
+    pub(super) fn hear_peers(self: &Arc<Self>) {
+        let me = Arc::clone(self);
+        self.peers.on(Tag::Load, move |from, sight: Sight| {
+            me.hear_sight(&from, &sight);
+            ready(())
+        });
+        let me = Arc::clone(self);
+        self.peers.on(Tag::Usage, move |from, usages: Vec<Usage>| {
+            usages.iter().for_each(|usage| me.gate.merge(&from, usage));
+            ready(())
+        });
+    }
+
+    fn hear_sight(&self, from: &str, sight: &Sight) {
+        self.views.hear(&self.router, from, sight, Instant::now());
+        let loads = sight.loads.iter().filter(|l| l.leaving);
+        let told = loads.map(|l| &l.target).chain(&sight.word.leaving);
+        for name in told {
+            self.fleet.mark_leaving(name);
+        }
+    }
+
+    /// Tells the peer layer who is on the platform's list.
+    pub(super) fn list_peers(&self) {
+        let roster = self.fleet.roster();
+        let members: Vec<_> = roster.entries.values().map(member).collect();
+        self.peers.list(&members);
+    }
+
+    pub(super) async fn poll_loads(self: Arc<Self>) {
+        let slots = Arc::new(Semaphore::new(POLLS_MAX));
+        let mut ticks = interval(POLL_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let roster = self.fleet.roster();
+            let due = self
+                .views
+                .due(&roster.targets, &self.pollers(), Instant::now());
+            for target in due {
+                let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+                    return;
+                };
+                let me = Arc::clone(&self);
+                tokio::spawn(async move {
+                    me.poll_load(&target).await;
+                    drop(slot);
+                });
+            }
+        }
+    }
+
+    async fn poll_load(&self, target: &Target) {
+        let sent = Instant::now();
+        let polled = poll(&self.client, target.addr).await;
+        self.views.polled(&self.router, target, polled, sent);
+        if polled.leaving() {
+            self.fleet.mark_leaving(&target.name);
+        }
+    }
+
+    pub(super) async fn share_capacity(self: Arc<Self>) {
+        let mut ticks = interval(EXCHANGE_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.measure_capacity();
+            self.tell_peers();
+        }
+    }
+
+    fn measure_capacity(&self) {
+        let now = Instant::now();
+        let view = self.config.view();
+        let roster = self.fleet.roster();
+        let staying = roster.entries.values().filter(|e| !e.leaving).count();
+        for service in view.services.keys() {
+            let slots = slots(&view, &self.router, service, now);
+            self.gate.supply(service, slots, staying.max(1));
+        }
+    }
+
+    /// Tells all peers at once; one that hangs must not hold up the next exchange.
+    fn tell_peers(&self) {
+        let peers = self.peers.clone();
+        let sight = self.views.sight(&self.router, Instant::now());
+        let usages = self.gate.usages();
+        tokio::spawn(async move {
+            tokio::join!(
+                peers.ask_all::<_, ()>(Tag::Load, &sight, TELL_LIMIT),
+                peers.ask_all::<_, ()>(Tag::Usage, &usages, TELL_LIMIT),
+            );
+        });
+    }
+
+    fn pollers(&self) -> Vec<Poller> {
+        let alive = self.peers.alive();
+        alive
+            .into_iter()
+            .map(|member| Poller {
+                name: member.name,
+                domain: member.domain,
+            })
+            .collect()
+    }
+}
+
+/// This instance as a poller of loads.
+pub(super) fn poller(settings: &Settings) -> Poller {
+    Poller {
+        name: settings.instance.name.clone(),
+        domain: settings.instance.domain.clone(),
+    }
+}
+
+fn member(entry: &Entry) -> Member {
+    Member {
+        name: entry.name.clone(),
+        addr: entry.peer,
+        domain: entry.domain.clone(),
+        region: entry.region.clone(),
+    }
+}
+
+/// Slots that the service's traffic can use: during a move each version carries its share, and
+/// the one that is full first limits the whole.
+fn slots(view: &View, router: &Router, service: &str, now: Instant) -> u32 {
+    let of = |version: &str| router.supply(service, version, now).slots;
+    let moving = view.moves.get(service).map(|m| &m.value);
+    match moving.filter(|m| !m.phase.is_final()) {
+        Some(m) => {
+            let share = m.share();
+            let carried = |slots: u32, share: f64| match slots {
+                0 => f64::INFINITY,
+                slots => f64::from(slots) / share,
+            };
+            let limit = carried(of(&m.from), 1.0 - share).min(carried(of(&m.to), share));
+            let all = of(&m.from) + of(&m.to);
+            limit.min(f64::from(all)) as u32
+        }
+        None => view
+            .version_for(service, RequestKey(0))
+            .map_or(0, |version| of(version)),
+    }
+}
