Hold back new actions when the platform's write rate is used up

Cause: over the rate, new claims took the writes that claimed actions needed to finish: their median was 1.0 s and the worst 4.2 s. Change: each instance paces its new actions by additive increase and multiplicative decrease on refusals for rate, and refuses the others at once without a write, saying when to come back. Waits for a refused mark are spread. An action costs 3 writes and no read, a repeat elsewhere 1, a repeat here 0.

--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -9,16 +10,18 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Method};
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 
+use super::pace::Pace;
 use super::recent::{Known, Recent};
 use super::record::digest;
 use super::safe::Budgets;
 use super::settle::Settler;
 use super::verdict::answer;
 use super::{
-    Call, Choose, Claim, Command, Event, Held, Hook, KIND, Now, Outcome, Pick, Point, Record,
-    Report, Rules, Stage, Terms, Verdict, claim_name,
+    Call, Cause, Choose, Claim, Command, Event, Held, Hook, KIND, Now, Outcome, Pick, Point,
+    Record, Report, Rules, Stage, Terms, Verdict, claim_name,
 };
 use crate::config::Repeat;
 use crate::failure::Failure;
@@ -35,6 +38,10 @@
 /// Most targets that are tried for a connection.
 const CONNECTS: usize = 3;
 
+/// Share of the platform's named wait that is waited, so that refused writes do not come back
+/// together.
+const JITTER: Range<f64> = 0.75..1.25;
+
 /// Longest wait for the answer of a status call.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -52,6 +59,7 @@
     hook: Option<Hook>,
     settler: Settler,
     running: AtomicUsize,
+    pace: Mutex<Pace>,
     recent: Recent,
     pub(crate) http: Http,
     pub(crate) budgets: Budgets,
@@ -83,6 +91,7 @@
             name,
             settler: Settler::new(platform.clone()),
             running: AtomicUsize::new(0),
+            pace: Mutex::new(Pace::new(Instant::now())),
             platform,
             choose,
             rules,
@@ -206,6 +215,13 @@
             }) => return answer(Verdict::Replayed(outcome.clone())),
             _ => {}
         }
+        if let Err(wait) = self.inner.pace.lock().admit(Instant::now()) {
+            let cause = Cause::Platform(Some(wait));
+            return answer(match known {
+                Some(_) => Verdict::Unknown(cause),
+                None => Verdict::NotRun(cause),
+            });
+        }
         let terms = Terms {
             record: self.record.clone(),
             timeout: self.call.timeout,
@@ -288,7 +304,10 @@
             Err(Error::Conflict(Some(present))) => {
                 held(&present).map_or(Event::WriteLost, |held| Event::Conflict(Some(held)))
             }
-            Err(Error::Throttled(wait)) => Event::Refused(Some(wait)),
+            Err(Error::Throttled(wait)) => {
+                self.inner.pace.lock().refuse(Instant::now());
+                Event::Refused(Some(wait.mul_f64(rand::random_range(JITTER))))
+            }
             Err(Error::Unavailable(_) | Error::Rejected(_)) => Event::Refused(None),
             Err(Error::Unknown(_) | Error::Gone) => Event::WriteLost,
         }
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -9,6 +9,7 @@
 mod plain;
 
 mod aggregate;
+mod cost;
 mod faults;
 mod fixture;
 mod history;
