--- a/examples/standin/engine/mod.rs
+++ b/examples/standin/engine/mod.rs
@@ -74,6 +74,18 @@
         }
     }
 
+    /// Whether it has crashed by [`Crash::Reset`].
+    #[allow(dead_code, reason = "used by tests")]
+    pub fn crashed(&self) -> bool {
+        self.link.dead.is_cancelled()
+    }
+
+    /// No prompt crashes it any more.
+    #[allow(dead_code, reason = "used by tests")]
+    pub fn heal(&self) {
+        self.batch.lock().crash_on.clear();
+    }
+
     /// Log of what happened.
     pub fn log(&self) -> batch::Log {
         self.batch.lock().log.clone()
--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -156,12 +156,12 @@
             self.run.publish(&mut self.fresh);
         }
         if let Some(outcome) = self.outcome.take() {
-            self.run.finish(outcome.clone());
-            self.write(match outcome {
-                Outcome::Whole(reason) => Change::Whole(reason),
+            self.write(match &outcome {
+                Outcome::Whole(reason) => Change::Whole(*reason),
                 Outcome::Failed(_) => Change::Failed,
             })
             .await;
+            self.run.finish(outcome);
         }
     }
 
@@ -170,13 +170,14 @@
             return;
         };
         let run = &self.run;
-        let tail = match &change {
-            Change::Tokens(_, texts) => texts.clone(),
-            _ => Vec::new(),
-        };
+        let last = change.clone();
         let snapshot = || {
             let mut journal = run.journal();
-            journal.tokens.extend_from_slice(&tail);
+            match &last {
+                Change::Tokens(_, texts) => journal.tokens.extend_from_slice(texts),
+                Change::Whole(reason) => journal.whole = Some(*reason),
+                _ => {}
+            }
             Change::Snapshot(journal)
         };
         net.write(
--- /dev/null
+++ b/tests/generation_poison.rs
@@ -0,0 +1,213 @@
+//! A request that crashes every target that runs it.
+
+#[path = "support/engines.rs"]
+mod engines;
+#[path = "support/entries.rs"]
+mod entries;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use endivefork::failure::{Certainty, Failure};
+use endivefork::generation::{Crash, Start, Suspects, Verdict};
+use engines::engine::fault::Control;
+use engines::engine::options::Options;
+use engines::{Fleet, read, start};
+use entries::{Entry, QUARANTINE, entries};
+use tokio::time::Instant;
+
+/// Tokens of each neighbour.
+const TOKENS: u64 = 60;
+
+/// Streams that share the targets.
+const NEIGHBOURS: usize = 24;
+
+/// Most targets that the request may cost.
+const TARGETS_BAR: usize = 2;
+
+/// A final answer comes within this.
+const ANSWER_BAR: Duration = Duration::from_secs(2);
+
+const POISON: &str = "an odd roof that [crashes] the engine";
+
+async fn fleet(engines: usize) -> Arc<Fleet> {
+    let opts = Options {
+        token: Duration::from_millis(41),
+        ..Options::default()
+    };
+    let fleet = Fleet::start(engines, &opts).await;
+    for engine in &fleet.engines {
+        engine.control(Control {
+            crash_on: Some("[crashes]".into()),
+            ..Control::default()
+        });
+    }
+    fleet
+}
+
+fn poison(key: &str) -> Start {
+    start(key, POISON, TOKENS)
+}
+
+/// Sends the poison request and waits for its final answer.
+async fn send(entry: &Entry, key: &str) -> Failure {
+    match entry.try_open(poison(key), None).await {
+        Err(failure) => failure,
+        Ok(mut reader) => read(&mut reader, 1).await.failure.expect("it fails"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_targets_are_lost_at_most_and_neighbours_finish() {
+    let fleet = fleet(6).await;
+    let entries = entries(&fleet, 3).await;
+    let mut neighbours = Vec::new();
+    for i in 0..NEIGHBOURS {
+        let prompt = format!("neighbour {i}");
+        let start = start(&format!("n-{i}"), &prompt, TOKENS);
+        let mut reader = entries[i % 3].open(start, None).await;
+        neighbours.push(tokio::spawn(async move {
+            let seen = read(&mut reader, usize::MAX).await;
+            seen.assert_exact(&prompt, 0, TOKENS);
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    let begun = Instant::now();
+    let first = send(&entries[0], "p").await;
+    let took = begun.elapsed();
+    let mut later = Vec::new();
+    for (entry, key) in [(1, "p"), (2, "p"), (1, "q"), (2, "r"), (0, "p")] {
+        later.push(send(&entries[entry], key).await);
+    }
+
+    println!(
+        "poison: {} targets lost, final answer after {took:?}",
+        fleet.crashed()
+    );
+    assert_eq!(first.outcome, Certainty::Failed, "{first:?}");
+    assert!(first.retry_after.is_some());
+    assert!(took <= ANSWER_BAR, "{took:?}");
+    for failure in later {
+        assert_eq!(failure.reason, "quarantined");
+        assert_eq!(failure.outcome, Certainty::NotRun);
+        assert!(failure.retry_after.is_some_and(|wait| wait <= QUARANTINE));
+    }
+    assert!(
+        fleet.crashed() <= TARGETS_BAR,
+        "{} targets lost",
+        fleet.crashed()
+    );
+    for neighbour in neighbours {
+        neighbour.await.unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sent_at_two_instances_at_once() {
+    let fleet = fleet(6).await;
+    let entries = entries(&fleet, 2).await;
+
+    let (a, b) = tokio::join!(send(&entries[0], "p"), send(&entries[1], "q"));
+    let again = send(&entries[0], "s").await;
+
+    assert!(
+        a.retry_after.is_some() && b.retry_after.is_some(),
+        "{a:?} {b:?}"
+    );
+    assert_eq!(again.reason, "quarantined");
+    assert!(
+        fleet.crashed() <= TARGETS_BAR,
+        "{} targets lost",
+        fleet.crashed()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_quarantine_ends() {
+    let fleet = fleet(4).await;
+    let entries = entries(&fleet, 1).await;
+    let refused = send(&entries[0], "p").await;
+    for engine in &fleet.engines {
+        engine.heal();
+    }
+
+    tokio::time::sleep(refused.retry_after.unwrap() + Duration::from_millis(50)).await;
+    let mut reader = entries[0].open(poison("p"), None).await;
+    let seen = read(&mut reader, usize::MAX).await;
+
+    seen.assert_exact(POISON, 0, TOKENS);
+}
+
+fn crash(digest: u128, target: &str, strong: bool) -> Crash {
+    Crash {
+        digest,
+        target: target.into(),
+        strong,
+    }
+}
+
+#[test]
+fn a_neighbour_of_the_same_two_crashes_is_not_convicted() {
+    let now = Instant::now();
+    let mut suspects = Suspects::new(QUARANTINE);
+
+    for target in ["a", "b"] {
+        suspects.crashed(&crash(1, target, true), now);
+        suspects.crashed(&crash(2, target, false), now);
+    }
+
+    assert!(matches!(suspects.verdict(1, now), Verdict::Quarantined(_)));
+    assert_eq!(suspects.verdict(2, now), Verdict::Clear);
+}
+
+#[test]
+fn a_crash_later_in_the_answer_convicts_when_it_repeats_at_once() {
+    let now = Instant::now();
+    let mut suspects = Suspects::new(QUARANTINE);
+
+    suspects.crashed(&crash(1, "a", false), now);
+    suspects.crashed(&crash(1, "b", true), now);
+
+    assert!(matches!(suspects.verdict(1, now), Verdict::Quarantined(_)));
+}
+
+#[test]
+fn a_second_report_of_one_crash_does_not_convict() {
+    let now = Instant::now();
+    let mut suspects = Suspects::new(QUARANTINE);
+
+    suspects.crashed(&crash(1, "a", true), now);
+    suspects.crashed(&crash(1, "a", true), now + Duration::from_millis(300));
+
+    assert_eq!(suspects.verdict(1, now), Verdict::Suspect);
+}
+
+#[test]
+fn a_further_crash_after_the_quarantine_doubles_it() {
+    let mut now = Instant::now();
+    let mut suspects = Suspects::new(QUARANTINE);
+    suspects.crashed(&crash(1, "a", true), now);
+    suspects.crashed(&crash(1, "b", true), now);
+
+    now += QUARANTINE;
+    let between = suspects.verdict(1, now);
+    suspects.crashed(&crash(1, "c", true), now);
+    let after = suspects.verdict(1, now);
+
+    assert_eq!(between, Verdict::Suspect);
+    assert_eq!(after, Verdict::Quarantined(2 * QUARANTINE));
+}
+
+#[test]
+fn targets_of_a_suspect_are_kept_from_others() {
+    let now = Instant::now();
+    let mut suspects = Suspects::new(QUARANTINE);
+
+    suspects.isolate(1, &"a".into(), now);
+
+    assert_eq!(suspects.reserved(2, now), vec!["a"]);
+    assert!(suspects.reserved(1, now).is_empty());
+    suspects.clear(1);
+    assert!(suspects.reserved(2, now).is_empty());
+}
--- a/tests/generation_takeover.rs
+++ b/tests/generation_takeover.rs
@@ -1,21 +1,18 @@
-//! Entry instances are lost or paused and their callers return elsewhere. Each instance has its
-//! own runtime with one thread: shutting it down kills the instance, blocking the thread pauses it.
+//! Entry instances are lost or paused and their callers return elsewhere.
 
 #[path = "support/engines.rs"]
 mod engines;
+#[path = "support/entries.rs"]
+mod entries;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use endivefork::generation::{Event, Generations, Reader, Start};
-use endivefork::http::Client;
-use endivefork::peer::{Member, Options as PeerOptions, PeerKey, Peers};
+use endivefork::generation::{Event, Reader, Start};
 use engines::engine::fault::Control;
 use engines::engine::options::Options;
 use engines::{Fleet, Seen, read, start};
-use tokio::net::TcpListener;
-use tokio::runtime::{Builder, Runtime};
+use entries::Entry;
 use tokio::time::Instant;
 
 /// Time between tokens of the bars.
@@ -30,104 +27,20 @@
 /// The rest starts within this after the caller's return.
 const RETURN_BAR: Duration = Duration::from_secs(1);
 
-/// Longest wait for a condition.
-const PATIENCE: Duration = Duration::from_secs(10);
-
-struct Entry {
-    runtime: Option<Runtime>,
-    generations: Generations,
-    peers: Peers,
-}
-
-impl Entry {
-    async fn start(fleet: &Arc<Fleet>, name: &str, domain: &str, seeds: Vec<SocketAddr>) -> Self {
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
-            .enable_all()
-            .build()
-            .unwrap();
-        let hooks = fleet.hooks();
-        let (name, domain) = (name.into(), domain.into());
-        let made = runtime.spawn(async move {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let me = Member {
-                name,
-                addr: listener.local_addr().unwrap(),
-                domain,
-                region: "r".into(),
-            };
-            let opts = PeerOptions {
-                me,
-                key: PeerKey::new("key"),
-                period: Duration::from_millis(100),
-                seeds,
-            };
-            let peers = Peers::start(listener, opts);
-            let generations = Generations::new(hooks, Client::new());
-            generations.join(&peers);
-            (generations, peers)
-        });
-        let (generations, peers) = made.await.unwrap();
-        Self {
-            runtime: Some(runtime),
-            generations,
-            peers,
-        }
-    }
-
-    async fn open(&self, start: Start, from: Option<u64>) -> Reader {
-        let generations = self.generations.clone();
-        let runtime = self.runtime.as_ref().unwrap();
-        let opened = runtime.spawn(async move { generations.open(start, from).await });
-        opened.await.unwrap().unwrap()
-    }
-
-    fn kill(&mut self) {
-        self.runtime.take().unwrap().shutdown_background();
-    }
-
-    fn pause(&self, time: Duration) {
-        let runtime = self.runtime.as_ref().unwrap();
-        runtime.spawn(async move { std::thread::sleep(time) });
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 struct World {
     fleet: Arc<Fleet>,
     entries: Vec<Entry>,
 }
 
-/// `entries` instances in one failure domain that know each other, and some engines.
-async fn world(engines: usize, entries: usize) -> World {
+/// `count` instances in one failure domain that know each other, and some engines.
+async fn world(engines: usize, count: usize) -> World {
     let opts = Options {
         token: TOKEN,
         ..Options::default()
     };
     let fleet = Fleet::start(engines, &opts).await;
-    let mut all: Vec<Entry> = Vec::new();
-    for i in 0..entries {
-        let seeds = all.iter().map(|e| e.peers.me().addr).collect();
-        all.push(Entry::start(&fleet, &format!("entry-{i}"), "a", seeds).await);
-    }
-    let deadline = Instant::now() + PATIENCE;
-    while all.iter().any(|e| e.peers.alive().len() + 1 < entries) {
-        assert!(Instant::now() < deadline, "the instances do not meet");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-    // The list of replicas is read again a little after the peers are alive.
-    tokio::time::sleep(Duration::from_millis(150)).await;
-    World {
-        fleet,
-        entries: all,
-    }
+    let entries = entries::entries(&fleet, count).await;
+    World { fleet, entries }
 }
 
 fn prompt(i: usize) -> String {
--- /dev/null
+++ b/tests/support/entries.rs
@@ -0,0 +1,121 @@
+//! Entry instances in this process, each with a runtime of one thread: shutting it down kills the
+//! instance, blocking the thread pauses it.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use endivefork::failure::Failure;
+use endivefork::generation::{Generations, Reader, Start};
+use endivefork::http::Client;
+use endivefork::peer::{Member, Options, PeerKey, Peers};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::Instant;
+
+use super::engines::Fleet;
+
+/// Time between heartbeats.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Length of a request's first quarantine.
+pub const QUARANTINE: Duration = Duration::from_secs(4);
+
+/// Longest wait until all instances know each other.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub struct Entry {
+    runtime: Option<Runtime>,
+    pub generations: Generations,
+    pub peers: Peers,
+}
+
+impl Entry {
+    pub async fn start(
+        fleet: &Arc<Fleet>,
+        name: &str,
+        domain: &str,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let hooks = fleet.hooks();
+        let (name, domain) = (name.into(), domain.into());
+        let made = runtime.spawn(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let me = Member {
+                name,
+                addr: listener.local_addr().unwrap(),
+                domain,
+                region: "r".into(),
+            };
+            let opts = Options {
+                me,
+                key: PeerKey::new("key"),
+                period: PERIOD,
+                seeds,
+            };
+            let peers = Peers::start(listener, opts);
+            let generations = Generations::with_quarantine(hooks, Client::new(), QUARANTINE);
+            generations.join(&peers);
+            (generations, peers)
+        });
+        let (generations, peers) = made.await.unwrap();
+        Self {
+            runtime: Some(runtime),
+            generations,
+            peers,
+        }
+    }
+
+    /// Opens a generation that is not refused.
+    pub async fn open(&self, start: Start, from: Option<u64>) -> Reader {
+        self.try_open(start, from).await.unwrap()
+    }
+
+    pub async fn try_open(&self, start: Start, from: Option<u64>) -> Result<Reader, Failure> {
+        let generations = self.generations.clone();
+        let runtime = self.runtime.as_ref().unwrap();
+        let opened = runtime.spawn(async move { generations.open(start, from).await });
+        opened.await.unwrap()
+    }
+
+    pub fn kill(&mut self) {
+        self.runtime.take().unwrap().shutdown_background();
+    }
+
+    pub fn pause(&self, time: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move { std::thread::sleep(time) });
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Starts `count` instances in one failure domain and waits until they know each other.
+pub async fn entries(fleet: &Arc<Fleet>, count: usize) -> Vec<Entry> {
+    let mut all: Vec<Entry> = Vec::new();
+    for i in 0..count {
+        let seeds = all.iter().map(|e| e.peers.me().addr).collect();
+        all.push(Entry::start(fleet, &format!("entry-{i}"), "a", seeds).await);
+    }
+    let deadline = Instant::now() + PATIENCE;
+    while all.iter().any(|e| e.peers.alive().len() + 1 < count) {
+        assert!(Instant::now() < deadline, "the instances do not meet");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The list of replicas is read again a little after the peers are alive.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    all
+}
