Admit generations by their account's share

Cause: generations started whatever the load.

A generation that is new everywhere waits for its permit, held until its driver ends; one that is taken over from another instance is counted and never refused. Its cost is its length limit and a part of its prompt; the permit is charged with what was generated. First tries earn retries.

Ruled out: admission before peers are asked for the generation. Its refusal would say not_run of a request that runs elsewhere.

--- a/src/admission/ask.rs
+++ b/src/admission/ask.rs
@@ -17,7 +17,7 @@
     /// The account's most requests at once.
     pub concurrency: u32,
     /// Higher goes first among the account's own requests.
-    pub priority: i32,
+    pub priority: i64,
     /// Expected cost, as in tokens; at least 1.
     pub cost: u64,
     /// When the caller gives up.
--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Rank {
     pub(crate) fresh: bool,
-    pub(crate) priority: Reverse<i32>,
+    pub(crate) priority: Reverse<i64>,
     pub(crate) deadline: Instant,
     pub(crate) seq: u64,
 }
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -55,6 +55,14 @@
         self.lane(service).admit(ask).await.map_err(failure)
     }
 
+    /// Counts a request that runs already, whatever the limit.
+    #[must_use]
+    pub fn count(&self, service: &str, ask: &Ask) -> Permit {
+        let lane = self.lane(service);
+        let ticket = lane.inner.lock().line.count(ask, Instant::now());
+        lane.permit(ticket)
+    }
+
     /// Takes the slots of the service's fit targets and the number of instances on the list.
     pub fn supply(&self, service: &str, slots: u32, members: usize) {
         let lane = self.lane(service);
--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -122,6 +122,12 @@
         self.queue_or_refuse(key, ask, cost, returns, now)
     }
 
+    /// Counts a request that runs already, as one that is taken over from another instance.
+    pub fn count(&mut self, ask: &Ask, now: Instant) -> Ticket {
+        let key = self.enter(ask, now);
+        self.run(key, ask.cost.max(1), now)
+    }
+
     /// Ends a ticket. `actual` is the true cost when it is known.
     pub fn release(&mut self, ticket: Ticket, actual: Option<u64>, now: Instant) -> Vec<Grant> {
         let held = now.saturating_duration_since(ticket.started);
--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use smol_str::SmolStr;
 
 use super::run::Start;
@@ -64,6 +65,22 @@
     Lost(Loss),
 }
 
+/// Ends a generation's admission; it is told the number of tokens. Dropping it ends it too.
+pub type Release = Box<dyn FnOnce(u64) + Send>;
+
+/// Admits a request; the flag says that it runs already and is taken over, so that it is counted
+/// but never refused.
+pub type Admit = dyn Fn(&Start, bool) -> BoxFuture<'static, Result<Release, Failure>> + Send + Sync;
+
+/// The gate before new generations.
+pub(crate) struct Gate(pub(crate) Box<Admit>);
+
+impl fmt::Debug for Gate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Gate")
+    }
+}
+
 type ChooseFn = dyn Fn(&Choice<'_>) -> Result<Lease, Failure> + Send + Sync;
 type ObserveFn = dyn Fn(&Start, &Target, Observation) + Send + Sync;
 type RetryFn = dyn Fn(&Start) -> bool + Send + Sync;
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -11,7 +11,7 @@
 mod takeover;
 mod writer;
 
-pub use hooks::{Choice, Hooks, Lease, Observation, Target};
+pub use hooks::{Admit, Choice, Hooks, Lease, Observation, Release, Target};
 pub use journal::{Ack, Change, Entry, Journal, Journals, Place};
 pub use pace::Pace;
 pub use run::{Event, Reader, Start};
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::drive::Driver;
-use super::hooks::Hooks;
+use super::hooks::{Admit, Gate, Hooks, Release};
 use super::journal::{Ack, Entry, Journal, Journals};
 use super::pace::Pace;
 use super::run::{Reader, Run, Start};
@@ -48,6 +48,7 @@
     pub(crate) client: Client,
     pub(crate) journals: Journals,
     pub(crate) net: OnceLock<Arc<Net>>,
+    gate: OnceLock<Gate>,
     pub(crate) suspects: Mutex<Suspects>,
     shards: [Shard; SHARDS],
     paces: Mutex<IndexMap<SmolStr, Arc<Mutex<Pace>>>>,
@@ -128,6 +129,7 @@
             client,
             journals: Journals::default(),
             net: OnceLock::new(),
+            gate: OnceLock::new(),
             suspects: Mutex::new(Suspects::new(quarantine)),
             shards: Default::default(),
             paces: Mutex::default(),
@@ -142,6 +144,11 @@
         shared.net.get_or_init(|| takeover::join(shared, peers));
     }
 
+    /// Admits requests by `gate` from now on; without one all are.
+    pub fn gate(&self, gate: Box<Admit>) {
+        let _ = self.shared.gate.set(Gate(gate));
+    }
+
     /// Starts a generation, or finds the one that runs under the same key, here or at a peer.
     /// `from` is the last token that the caller has.
     ///
@@ -161,7 +168,12 @@
             }
             None => None,
         };
-        self.adopt(start, journal, next)
+        let release = match &journal {
+            None if next > 0 => return Err(unknown()),
+            Some(journal) if journal.whole.is_some() => None,
+            found => self.pass(&start, found.is_some()).await?,
+        };
+        self.adopt(start, journal, next, release)
     }
 
     /// Number of generations that run.
@@ -194,6 +206,14 @@
         }
     }
 
+    /// Waits for the gate.
+    async fn pass(&self, start: &Start, runs: bool) -> Result<Option<Release>, Failure> {
+        match self.shared.gate.get() {
+            Some(gate) => (gate.0)(start, runs).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
     /// A reader of the run that is here, unless it is to be begun again.
     fn local(&self, start: &Start, next: u64) -> Option<Result<Reader, Failure>> {
         let shard = self.shared.shard(start.key).lock();
@@ -201,7 +221,13 @@
         read(run, start, next)
     }
 
-    fn adopt(&self, start: Start, journal: Option<Journal>, next: u64) -> Result<Reader, Failure> {
+    fn adopt(
+        &self,
+        start: Start,
+        journal: Option<Journal>,
+        next: u64,
+        release: Option<Release>,
+    ) -> Result<Reader, Failure> {
         let mut shard = self.shared.shard(start.key).lock();
         let old = shard.get(&start.key);
         if let Some(found) = old.and_then(|run| read(run, &start, next)) {
@@ -212,14 +238,19 @@
         let epoch = takeover::next_epoch(known);
         let run = match journal {
             Some(journal) => Run::adopt(start, epoch, journal),
-            None if next > 0 => return Err(unknown()),
             None => Run::new(start, epoch),
         };
         let reader = run.read(next);
         shard.insert(run.start.key, Arc::clone(&run));
         drop(shard);
         if !run.ended() {
-            tokio::spawn(Driver::new(run, Arc::clone(&self.shared)).drive());
+            let driver = Driver::new(Arc::clone(&run), Arc::clone(&self.shared));
+            tokio::spawn(async move {
+                driver.drive().await;
+                if let Some(release) = release {
+                    release(run.len());
+                }
+            });
         }
         Ok(reader)
     }
--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -50,6 +50,7 @@
             usages.iter().for_each(|usage| gate.merge(&from, usage));
             ready(())
         });
+        self.generations.join(&peers);
         let _ = self.peers.set(peers);
         Ok(())
     }
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -3,19 +3,28 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt as _;
+
 use super::Instance;
-use crate::config::Account;
+use crate::admission::{Ask, Budget, Gate};
+use crate::config::{self, Account};
 use crate::failure::Failure;
 use crate::fleet::Fleet;
-use crate::generation::{Choice, Hooks, Lease, Loss, Observation, Reader, Start, Target};
+use crate::generation::{
+    Admit, Choice, Hooks, Lease, Loss, Observation, Reader, Release, Start, Target,
+};
 use crate::ident::TargetKey;
 use crate::routing::{Query, Router};
 use crate::settings::Identity;
+use crate::telemetry::{Metrics, Stage};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Bytes of a prompt that decide where its cached prefix is looked for.
 const PREFIX_BYTES: usize = 256;
 
+/// Bytes of a prompt that cost as much as one token of the answer.
+const PREFILL_BYTES: u64 = 64;
+
 /// When a caller should come back after no target could be found.
 const NO_TARGET_WAIT: Duration = Duration::from_secs(1);
 
@@ -37,8 +46,63 @@
     }
 }
 
+/// Admits generations by their account's share and counts their first tries.
+pub(super) fn admission(
+    config: &Arc<config::Store>,
+    gate: &Arc<Gate>,
+    budget: &Arc<Budget>,
+    metrics: &Metrics,
+) -> Box<Admit> {
+    let (config, gate) = (Arc::clone(config), Arc::clone(gate));
+    let (budget, metrics) = (Arc::clone(budget), metrics.clone());
+    Box::new(move |start, runs| {
+        let view = config.view();
+        let account = view.accounts.get(&start.account).map(|a| &a.value);
+        let ask = ask(start, account.map(|a| &**a));
+        let service = start.service.clone();
+        let gate = Arc::clone(&gate);
+        budget.earn(&start.account, &service, Instant::now());
+        let prefill = prefill(start);
+        let span = metrics.span(&start.account);
+        async move {
+            let asked = Instant::now();
+            let mut permit = match runs {
+                true => gate.count(&service, &ask),
+                false => gate.admit(&service, &ask).await?,
+            };
+            span.record(Stage::Admission, asked.elapsed());
+            let release: Release = Box::new(move |tokens| permit.charge(prefill + tokens));
+            Ok(release)
+        }
+        .boxed()
+    })
+}
+
+fn ask(start: &Start, account: Option<&Account>) -> Ask {
+    Ask {
+        account: start.account.clone(),
+        weight: account.map_or(1, |a| a.weight),
+        concurrency: account.map_or(1, |a| a.concurrency),
+        priority: start.priority,
+        cost: prefill(start) + start.max_tokens,
+        deadline: Some(start.deadline.into()),
+        request: start.key,
+    }
+}
+
+/// Cost of a prompt, in tokens of the answer.
+fn prefill(start: &Start) -> u64 {
+    start.prompt.len() as u64 / PREFILL_BYTES
+}
+
 /// The closures through which generations reach the fleet.
-pub(super) fn hooks(identity: &Identity, fleet: &Arc<Fleet>, router: &Arc<Router>) -> Hooks {
+pub(super) fn hooks(
+    identity: &Identity,
+    fleet: &Arc<Fleet>,
+    router: &Arc<Router>,
+    budget: &Arc<Budget>,
+) -> Hooks {
+    let budget = Arc::clone(budget);
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
@@ -52,7 +116,9 @@
                 observe(&router, key, seen);
             }
         }),
-        retry: Box::new(|_| true),
+        retry: Box::new(move |start| {
+            budget.try_take(&start.account, &start.service, Instant::now())
+        }),
     }
 }
 
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -61,25 +61,30 @@
     pub fn new(settings: Settings, log: Logger) -> Self {
         let fleet = Arc::<Fleet>::default();
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
-        let hooks = generate::hooks(&settings.instance, &fleet, &router);
+        let budget = Arc::<Budget>::default();
+        let gate = Arc::new(Gate::new(rand::random()));
+        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router);
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
+        let metrics = Metrics::new();
+        let generations = Generations::new(hooks, Client::new());
+        generations.gate(generate::admission(&config, &gate, &budget, &metrics));
         let views = Views::new(balance::poller(&settings));
         Self {
             settings,
             log,
-            metrics: Metrics::new(),
+            metrics,
             platform: Arc::new(platform),
             config,
             fleet,
             router,
-            generations: Generations::new(hooks, Client::new()),
+            generations,
             actions,
-            gate: Arc::new(Gate::new(rand::random())),
-            budget: Arc::default(),
+            gate,
+            budget,
             views: Arc::new(views),
             peers: OnceLock::new(),
             listed: AtomicBool::new(false),
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -35,14 +35,17 @@
     ResumeGap,
     /// From the request's arrival to its end.
     EndToEnd,
+    /// Wait for admission.
+    Admission,
 }
 
 impl Stage {
-    const ALL: [Self; 4] = [
+    const ALL: [Self; 5] = [
         Self::FirstToken,
         Self::TokenGap,
         Self::ResumeGap,
         Self::EndToEnd,
+        Self::Admission,
     ];
 
     fn metric(self) -> &'static str {
@@ -51,6 +54,7 @@
             Self::TokenGap => "endivefork_token_gap_seconds",
             Self::ResumeGap => "endivefork_resume_gap_seconds",
             Self::EndToEnd => "endivefork_end_to_end_seconds",
+            Self::Admission => "endivefork_admission_wait_seconds",
         }
     }
 }
@@ -58,7 +62,7 @@
 /// The histograms of one account, resolved once for each request.
 #[derive(Clone, Debug)]
 pub struct Span {
-    stages: [Histogram; 4],
+    stages: [Histogram; Stage::ALL.len()],
 }
 
 impl Span {
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -60,7 +60,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Offer(u8, u64, i32),
+    Offer(u8, u64, i64),
     Release(usize),
     Cancel(usize),
     Supply(u32),
@@ -69,7 +69,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        4 => (0_u8..6, 1_u64..500, -2..3).prop_map(|(a, c, p)| Step::Offer(a, c, p)),
+        4 => (0_u8..6, 1_u64..500, -2_i64..3).prop_map(|(a, c, p)| Step::Offer(a, c, p)),
         3 => any::<usize>().prop_map(Step::Release),
         1 => any::<usize>().prop_map(Step::Cancel),
         1 => (0_u32..12).prop_map(Step::Supply),
