--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -39,6 +39,9 @@
 /// One slot in so many is kept for accounts that use less than their share.
 const RESERVE: u32 = 48;
 
+/// Waiting requests of an account up to which nothing is refused before the drain is measured.
+const QUEUE_UNMEASURED: usize = 256;
+
 /// Error of the floating-point division of slots.
 const ROUNDING: f64 = 1e-6;
 
@@ -259,7 +262,10 @@
             seq: self.seq,
         };
         let longest = if returns { RETURN_WAIT_MAX } else { WAIT_MAX };
-        let wait = self.expected(key, &rank, cost, now);
+        let wait = match self.drain.measured() || self.flows[key].queue.len() > QUEUE_UNMEASURED {
+            true => self.expected(key, &rank, cost, now),
+            false => Duration::ZERO,
+        };
         if now + wait > rank.deadline {
             let reason = Reason::Deadline;
             return Decision::Refuse(Refusal { reason, wait: None });
--- a/src/admission/meter.rs
+++ b/src/admission/meter.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Drain {
     hold: f64,
+    measured: bool,
     out: Meter,
     full_since: Option<Instant>,
 }
@@ -42,6 +43,7 @@
     pub(crate) fn new(hold: Duration) -> Self {
         Self {
             hold: hold.as_secs_f64(),
+            measured: false,
             out: Meter::default(),
             full_since: None,
         }
@@ -50,9 +52,15 @@
     /// A request of `cost` held a slot for `held`.
     pub(crate) fn ended(&mut self, cost: f64, held: Duration, now: Instant) {
         self.hold += (held.as_secs_f64() / cost - self.hold) * HOLD_WEIGHT;
+        self.measured = true;
         self.out.add(cost, now);
     }
 
+    /// Whether anything has come out yet.
+    pub(crate) fn measured(&self) -> bool {
+        self.measured
+    }
+
     /// Whether all slots are taken from `now` on.
     pub(crate) fn full(&mut self, full: bool, now: Instant) {
         self.full_since = match self.full_since {
--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -1,22 +1,18 @@
 //! Tasks that keep load views, capacity and the exchange with other instances up to date.
 
 use std::future::ready;
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::Instance;
 use crate::admission::Usage;
 use crate::config::View;
-use crate::fleet::Entry;
-use crate::http::Client;
+use crate::fleet::{Entry, Target};
 use crate::ident::RequestKey;
-use crate::peer::{Member, Options, PeerKey, Peers, Tag};
+use crate::peer::{Member, Tag};
 use crate::routing::{Poller, Router, Sight, poll};
 use crate::settings::Settings;
 
@@ -33,40 +29,37 @@
 const TELL_LIMIT: Duration = Duration::from_millis(400);
 
 impl Instance {
-    /// Joins the other instances through `listener`. Must be called within a runtime.
-    ///
-    /// # Errors
-    /// When the listener's address is not known.
-    pub fn join(&self, listener: TcpListener) -> io::Result<()> {
-        let options = options(&self.settings, listener.local_addr()?);
-        let peers = Peers::start(listener, options);
-        let (views, router) = (Arc::clone(&self.views), Arc::clone(&self.router));
-        peers.on(Tag::Load, move |from, sight: Sight| {
-            views.hear(&router, &from, &sight, Instant::now());
+    /// Answers what peers tell of targets and accounts.
+    pub(super) fn hear_peers(self: &Arc<Self>) {
+        let me = Arc::clone(self);
+        self.peers.on(Tag::Load, move |from, sight: Sight| {
+            me.hear_sight(&from, &sight);
             ready(())
         });
-        let gate = Arc::clone(&self.gate);
-        peers.on(Tag::Usage, move |from, usages: Vec<Usage>| {
-            usages.iter().for_each(|usage| gate.merge(&from, usage));
+        let me = Arc::clone(self);
+        self.peers.on(Tag::Usage, move |from, usages: Vec<Usage>| {
+            usages.iter().for_each(|usage| me.gate.merge(&from, usage));
             ready(())
         });
-        self.generations.join(&peers);
-        let _ = self.peers.set(peers);
-        Ok(())
+    }
+
+    fn hear_sight(&self, from: &str, sight: &Sight) {
+        self.views.hear(&self.router, from, sight, Instant::now());
+        let loads = sight.loads.iter().filter(|l| l.leaving);
+        let told = loads.map(|l| &l.target).chain(&sight.word.leaving);
+        for name in told {
+            self.fleet.mark_leaving(name);
+        }
     }
 
     /// Tells the peer layer who is on the platform's list.
     pub(super) fn list_peers(&self) {
-        let Some(peers) = self.peers.get() else {
-            return;
-        };
         let roster = self.fleet.roster();
         let members: Vec<_> = roster.entries.values().map(member).collect();
-        peers.list(&members);
+        self.peers.list(&members);
     }
 
     pub(super) async fn poll_loads(self: Arc<Self>) {
-        let client = Client::new();
         let slots = Arc::new(Semaphore::new(POLLS_MAX));
         let mut ticks = interval(POLL_TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -80,18 +73,24 @@
                 let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
                     return;
                 };
-                let (views, router) = (Arc::clone(&self.views), Arc::clone(&self.router));
-                let client = client.clone();
+                let me = Arc::clone(&self);
                 tokio::spawn(async move {
-                    let sent = Instant::now();
-                    let polled = poll(&client, target.addr).await;
-                    views.polled(&router, &target, polled, sent);
+                    me.poll_load(&target).await;
                     drop(slot);
                 });
             }
         }
     }
 
+    async fn poll_load(&self, target: &Target) {
+        let sent = Instant::now();
+        let polled = poll(&self.client, target.addr).await;
+        self.views.polled(&self.router, target, polled, sent);
+        if polled.leaving() {
+            self.fleet.mark_leaving(&target.name);
+        }
+    }
+
     pub(super) async fn share_capacity(self: Arc<Self>) {
         let mut ticks = interval(EXCHANGE_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -115,9 +114,7 @@
 
     /// Tells all peers at once; one that hangs must not hold up the next exchange.
     fn tell_peers(&self) {
-        let Some(peers) = self.peers.get().cloned() else {
-            return;
-        };
+        let peers = self.peers.clone();
         let sight = self.views.sight(&self.router, Instant::now());
         let usages = self.gate.usages();
         tokio::spawn(async move {
@@ -129,7 +126,7 @@
     }
 
     fn pollers(&self) -> Vec<Poller> {
-        let alive = self.peers.get().map(Peers::alive).unwrap_or_default();
+        let alive = self.peers.alive();
         alive
             .into_iter()
             .map(|member| Poller {
@@ -148,21 +145,6 @@
     }
 }
 
-fn options(settings: &Settings, addr: SocketAddr) -> Options {
-    let me = &settings.instance;
-    Options {
-        me: Member {
-            name: me.name.clone(),
-            addr,
-            domain: me.domain.clone(),
-            region: me.region.clone(),
-        },
-        key: PeerKey::new(&settings.peers.key.0),
-        period: settings.peers.heartbeat,
-        seeds: settings.peers.seeds.clone(),
-    }
-}
-
 fn member(entry: &Entry) -> Member {
     Member {
         name: entry.name.clone(),
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -102,13 +102,12 @@
     router: &Arc<Router>,
     budget: &Arc<Budget>,
 ) -> Hooks {
-    let budget = Arc::clone(budget);
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
         router: Arc::clone(router),
     };
-    let (fleet, router) = (Arc::clone(fleet), Arc::clone(router));
+    let (fleet, router, budget) = (Arc::clone(fleet), Arc::clone(router), Arc::clone(budget));
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
         observe: Box::new(move |_, target, seen| {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -5,11 +5,12 @@
 mod follow;
 mod generate;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
 
 use slog::Logger;
 use smol_str::SmolStr;
+use tokio::net::TcpListener;
 
 use crate::action::{Actions, Rules};
 use crate::admission::{Budget, Gate};
@@ -18,7 +19,7 @@
 use crate::generation::Generations;
 use crate::http::Client;
 use crate::ident::RequestKey;
-use crate::peer::Peers;
+use crate::peer::{Member, Options, PeerKey, Peers};
 use crate::platform;
 use crate::routing::{Costs, Policy, Router, Views};
 use crate::settings::Settings;
@@ -41,38 +42,44 @@
     pub fleet: Arc<Fleet>,
     /// The choice of targets.
     pub router: Arc<Router>,
+    /// What is known of the targets' loads.
+    pub views: Views,
+    /// Who may start work.
+    pub gate: Arc<Gate>,
+    /// What retries may be spent.
+    pub budget: Arc<Budget>,
+    /// Other instances.
+    pub peers: Peers,
+    /// Client of the targets.
+    pub client: Client,
     /// The generations that run here.
     pub generations: Generations,
     /// Calls of plain services.
     pub actions: Actions,
-    /// Who may start work.
-    pub gate: Arc<Gate>,
-    /// Retries left.
-    pub budget: Arc<Budget>,
-    /// What is known of the targets' loads.
-    pub views: Arc<Views>,
-    peers: OnceLock<Peers>,
     listed: AtomicBool,
 }
 
 impl Instance {
-    /// An instance that has not read anything yet. Must be called within a runtime.
+    /// An instance that has not read anything yet and takes its peers' messages on `peer`. Must
+    /// be called within a runtime.
     #[must_use]
-    pub fn new(settings: Settings, log: Logger) -> Self {
+    pub fn new(settings: Settings, log: Logger, peer: TcpListener) -> Self {
         let fleet = Arc::<Fleet>::default();
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
-        let budget = Arc::<Budget>::default();
+        let budget = Arc::new(Budget::new());
         let gate = Arc::new(Gate::new(rand::random()));
         let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
+        let peers = peers(&settings, peer);
+        let generations = Generations::new(hooks, Client::new());
+        generations.join(&peers);
+        let views = Views::new(balance::poller(&settings));
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router);
-        let name = settings.instance.name.clone();
-        let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         let metrics = Metrics::new();
-        let generations = Generations::new(hooks, Client::new());
         generations.gate(generate::admission(&config, &gate, &budget, &metrics));
-        let views = Views::new(balance::poller(&settings));
+        let name = settings.instance.name.clone();
+        let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         Self {
             settings,
             log,
@@ -81,12 +88,13 @@
             config,
             fleet,
             router,
-            generations,
-            actions,
+            views,
             gate,
             budget,
-            views: Arc::new(views),
-            peers: OnceLock::new(),
+            peers,
+            client: Client::new(),
+            generations,
+            actions,
             listed: AtomicBool::new(false),
         }
     }
@@ -107,6 +115,7 @@
 
     /// Starts the tasks that keep the instance's picture of the world.
     pub fn start(self: &Arc<Self>) {
+        self.hear_peers();
         tokio::spawn(Arc::clone(self).follow_fleet());
         tokio::spawn(Arc::clone(self).poll_loads());
         tokio::spawn(Arc::clone(self).share_capacity());
@@ -115,3 +124,20 @@
         }
     }
 }
+
+fn peers(settings: &Settings, listener: TcpListener) -> Peers {
+    let addr = listener.local_addr().unwrap_or(settings.listen.peer);
+    let me = Member {
+        name: settings.instance.name.clone(),
+        addr,
+        domain: settings.instance.domain.clone(),
+        region: settings.instance.region.clone(),
+    };
+    let options = Options {
+        me,
+        key: PeerKey::new(&settings.peers.key.0),
+        period: settings.peers.heartbeat,
+        seeds: settings.peers.seeds.clone(),
+    };
+    Peers::start(listener, options)
+}
