--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -39,6 +39,9 @@
 /// One slot in so many is kept for accounts that use less than their share.
 const RESERVE: u32 = 48;
 
+/// Waiting requests of an account up to which nothing is refused before the drain is measured.
+const QUEUE_UNMEASURED: usize = 256;
+
 /// Error of the floating-point division of slots.
 const ROUNDING: f64 = 1e-6;
 
@@ -122,6 +125,12 @@
         self.queue_or_refuse(key, ask, cost, returns, now)
     }
 
+    /// Counts a request that runs already, as one that is taken over from another instance.
+    pub fn count(&mut self, ask: &Ask, now: Instant) -> Ticket {
+        let key = self.enter(ask, now);
+        self.run(key, ask.cost.max(1), now)
+    }
+
     /// Ends a ticket. `actual` is the true cost when it is known.
     pub fn release(&mut self, ticket: Ticket, actual: Option<u64>, now: Instant) -> Vec<Grant> {
         let held = now.saturating_duration_since(ticket.started);
@@ -253,7 +262,10 @@
             seq: self.seq,
         };
         let longest = if returns { RETURN_WAIT_MAX } else { WAIT_MAX };
-        let wait = self.expected(key, &rank, cost, now);
+        let wait = match self.drain.measured() || self.flows[key].queue.len() > QUEUE_UNMEASURED {
+            true => self.expected(key, &rank, cost, now),
+            false => Duration::ZERO,
+        };
         if now + wait > rank.deadline {
             let reason = Reason::Deadline;
             return Decision::Refuse(Refusal { reason, wait: None });
