--- /dev/null
+++ b/src/rollout/histogram.rs
@@ -0,0 +1,67 @@
+//! Durations in logarithmic buckets.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Buckets for each doubling of the duration.
+const PER_OCTAVE: f64 = 4.0;
+
+/// Number of buckets: 1 ms to about 17 minutes.
+pub(crate) const BUCKETS: usize = 80;
+
+/// Counts of durations by bucket; trailing empty buckets are left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Histogram {
+    counts: Vec<u64>,
+}
+
+impl Histogram {
+    /// Counts one duration.
+    pub(crate) fn record(&mut self, duration: Duration) {
+        let bucket = bucket(duration);
+        if self.counts.len() <= bucket {
+            self.counts.resize(bucket + 1, 0);
+        }
+        self.counts[bucket] += 1;
+    }
+
+    /// Counts by bucket.
+    pub(crate) fn counts(&self) -> &[u64] {
+        &self.counts[..self.counts.len().min(BUCKETS)]
+    }
+
+    /// Adds all counts of `other`.
+    pub(crate) fn add(&mut self, other: &Self) {
+        if self.counts.len() < other.counts().len() {
+            self.counts.resize(other.counts().len(), 0);
+        }
+        for (sum, n) in self.counts.iter_mut().zip(other.counts()) {
+            *sum += n;
+        }
+    }
+
+    /// What was counted since `before`, an earlier state of the same histogram.
+    pub(crate) fn since(&self, before: &Self) -> Self {
+        let past = |i: usize| before.counts.get(i).copied().unwrap_or(0);
+        let counts = self.counts().iter().enumerate();
+        Self {
+            counts: counts.map(|(i, n)| n.saturating_sub(past(i))).collect(),
+        }
+    }
+
+    /// All durations counted.
+    pub(crate) fn total(&self) -> u64 {
+        self.counts().iter().sum()
+    }
+
+    /// Durations in buckets from `edge` on.
+    pub(crate) fn from_bucket(&self, edge: usize) -> u64 {
+        self.counts().iter().skip(edge).sum()
+    }
+}
+
+fn bucket(duration: Duration) -> usize {
+    let ms = (duration.as_secs_f64() * 1e3).max(1.0);
+    ((ms.log2() * PER_OCTAVE) as usize).min(BUCKETS - 1)
+}
--- /dev/null
+++ b/src/rollout/reference.rs
@@ -0,0 +1,238 @@
+//! What the old version does now: the rates that the new one is held against.
+
+use super::evidence::Cell;
+use super::histogram::{BUCKETS, Histogram};
+
+/// Half-life of the long window in seconds.
+const LONG_S: f64 = 120.0;
+
+/// Half-life of the short window in seconds; it follows a trouble that both versions share.
+const SHORT_S: f64 = 4.0;
+
+/// Observations below which a window says nothing.
+const ENOUGH: f64 = 40.0;
+
+/// Fraction of the old version's durations above which a duration counts as slow.
+const TAIL: f64 = 0.05;
+
+/// Buckets between the old version's tail and what counts as slow.
+const MARGIN: usize = 1;
+
+/// Weight and rate of failures assumed before anything is known.
+const PRIOR: (f64, f64) = (100.0, 0.005);
+
+/// A rate may be this many times the old version's.
+const TOLERANCE: f64 = 1.5;
+
+/// Added to the tolerated rate of failures.
+const FAILURE_FLOOR: f64 = 0.005;
+
+/// Added to the tolerated rate of slow answers.
+const SLOW_FLOOR: f64 = 0.03;
+
+/// Added to the tolerated rate of deaths for each request.
+const DEATH_FLOOR: f64 = 0.01;
+
+/// The old version's recent and whole behaviour in one scope.
+#[derive(Clone, Debug)]
+pub(crate) struct Reference {
+    long: Window,
+    short: Window,
+    whole: Window,
+}
+
+/// What counts as slow, and how often that is tolerated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct SlowLimit {
+    /// First bucket that counts as slow.
+    pub edge: usize,
+    /// Tolerated fraction.
+    pub null: f64,
+}
+
+impl Reference {
+    pub(crate) fn new() -> Self {
+        Self {
+            long: Window::new(LONG_S),
+            short: Window::new(SHORT_S),
+            whole: Window::new(f64::INFINITY),
+        }
+    }
+
+    /// Adds what the old version did, at `now` seconds.
+    pub(crate) fn add(&mut self, now: f64, cell: &Cell) {
+        for window in [&mut self.long, &mut self.short, &mut self.whole] {
+            window.add(now, cell);
+        }
+    }
+
+    /// Tolerated rate of failures.
+    pub(crate) fn failure_null(&self, now: f64) -> f64 {
+        let rate = |w: &Window| w.failed.rate(now, PRIOR);
+        let worst = rate(&self.long).max(rate(&self.short));
+        (TOLERANCE * worst + FAILURE_FLOOR).min(0.9)
+    }
+
+    /// Tolerated rate of target deaths for each request.
+    pub(crate) fn death_null(&self, now: f64) -> f64 {
+        let rate = self.whole.died.rate(now, (PRIOR.0, 0.0));
+        (2.0 * TOLERANCE * rate + DEATH_FLOOR).min(0.9)
+    }
+
+    /// Limit for the time to the first token; `None` while too little is known.
+    pub(crate) fn first_limit(&self, now: f64) -> Option<SlowLimit> {
+        self.limit(now, |w| &w.first)
+    }
+
+    /// Limit for the time between tokens; `None` while too little is known.
+    pub(crate) fn gap_limit(&self, now: f64) -> Option<SlowLimit> {
+        self.limit(now, |w| &w.gap)
+    }
+
+    fn limit(&self, now: f64, part: impl Fn(&Window) -> &Tally) -> Option<SlowLimit> {
+        let (long, short, whole) = (part(&self.long), part(&self.short), part(&self.whole));
+        let base = [long, whole]
+            .into_iter()
+            .find(|t| t.weight(now) >= ENOUGH)?;
+        let edge = base.tail_edge() + MARGIN;
+        let mut rate = base.above(edge);
+        if short.weight(now) >= ENOUGH / 4.0 {
+            rate = rate.max(short.above(edge));
+        }
+        let null = (TOLERANCE * rate + SLOW_FLOOR).min(0.9);
+        Some(SlowLimit { edge, null })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Window {
+    failed: Ratio,
+    died: Ratio,
+    first: Tally,
+    gap: Tally,
+}
+
+impl Window {
+    fn new(half_life: f64) -> Self {
+        Self {
+            failed: Ratio::new(half_life),
+            died: Ratio::new(half_life),
+            first: Tally::new(half_life),
+            gap: Tally::new(half_life),
+        }
+    }
+
+    fn add(&mut self, now: f64, cell: &Cell) {
+        let ended = cell.answered + cell.failed;
+        self.failed.add(now, ended, cell.failed);
+        self.died.add(now, ended + cell.deaths, cell.deaths);
+        self.first.add(now, &cell.first);
+        self.gap.add(now, &cell.gap);
+    }
+}
+
+/// Counts whose old entries lose weight by half with every half-life.
+#[derive(Clone, Debug)]
+struct Ratio {
+    decay: Decay,
+    all: f64,
+    bad: f64,
+}
+
+impl Ratio {
+    fn new(half_life: f64) -> Self {
+        Self {
+            decay: Decay::new(half_life),
+            all: 0.0,
+            bad: 0.0,
+        }
+    }
+
+    fn add(&mut self, now: f64, all: u64, bad: u64) {
+        let fade = self.decay.fade(now);
+        self.all = self.all * fade + all as f64;
+        self.bad = self.bad * fade + bad as f64;
+    }
+
+    fn rate(&self, now: f64, (weight, rate): (f64, f64)) -> f64 {
+        let fade = self.decay.pending(now);
+        (self.bad * fade + weight * rate) / (self.all * fade + weight)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Tally {
+    decay: Decay,
+    counts: [f64; BUCKETS],
+    total: f64,
+}
+
+impl Tally {
+    fn new(half_life: f64) -> Self {
+        Self {
+            decay: Decay::new(half_life),
+            counts: [0.0; BUCKETS],
+            total: 0.0,
+        }
+    }
+
+    fn add(&mut self, now: f64, more: &Histogram) {
+        if more.counts().is_empty() {
+            return;
+        }
+        let fade = self.decay.fade(now);
+        for count in &mut self.counts {
+            *count *= fade;
+        }
+        for (count, n) in self.counts.iter_mut().zip(more.counts()) {
+            *count += *n as f64;
+        }
+        self.total = self.total * fade + more.total() as f64;
+    }
+
+    fn weight(&self, now: f64) -> f64 {
+        self.total * self.decay.pending(now)
+    }
+
+    fn tail_edge(&self) -> usize {
+        let mut above = self.total;
+        let tail = |(i, n): (usize, &f64)| {
+            above -= n;
+            (above <= TAIL * self.total).then_some(i + 1)
+        };
+        self.counts
+            .iter()
+            .enumerate()
+            .find_map(tail)
+            .unwrap_or(BUCKETS)
+    }
+
+    fn above(&self, edge: usize) -> f64 {
+        self.counts.iter().skip(edge).sum::<f64>() / self.total.max(1e-9)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Decay {
+    half_life: f64,
+    last: f64,
+}
+
+impl Decay {
+    fn new(half_life: f64) -> Self {
+        Self {
+            half_life,
+            last: 0.0,
+        }
+    }
+
+    fn pending(&self, now: f64) -> f64 {
+        (-(now - self.last).max(0.0) / self.half_life).exp2()
+    }
+
+    fn fade(&mut self, now: f64) -> f64 {
+        let fade = self.pending(now);
+        self.last = self.last.max(now);
+        fade
+    }
+}
