Say ready only when every kind of object was listed

Cause: an instance said that it was ready when one kind of object was read, so that the first callers with good keys got 401 while accounts still loaded. Ruled out: a wait in the tests. Change: readiness asks the store whether services, accounts and moves were each listed as a whole. Conclusion: the balancer sends no caller to an instance without accounts.

--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -132,6 +132,13 @@
         count
     }
 
+    /// Whether every kind was listed as a whole at least once.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        let ledger = self.ledger.lock();
+        KINDS.iter().all(|kind| ledger.floors.contains_key(*kind))
+    }
+
     /// What two instances compare first.
     #[must_use]
     pub fn summary(&self) -> Summary {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -74,7 +74,7 @@
     /// Whether it knows the configuration and the fleet.
     #[must_use]
     pub fn ready(&self) -> bool {
-        let known = self.config.view().rev > 0;
+        let known = self.config.complete();
         known && self.listed.load(Ordering::Acquire)
     }
 
