--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,7 +1,7 @@
 //! One entry instance: its parts and how they are wired.
 
 mod act;
-mod exchange;
+mod balance;
 mod follow;
 mod generate;
 
@@ -21,7 +21,7 @@
 use crate::ident::RequestKey;
 use crate::peer::{Member, Options, PeerKey, Peers};
 use crate::platform;
-use crate::routing::{Costs, Policy, Poller, Router, Views};
+use crate::routing::{Costs, Policy, Router, Views};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -70,10 +70,8 @@
         let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
-        let views = Views::new(Poller {
-            name: settings.instance.name.clone(),
-            domain: settings.instance.domain.clone(),
-        });
+        generations.join(&peers);
+        let views = Views::new(balance::poller(&settings));
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router);
@@ -114,10 +112,10 @@
 
     /// Starts the tasks that keep the instance's picture of the world.
     pub fn start(self: &Arc<Self>) {
-        self.listen_to_peers();
+        self.hear_peers();
         tokio::spawn(Arc::clone(self).follow_fleet());
-        tokio::spawn(Arc::clone(self).poll_targets());
-        tokio::spawn(Arc::clone(self).tell_peers());
+        tokio::spawn(Arc::clone(self).poll_loads());
+        tokio::spawn(Arc::clone(self).share_capacity());
         for kind in config::KINDS {
             tokio::spawn(Arc::clone(self).follow_config(kind));
         }
