Test lookups after lost answers and retries of repeat-safe calls

Cause: the worth of a status call and the bound on retries were not measured. Change: tables of lost answers with and without a declared status call, and of target faults for repeat-safe calls.

--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -13,4 +13,6 @@
 mod faults;
 mod fixture;
 mod history;
+mod lookup;
+mod safe;
 mod sweep;
