--- a/src/action/record.rs
+++ b/src/action/record.rs
@@ -38,6 +38,17 @@
             outcome: fits.then(|| outcome.clone()),
         }
     }
+
+    /// Bytes of the outcome that it holds.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Done {
+                outcome: Some(outcome),
+                ..
+            } => outcome.body.len(),
+            _ => 0,
+        }
+    }
 }
 
 /// The value of a claim object.
