--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -20,8 +20,8 @@
 use super::settle::Settler;
 use super::verdict::answer;
 use super::{
-    Call, Cause, Choose, Claim, Command, Event, Held, Hook, KIND, Now, Outcome, Pick, Point,
-    Record, Report, Rules, Stage, Terms, Verdict, claim_name,
+    Call, Cause, Choose, Claim, Command, Event, Held, Hook, KIND, Live, Now, Outcome, Pick, Point,
+    Record, Report, Retention, Rules, Stage, Sweeper, Terms, Verdict, claim_name,
 };
 use crate::config::Repeat;
 use crate::failure::Failure;
@@ -38,6 +38,9 @@
 /// Most targets that are tried for a connection.
 const CONNECTS: usize = 3;
 
+/// Time between two looks whether all is settled.
+const SETTLE_TICK: Duration = Duration::from_millis(20);
+
 /// Share of the platform's named wait that is waited, so that refused writes do not come back
 /// together.
 const JITTER: Range<f64> = 0.75..1.25;
@@ -112,6 +115,28 @@
         self.inner.running.load(Ordering::Relaxed) + self.inner.settler.pending()
     }
 
+    /// Waits until nothing is unsettled.
+    pub async fn settled(&self) {
+        while self.unsettled() > 0 {
+            tokio::time::sleep(SETTLE_TICK).await;
+        }
+    }
+
+    /// A sweeper of the claims at the same platform, for the part that falls to this instance
+    /// among those that are `live`.
+    #[must_use]
+    pub fn sweeper(&self, retention: Retention, live: Live) -> Sweeper {
+        let inner = &self.inner;
+        let choose = Arc::clone(&inner.choose);
+        Sweeper::new(
+            inner.name.clone(),
+            inner.platform.clone(),
+            retention,
+            live,
+            choose,
+        )
+    }
+
     /// Makes a call. A non-repeatable one goes on to its end when its caller goes away.
     ///
     /// # Errors
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use super::Instance;
-use crate::action::{self, Call, Choose, Outcome, Pick, Report, claim_name};
+use crate::action::{self, Call, Choose, Outcome, Pick, Report, Retention, Sweeper, claim_name};
 use crate::admission::Ask;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
@@ -42,6 +42,18 @@
         }
     }
 
+    /// The sweeper of old claims among the entry instances that stay.
+    pub(super) fn sweeper(&self) -> Sweeper {
+        let fleet = Arc::clone(&self.fleet);
+        let live = move || {
+            let roster = fleet.roster();
+            let staying = roster.entries.values().filter(|e| !e.leaving);
+            staying.map(|e| e.name.clone()).collect()
+        };
+        let retention = Retention::default();
+        self.actions.sweeper(retention, Arc::new(live))
+    }
+
     /// Whether an earlier try of a non-repeatable call may have run.
     async fn may_have_run(&self, call: &Call) -> bool {
         let key = match (call.repeat, &call.key) {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -119,6 +119,7 @@
         tokio::spawn(Arc::clone(self).follow_fleet());
         tokio::spawn(Arc::clone(self).poll_loads());
         tokio::spawn(Arc::clone(self).share_capacity());
+        tokio::spawn(self.sweeper().run());
         for kind in config::KINDS {
             tokio::spawn(Arc::clone(self).follow_config(kind));
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,12 +1,14 @@
 //! Runs one entry instance from its settings to its graceful shutdown.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use anyhow::Context as _;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
 
 use crate::admin;
 use crate::caller::{self, Drain, Front};
@@ -104,8 +106,10 @@
         drain: Arc::clone(&drain),
     };
     let router = caller::router(front);
+    let begun = OnceLock::new();
     let leave = async {
         drain.begun().await;
+        begun.get_or_init(Instant::now);
         instance.peers.leave();
         std::future::pending::<()>().await;
     };
@@ -113,6 +117,9 @@
         () = caller::serve(listeners.caller, router, limits, Arc::clone(&drain), longest) => {}
         () = leave => {}
     }
+    // Actions whose callers went away still have their outcomes to store.
+    let left = longest.saturating_sub(begun.get().map_or(Duration::ZERO, Instant::elapsed));
+    timeout(left, instance.actions.settled()).await.ok();
     administration.abort();
     instance.peers.close();
 }
