Prove generations over processes that die, pause and go silent

Cause: the proofs so far ran inside one process. Change: 64 streams through three entry processes over six engine processes with the platform's stand-in, and callers that return elsewhere; kill, stop signal for 30 s, silent connections, entry killed and stopped, entry and engine killed with the platform down, two engines in turn, a request that aborts engines.

--- /dev/null
+++ b/tests/generation_processes.rs
@@ -0,0 +1,344 @@
+//! Streams through several entry instances while processes die, pause and go silent.
+
+mod support;
+
+#[path = "../examples/standin/engine/token.rs"]
+#[allow(dead_code, reason = "the length of an answer is not used here")]
+mod token;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::caller::Ask;
+use support::returning::{Story, follow};
+use support::world::World;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+/// Streams at once.
+const STREAMS: usize = 64;
+
+/// Engines.
+const ENGINES: usize = 6;
+
+/// Entry instances.
+const ENTRIES: usize = 3;
+
+/// Tokens of a stream.
+const TOKENS: u64 = 120;
+
+/// After a reset.
+const RESET_BARS: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
+
+/// After a freeze or silence.
+const SILENT_BARS: (Duration, Duration) = (Duration::from_millis(1500), Duration::from_secs(4));
+
+/// The rest starts within this after a caller's return.
+const RETURN_BAR: Duration = Duration::from_secs(1);
+
+/// A gap that an undisturbed stream doesn't have.
+const DISTURBED: Duration = Duration::from_millis(150);
+
+/// Gaps are measured in one world at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+const ENGINE: [&str; 4] = ["--token-ms", "41", "--slots", "64"];
+
+fn prompt(i: usize) -> String {
+    format!("dispute summary {i}")
+}
+
+fn begin(world: &World, tokens: u64) -> Vec<JoinHandle<Story>> {
+    let entries: Vec<SocketAddr> = world.entries.iter().map(|e| e.caller).collect();
+    let mut streams = Vec::new();
+    for i in 0..STREAMS {
+        let entry = entries[i % entries.len()];
+        let ask = Ask::completion(entry, "llm", &prompt(i), tokens as u32);
+        let ask = ask.key(&format!("key-{i}"));
+        let (client, entries) = (world.client.clone(), entries.clone());
+        streams.push(tokio::spawn(
+            async move { follow(&client, ask, &entries).await },
+        ));
+    }
+    streams
+}
+
+async fn finish(streams: Vec<JoinHandle<Story>>, tokens: u64) -> Vec<Story> {
+    let mut stories = Vec::new();
+    for (i, stream) in streams.into_iter().enumerate() {
+        let story = stream.await.unwrap();
+        story.assert_exact(&prompt(i), tokens, token::token);
+        stories.push(story);
+    }
+    stories
+}
+
+async fn running(world: &World) {
+    support::world::until("all streams run", async || {
+        let mut starts = 0;
+        for engine in &world.engines {
+            starts += count(&world.read(engine.addr, "/control/log").await, "start");
+        }
+        starts >= STREAMS
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+fn count(log: &Value, op: &str) -> usize {
+    let entries = log["entries"].as_array();
+    entries.map_or(0, |all| all.iter().filter(|e| e["op"] == op).count())
+}
+
+/// Number of the engine that runs most attempts.
+async fn busiest(world: &World) -> usize {
+    let mut best = (0, 0);
+    for (i, engine) in world.engines.iter().enumerate() {
+        let log = world.read(engine.addr, "/control/log").await;
+        best = best.max((count(&log, "start"), i));
+    }
+    best.1
+}
+
+/// Panics unless some attempt went on after tokens of another.
+async fn assert_continued(world: &World) {
+    let mut continued = 0;
+    for engine in &world.engines {
+        let log = world.read(engine.addr, "/control/log").await;
+        let entries = log["entries"].as_array().cloned().unwrap_or_default();
+        let goes_on = |e: &&Value| e["op"] == "start" && e["index"].as_u64() > Some(0);
+        continued += entries.iter().filter(goes_on).count();
+    }
+    println!("{continued} attempts went on after tokens of another");
+    assert!(continued > 0, "no stream was on a lost engine");
+}
+
+/// Checks the engines' side of the history and returns tokens generated and computed again.
+async fn check_engines(world: &World) -> (u64, u64) {
+    let mut tokens = 0;
+    let mut recomputed = 0;
+    for engine in &world.engines {
+        let log = world.read(engine.addr, "/control/log").await;
+        let bad = log["bad_prefixes"].as_u64().unwrap_or(0);
+        assert_eq!(
+            bad, 0,
+            "{}: a prefix is not the answer's beginning",
+            engine.name
+        );
+        tokens += log["tokens"].as_u64().unwrap_or(0);
+        recomputed += log["recomputed"].as_u64().unwrap_or(0);
+    }
+    (tokens, recomputed)
+}
+
+fn percentile(sorted: &[Duration], hundredths: usize) -> Duration {
+    sorted[(sorted.len() * hundredths).div_ceil(100) - 1]
+}
+
+fn assert_gaps(what: &str, stories: &[Story], (p95, worst): (Duration, Duration)) {
+    let mut gaps: Vec<_> = stories.iter().map(Story::worst_gap).collect();
+    gaps.retain(|gap| *gap > DISTURBED);
+    gaps.sort();
+    let Some(last) = gaps.last() else {
+        println!("{what}: no gap over {DISTURBED:?}");
+        return;
+    };
+    let high = percentile(&gaps, 95);
+    println!(
+        "{what}: {} of {STREAMS} disturbed, p95 {high:?}, worst {last:?}",
+        gaps.len()
+    );
+    assert!(high <= p95, "{what}: p95 {high:?}");
+    assert!(*last <= worst, "{what}: worst {last:?}");
+}
+
+fn assert_returns(what: &str, stories: &[Story]) {
+    let mut returns: Vec<_> = stories.iter().flat_map(|s| s.returns.clone()).collect();
+    returns.sort();
+    let worst = returns.last().copied().expect("some callers returned");
+    println!(
+        "{what}: {} returns, rest after {:?} median, {worst:?} worst",
+        returns.len(),
+        percentile(&returns, 50),
+    );
+    assert!(worst <= RETURN_BAR, "{what}: {worst:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_process_killed() {
+    let _turn = TURN.lock().await;
+    let mut world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    let victim = busiest(&world).await;
+    world.engines[victim].process.kill();
+    let stories = finish(streams, TOKENS).await;
+
+    assert_continued(&world).await;
+    assert_gaps("engine killed", &stories, RESET_BARS);
+    check_engines(&world).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_process_paused_for_half_a_minute() {
+    const LONG: u64 = 900;
+    let _turn = TURN.lock().await;
+    let world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, LONG);
+    running(&world).await;
+
+    let victim = &world.engines[busiest(&world).await];
+    victim.process.signal("STOP");
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    victim.process.signal("CONT");
+    let stories = finish(streams, LONG).await;
+
+    assert_continued(&world).await;
+    assert_gaps("engine paused 30 s", &stories, SILENT_BARS);
+    let (tokens, recomputed) = check_engines(&world).await;
+    let due = STREAMS as u64 * LONG;
+    println!(
+        "engine paused 30 s: {tokens} tokens generated for {due}, {recomputed} computed again"
+    );
+    assert!(tokens * 100 <= due * 101, "more than 1% generated twice");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_connections_silent() {
+    let _turn = TURN.lock().await;
+    let world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    let victim = &world.engines[busiest(&world).await];
+    world
+        .control(victim.addr, "/control", &json!({"silent": true}))
+        .await;
+    let stories = finish(streams, TOKENS).await;
+
+    assert_gaps("connections silent", &stories, SILENT_BARS);
+    let (tokens, _) = check_engines(&world).await;
+    assert_eq!(
+        tokens,
+        STREAMS as u64 * TOKENS,
+        "nothing is generated twice"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_process_killed() {
+    let _turn = TURN.lock().await;
+    let mut world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    world.entries[0].process.kill();
+    let stories = finish(streams, TOKENS).await;
+
+    assert_returns("entry killed", &stories);
+    let (tokens, _) = check_engines(&world).await;
+    println!(
+        "entry killed: {tokens} tokens generated for {}",
+        STREAMS as u64 * TOKENS
+    );
+    assert_eq!(
+        tokens,
+        STREAMS as u64 * TOKENS,
+        "nothing is generated twice"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_process_paused_and_returning() {
+    let _turn = TURN.lock().await;
+    let world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    world.entries[0].process.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    world.entries[0].process.signal("CONT");
+    let stories = finish(streams, TOKENS).await;
+
+    assert_returns("entry paused", &stories);
+    let (tokens, _) = check_engines(&world).await;
+    println!(
+        "entry paused: {tokens} tokens generated for {}",
+        STREAMS as u64 * TOKENS
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_and_engine_processes_killed_together_with_the_platform_down() {
+    let _turn = TURN.lock().await;
+    let mut world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+    world.platform.process.kill();
+
+    let victim = busiest(&world).await;
+    world.engines[victim].process.kill();
+    world.entries[0].process.kill();
+    let stories = finish(streams, TOKENS).await;
+
+    assert_returns("entry and engine killed, platform down", &stories);
+    assert_gaps(
+        "entry and engine killed, platform down",
+        &stories,
+        SILENT_BARS,
+    );
+    check_engines(&world).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_engine_processes_killed_one_after_the_other() {
+    let _turn = TURN.lock().await;
+    let mut world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    for _ in 0..2 {
+        let victim = busiest(&world).await;
+        world.engines[victim].process.kill();
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    let stories = finish(streams, TOKENS).await;
+
+    assert_continued(&world).await;
+    assert_gaps("two engines killed", &stories, RESET_BARS);
+    check_engines(&world).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_over_processes() {
+    const POISON: &str = "an odd roof that [crashes] the engine";
+    let _turn = TURN.lock().await;
+    let mut world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    for engine in &world.engines {
+        world
+            .control(engine.addr, "/control", &json!({"crash_on": "[crashes]"}))
+            .await;
+    }
+    let streams = begin(&world, TOKENS);
+    running(&world).await;
+
+    for (entry, key) in [(0, "p"), (1, "p"), (2, "q"), (0, "r")] {
+        let ask = Ask::completion(world.entries[entry].caller, "llm", POISON, 20).key(key);
+        let seen = ask.all(&world.client).await;
+        let error = seen.error.expect("a final answer");
+        assert!(
+            error["error"]["retry_after_ms"].as_u64().is_some(),
+            "{error}"
+        );
+    }
+    finish(streams, TOKENS).await;
+    let mut lost = 0;
+    for engine in &mut world.engines {
+        lost += usize::from(engine.process.ended(Duration::ZERO).is_some());
+    }
+
+    println!("poison: {lost} engine processes lost");
+    assert!(lost <= 2, "{lost} engines lost");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod caller;
 pub mod process;
+pub mod returning;
 pub mod world;
