--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -45,7 +45,7 @@
     /// What is known of the targets' loads.
     pub views: Views,
     /// Who may start work.
-    pub gate: Gate,
+    pub gate: Arc<Gate>,
     /// What retries may be spent.
     pub budget: Arc<Budget>,
     /// Other instances.
@@ -67,6 +67,7 @@
         let fleet = Arc::<Fleet>::default();
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
         let budget = Arc::new(Budget::new());
+        let gate = Arc::new(Gate::new(rand::random()));
         let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
@@ -75,18 +76,20 @@
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router);
+        let metrics = Metrics::new();
+        generations.gate(generate::admission(&config, &gate, &budget, &metrics));
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         Self {
             settings,
             log,
-            metrics: Metrics::new(),
+            metrics,
             platform: Arc::new(platform),
             config,
             fleet,
             router,
             views,
-            gate: Gate::new(rand::random()),
+            gate,
             budget,
             peers,
             client: Client::new(),
@@ -99,7 +102,7 @@
     /// Whether it knows the configuration and the fleet.
     #[must_use]
     pub fn ready(&self) -> bool {
-        let known = self.config.view().rev > 0;
+        let known = self.config.complete();
         known && self.listed.load(Ordering::Acquire)
     }
 
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -60,7 +60,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Offer(u8, u64, i32),
+    Offer(u8, u64, i64),
     Release(usize),
     Cancel(usize),
     Supply(u32),
@@ -69,7 +69,7 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        4 => (0_u8..6, 1_u64..500, -2..3).prop_map(|(a, c, p)| Step::Offer(a, c, p)),
+        4 => (0_u8..6, 1_u64..500, -2_i64..3).prop_map(|(a, c, p)| Step::Offer(a, c, p)),
         3 => any::<usize>().prop_map(Step::Release),
         1 => any::<usize>().prop_map(Step::Cancel),
         1 => (0_u32..12).prop_map(Step::Supply),
@@ -243,7 +243,10 @@
 
 #[test]
 fn a_request_that_cannot_meet_its_deadline_is_refused_at_once() {
-    let (mut line, now) = line(1);
+    let (mut line, start) = line(1);
+    let measured = run(&mut line, &ask("a", 0), start);
+    let now = start + 2 * SECOND;
+    line.release(measured, None, now);
     let _running = run(&mut line, &ask("a", 1), now);
     let hasty = Ask {
         deadline: Some(now + MILLI),
@@ -258,6 +261,16 @@
     assert_eq!((refusal.reason, refusal.wait), (Reason::Deadline, None));
 }
 
+#[test]
+fn nothing_is_refused_by_a_guess_of_the_drain() {
+    let (mut line, now) = line(1);
+    let _running = run(&mut line, &ask("a", 0), now);
+
+    for request in 1..100 {
+        wait(&mut line, &ask("a", request), now);
+    }
+}
+
 #[test]
 fn a_return_before_its_time_is_told_what_is_left() {
     let (mut line, now) = line(1);
