--- a/examples/standin/engine/mod.rs
+++ b/examples/standin/engine/mod.rs
@@ -85,6 +85,13 @@
         self.batch.lock().running().count()
     }
 
+    /// Prompts of the attempts that run.
+    #[allow(dead_code, reason = "for engines that share a process with their user")]
+    pub fn prompts(&self) -> Vec<String> {
+        let batch = self.batch.lock();
+        batch.running().map(|a| a.start.prompt.clone()).collect()
+    }
+
     /// Waits while the engine is frozen.
     async fn thawed(&self) {
         loop {
--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -29,6 +29,7 @@
 /// A running engine.
 pub struct Target {
     pub name: String,
+    pub addr: SocketAddr,
     pub engine: Arc<engine::Engine>,
 }
 
@@ -88,20 +89,31 @@
         Ok(lab)
     }
 
-    /// Starts an engine and lists it.
+    /// Starts an engine in the usual place and lists it.
     pub async fn engine(&mut self, options: engine::options::Options) -> anyhow::Result<()> {
+        self.engine_at(options, "d1", "r1").await
+    }
+
+    /// Starts an engine and lists it.
+    pub async fn engine_at(
+        &mut self,
+        options: engine::options::Options,
+        domain: &str,
+        region: &str,
+    ) -> anyhow::Result<()> {
         let listener = listen().await?;
         let addr = listener.local_addr()?;
         let name = options.name.clone();
         let running = engine::Engine::new(options);
         tokio::spawn(engine::run(listener, Arc::clone(&running)));
         self.list(json!({
-            "name": name, "role": "engine", "addr": addr, "domain": "d1", "region": "r1",
+            "name": name, "role": "engine", "addr": addr, "domain": domain, "region": region,
             "service": SERVICE, "version": "v1", "state": "live",
         }))
         .await?;
         self.targets.push(Target {
             name,
+            addr,
             engine: running,
         });
         Ok(())
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -14,6 +14,7 @@
 
 use super::auth::{Nonce, PeerKey, Proof, Side, nonce, same};
 use super::frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
+use super::meter::Metered;
 
 /// Header that carries the protocol's version.
 pub(crate) const VERSION_HEADER: &str = "x-protocol";
@@ -99,7 +100,7 @@
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(WINDOW)
             .initial_connection_window_size(WINDOW)
-            .handshake(stream)
+            .handshake(Metered(stream))
             .await
             .map_err(|_| LinkError::Lost)?;
         tokio::spawn(connection);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod hub;
 mod link;
 mod member;
+mod meter;
 mod serve;
 
 pub use auth::PeerKey;
--- a/src/peer/serve.rs
+++ b/src/peer/serve.rs
@@ -15,6 +15,7 @@
 use super::frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
 use super::hub::Hub;
 use super::link::{HELLO, Hello, PROVE, VERSION_HEADER, WINDOW, Welcome, collect};
+use super::meter::Metered;
 
 /// Time in which a connection has to open and to prove the key.
 const AUTH_LIMIT: Duration = Duration::from_secs(2);
@@ -54,7 +55,7 @@
     let handshake = h2::server::Builder::new()
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
-        .handshake(stream);
+        .handshake(Metered(stream));
     let Ok(Ok(mut connection)) = tokio::time::timeout(AUTH_LIMIT, handshake).await else {
         hub.count_malformed();
         return;
