--- a/examples/standin/platform/mod.rs
+++ b/examples/standin/platform/mod.rs
@@ -1,5 +1,7 @@
 //! The platform in memory: objects with revisions, watches, the instance list, and faults.
 
+// Loaded once by each stand-in, as a test may hold several of them.
+#[allow(clippy::duplicate_mod)]
 #[path = "../conn.rs"]
 mod conn;
 mod faults;
