Let the stop test outlast the drain's quiet time

Cause: the test passed without the wait for unsettled actions, as the drain's quiet second covered its 1.5 s action. Change: the action takes 4.5 s and the service's answer time is 6 s. Conclusion: the test now needs its mechanism.

--- a/tests/action_processes.rs
+++ b/tests/action_processes.rs
@@ -25,7 +25,7 @@
         "kind": "plain",
         "version": "v1",
         "versions": {"v1": {}},
-        "timeout_ms": 2000,
+        "timeout_ms": 6000,
         "routes": [{"method": "POST", "path": "/actions", "repeat": "never", "status": "/status"}],
     });
     world.store("service", "desk", &desk).await;
@@ -186,7 +186,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopped_without_caller() {
     let mut world = world(2).await;
-    service_fault(&world, json!({"slow_ms": 1500})).await;
+    service_fault(&world, json!({"slow_ms": 4500})).await;
     let caller = tokio::spawn(tell(action(&world, 0, "gone")));
     until("the action runs", async || runs(&world, "gone").await == 1).await;
     caller.abort();
