--- a/examples/measure/table.rs
+++ b/examples/measure/table.rs
@@ -75,6 +75,11 @@
     }
 
     /// A quantile in milliseconds.
+    pub fn at(&self, quantile: f64) -> f64 {
+        self.0.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// A quantile in milliseconds, as text.
     pub fn quantile(&self, quantile: f64) -> String {
         ms(self.0.value_at_quantile(quantile))
     }
--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -177,7 +177,8 @@
         self.send(Method::PUT, &url, value).await
     }
 
-    async fn list(&self, item: Value) -> anyhow::Result<()> {
+    /// Lists an instance on the platform.
+    pub async fn list(&self, item: Value) -> anyhow::Result<()> {
         let url = format!("http://{}/control/instances", self.platform);
         self.send(Method::POST, &url, &item).await
     }
@@ -194,13 +195,17 @@
     }
 
     fn settings(&self, name: &str) -> anyhow::Result<Settings> {
-        let text = format!(
+        Ok(Settings::parse(&self.settings_text(name))?)
+    }
+
+    /// Settings of an entry instance in the usual place.
+    pub fn settings_text(&self, name: &str) -> String {
+        format!(
             "[instance]\nname = {name}\ndomain = d1\nregion = r1\n\
              [listen]\ncaller = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
              [platform]\naddr = {}\n[peers]\nkey = a-key-that-all-instances-share\n",
             self.platform
-        );
-        Ok(Settings::parse(&text)?)
+        )
     }
 }
 
