--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -9,7 +9,10 @@
 mod plain;
 
 mod aggregate;
+mod cost;
 mod faults;
 mod fixture;
 mod history;
+mod lookup;
+mod safe;
 mod sweep;
