Test that an account beyond its concurrency is told when to come back

Cause: the case was red before admission stood in the callers' way. Change: the case joins the callers' contract. Conclusion: tests/caller_contract.rs passes (9 tests).

--- a/tests/caller_contract.rs
+++ b/tests/caller_contract.rs
@@ -383,3 +383,54 @@
     assert_eq!(claims["items"], json!([]));
     assert!(serves(&world).await);
 }
+#[tokio::test(flavor = "multi_thread")]
+async fn an_account_beyond_its_concurrency_is_refused_early_and_told_when_to_come_back() {
+    let world = world().await;
+    let account = json!({
+        "key_sha256": hex::encode(<sha2::Sha256 as sha2::Digest>::digest("key-three")),
+        "concurrency": 1,
+    });
+    let url = format!(
+        "http://{}/v1/objects/account/three?if_rev=0",
+        world.platform.addr
+    );
+    let put = request(Method::PUT, &url, account.to_string());
+    assert!(
+        world
+            .client
+            .send(Via::Pool, put, LIMIT)
+            .await
+            .unwrap()
+            .status
+            .is_success()
+    );
+    let addr = world.entries[0].caller;
+    let long = Ask::completion(addr, "llm", "long", 20_000).account("key-three");
+    support::world::until("the account is known", async || {
+        let probe = Ask::completion(addr, "llm", "probe", 1).account("key-three");
+        probe.all(&world.client).await.done
+    })
+    .await;
+    let client = world.client.clone();
+    let (send, running) = tokio::sync::oneshot::channel();
+    let send = std::sync::Mutex::new(Some(send));
+    let holder = tokio::spawn(async move {
+        let first = |_: &support::caller::Token| {
+            if let Some(send) = send.lock().unwrap().take() {
+                let _ = send.send(());
+            }
+            false
+        };
+        long.stream(&client, first).await
+    });
+    running.await.unwrap();
+
+    let second = Ask::completion(addr, "llm", "second", 5).account("key-three");
+    let refused = second.all(&world.client).await;
+
+    holder.abort();
+    assert_eq!(refused.status, 429, "{refused:?}");
+    let error = &refused.error.as_ref().unwrap()["error"];
+    assert_eq!(error["outcome"], "not_run");
+    assert!(error["retry_after_ms"].as_u64().is_some(), "{error}");
+}
