Drive moves at every instance and gather their evidence

Cause: the aggregate of moves was not joined to requests, peers and the platform. Ruled out: counting every gap between tokens, since gaps of one generation depend on each other and a test that takes them for independent finds faults that are none; and counting each request that a dying target carried, for the same reason. Plain calls choose their version by key.

--- a/src/action/call.rs
+++ b/src/action/call.rs
@@ -77,8 +77,8 @@
     }
 }
 
-/// Chooses a target of a service, but none of those excluded.
-pub type Choose = Arc<dyn Fn(&str, &[SocketAddr]) -> Option<Pick> + Send + Sync>;
+/// Chooses a target for a call, but none of those excluded.
+pub type Choose = Arc<dyn Fn(&Call, &[SocketAddr]) -> Option<Pick> + Send + Sync>;
 
 /// Where a try of a non-repeatable action stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -249,7 +249,7 @@
     async fn connect(&mut self) -> Event {
         self.connection = None;
         while self.excluded.len() < CONNECTS {
-            let Some(pick) = (self.inner.choose)(&self.call.service, &self.excluded) else {
+            let Some(pick) = (self.inner.choose)(&self.call, &self.excluded) else {
                 break;
             };
             match Connection::open(pick.addr).await {
@@ -329,7 +329,7 @@
 
     /// Asks any target of the service, over a new connection.
     async fn check(&mut self, path: &str) -> Event {
-        let Some(pick) = (self.inner.choose)(&self.call.service, &[]) else {
+        let Some(pick) = (self.inner.choose)(&self.call, &[]) else {
             return Event::Checked(None);
         };
         let url = format!("http://{}{path}", pick.addr);
--- a/src/action/safe.rs
+++ b/src/action/safe.rs
@@ -88,7 +88,7 @@
             if left.is_zero() || sent > 0 && !budget.take() {
                 break;
             }
-            let Some(pick) = self.choose_again(&call.service, &mut excluded) else {
+            let Some(pick) = self.choose_again(&call, &mut excluded) else {
                 break;
             };
             excluded.push(pick.addr);
@@ -102,10 +102,10 @@
     }
 
     /// Chooses a target not yet tried or, when there is none, any.
-    fn choose_again(&self, service: &str, excluded: &mut Vec<SocketAddr>) -> Option<Pick> {
-        (self.inner.choose)(service, excluded).or_else(|| {
+    fn choose_again(&self, call: &Call, excluded: &mut Vec<SocketAddr>) -> Option<Pick> {
+        (self.inner.choose)(call, excluded).or_else(|| {
             excluded.clear();
-            (self.inner.choose)(service, excluded)
+            (self.inner.choose)(call, excluded)
         })
     }
 
--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -32,6 +32,9 @@
 /// Tries of a cancellation whose connection broke.
 const CANCEL_TRIES: u32 = 3;
 
+/// Gaps of one attempt whose mean is its pace.
+const PACE_GAPS: u32 = 12;
+
 /// Tokens of one attempt that clear a suspect.
 const CLEARING: u64 = 16;
 
@@ -45,6 +48,7 @@
     pace: Arc<Mutex<Pace>>,
     began: Instant,
     heard: Option<Instant>,
+    gaps: (u32, Duration),
 }
 
 /// What a pending call returned.
@@ -379,6 +383,7 @@
             pace,
             began: Instant::now(),
             heard: None,
+            gaps: (0, Duration::ZERO),
         });
         engine
     }
@@ -458,7 +463,12 @@
         let seen = match attempt.heard.replace(now) {
             Some(heard) => {
                 attempt.pace.lock().observe(now - heard);
-                Observation::Gap(now - heard)
+                attempt.gaps.0 += 1;
+                attempt.gaps.1 += now - heard;
+                match attempt.gaps {
+                    (PACE_GAPS, sum) => Observation::Pace(sum / PACE_GAPS),
+                    _ => Observation::Gap(now - heard),
+                }
             }
             None => Observation::FirstToken(now - attempt.began),
         };
--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -54,6 +54,8 @@
     FirstToken(Duration),
     /// Time between two tokens.
     Gap(Duration),
+    /// Mean time between the tokens of an attempt, once for each attempt that has enough.
+    Pace(Duration),
     /// The engine ended the attempt with an error.
     Faulted,
     /// The engine refused the attempt.
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -5,11 +5,13 @@
 use std::time::Instant;
 
 use super::Instance;
+use super::witness::{Asked, Witness, plain_route};
 use crate::action::{self, Call, Choose, Outcome, Pick, Report, claim_name};
 use crate::admission::Ask;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
 use crate::ident::{RequestKey, TargetKey};
+use crate::rollout::Book;
 use crate::routing::{Query, Router};
 use crate::settings::Identity;
 
@@ -66,17 +68,31 @@
     identity: &Identity,
     config: &Arc<config::Store>,
     router: &Arc<Router>,
+    witness: &Arc<Witness>,
+    moves: &Arc<Book>,
 ) -> Choose {
     let identity = identity.clone();
     let config = Arc::clone(config);
     let router = Arc::clone(router);
-    Arc::new(move |service, excluded| {
+    let witness = Arc::clone(witness);
+    let moves = Arc::clone(moves);
+    Arc::new(move |call: &Call, excluded| {
         let view = config.view();
-        let version = &view.services.get(service)?.value.version;
+        let service = call.service.as_str();
+        let key = request_key(call);
+        let version = moves
+            .version_for(service, key)
+            .or_else(|| view.version_for(service, key).cloned())?;
+        let route = view
+            .services
+            .get(service)?
+            .value
+            .route(call.method.as_str(), &call.path);
+        let route = plain_route(call.method.as_str(), route.map(|r| r.path.as_str()));
         let excluded = keys(&router, excluded);
         let query = Query {
             service,
-            version,
+            version: &version,
             domain: &identity.domain,
             region: &identity.region,
             prefix: None,
@@ -85,9 +101,19 @@
         };
         let asked = Instant::now();
         let lease = router.choose(&query, asked)?;
-        let router = Arc::clone(&router);
+        let (router, witness) = (Arc::clone(&router), Arc::clone(&witness));
         let addr = lease.addr;
+        let service = call.service.clone();
+        let digest = request_key(call).0;
         let report = Box::new(move |report| {
+            let asked_for = Asked {
+                service: &service,
+                version: &version,
+                route: &route,
+                key: lease.key,
+                digest,
+            };
+            witness.reported(asked_for, report, asked.elapsed());
             tell(&router, lease.key, report, asked);
             drop(lease);
         });
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::Instance;
+use super::witness::Witness;
 use crate::admission::Budget;
 use crate::config::Account;
 use crate::failure::Failure;
@@ -44,17 +45,21 @@
     fleet: &Arc<Fleet>,
     router: &Arc<Router>,
     budget: &Arc<Budget>,
+    witness: &Arc<Witness>,
 ) -> Hooks {
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
         router: Arc::clone(router),
+        witness: Arc::clone(witness),
     };
+    let witness = Arc::clone(witness);
     let (fleet, router, budget) = (Arc::clone(fleet), Arc::clone(router), Arc::clone(budget));
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
-        observe: Box::new(move |_, target, seen| {
+        observe: Box::new(move |start, target, seen| {
             if let Some(key) = fleet.key(&target.name) {
+                witness.observed(start, key, seen);
                 observe(&router, key, seen);
             }
         }),
@@ -68,6 +73,7 @@
     identity: Identity,
     fleet: Arc<Fleet>,
     router: Arc<Router>,
+    witness: Arc<Witness>,
 }
 
 impl Chooser {
@@ -89,7 +95,10 @@
             bytes: start.prompt.len() as u64 + start.max_tokens * TOKEN_BYTES,
         };
         let lease = self.router.choose(&query, Instant::now());
-        let lease = lease.ok_or_else(|| no_target(start))?;
+        let lease = lease.ok_or_else(|| {
+            self.witness.unserved(start);
+            no_target(start)
+        })?;
         Ok(Lease {
             target: Target {
                 name: lease.name(),
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -4,10 +4,14 @@
 mod balance;
 mod follow;
 mod generate;
+mod moves;
+mod witness;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use indexmap::IndexSet;
+use parking_lot::Mutex;
 use slog::Logger;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
@@ -21,10 +25,13 @@
 use crate::ident::RequestKey;
 use crate::peer::{Member, Options, PeerKey, Peers};
 use crate::platform;
+use crate::rollout::Book;
 use crate::routing::{Costs, Policy, Router, Views};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
+use witness::Witness;
+
 /// The parts of one entry instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -56,6 +63,9 @@
     pub generations: Generations,
     /// Calls of plain services.
     pub actions: Actions,
+    /// Moves that run.
+    pub moves: Arc<Book>,
+    storing: Mutex<IndexSet<SmolStr>>,
     listed: AtomicBool,
 }
 
@@ -67,14 +77,16 @@
         let fleet = Arc::<Fleet>::default();
         let router = Arc::new(Router::new(Policy::Cost, Costs::default()));
         let budget = Arc::new(Budget::new());
-        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget);
+        let moves = Arc::new(Book::new(settings.instance.name.clone(), rand::random()));
+        let witness = Arc::new(Witness::new(Arc::clone(&moves), Arc::clone(&router)));
+        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget, &witness);
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
         generations.join(&peers);
         let views = Views::new(balance::poller(&settings));
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
-        let choose = act::chooser(&settings.instance, &config, &router);
+        let choose = act::chooser(&settings.instance, &config, &router, &witness, &moves);
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         Self {
@@ -92,6 +104,8 @@
             client: Client::new(),
             generations,
             actions,
+            moves,
+            storing: Mutex::default(),
             listed: AtomicBool::new(false),
         }
     }
@@ -107,12 +121,17 @@
     #[must_use]
     pub fn version(&self, service: &str, key: RequestKey) -> SmolStr {
         let view = self.config.view();
-        view.version_for(service, key).cloned().unwrap_or_default()
+        let moving = self.moves.version_for(service, key);
+        moving
+            .or_else(|| view.version_for(service, key).cloned())
+            .unwrap_or_default()
     }
 
     /// Starts the tasks that keep the instance's picture of the world.
     pub fn start(self: &Arc<Self>) {
         self.hear_peers();
+        self.hear_evidence();
+        tokio::spawn(Arc::clone(self).drive_moves());
         tokio::spawn(Arc::clone(self).follow_fleet());
         tokio::spawn(Arc::clone(self).poll_loads());
         tokio::spawn(Arc::clone(self).share_capacity());
--- a/src/rollout/histogram.rs
+++ b/src/rollout/histogram.rs
@@ -56,7 +56,7 @@
     }
 
     /// Durations in buckets from `edge` on.
-    pub(crate) fn from_bucket(&self, edge: usize) -> u64 {
+    pub(crate) fn tail_from(&self, edge: usize) -> u64 {
         self.counts().iter().skip(edge).sum()
     }
 }
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -279,11 +279,11 @@
             return;
         }
         if let Some(limit) = self.slow_limit(scope, |r| r.first_limit(at)) {
-            let (all, bad) = (cell.first.total(), cell.first.from_bucket(limit.edge));
+            let (all, bad) = (cell.first.total(), cell.first.tail_from(limit.edge));
             self.update(scope, Measure::First, at, all, bad, limit.null);
         }
         if let Some(limit) = self.slow_limit(scope, |r| r.gap_limit(at)) {
-            let (all, bad) = (cell.gap.total(), cell.gap.from_bucket(limit.edge));
+            let (all, bad) = (cell.gap.total(), cell.gap.tail_from(limit.edge));
             self.update(scope, Measure::Gap, at, all, bad, limit.null);
         }
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -227,6 +227,15 @@
             .map(|e| e.target.key)
     }
 
+    /// Part of a target's slots that is thought to be in use; above 1 when requests wait.
+    #[must_use]
+    pub fn utilisation(&self, key: TargetKey, now: Instant) -> Option<f64> {
+        let table = self.table();
+        let state = table.entry(key)?.state.lock();
+        let slots = state.load.slots().max(1);
+        Some(f64::from(state.load.estimate(now)) / f64::from(slots))
+    }
+
     /// Estimated requests at a target.
     #[must_use]
     pub fn estimate(&self, key: TargetKey, now: Instant) -> Option<u32> {
