--- a/src/action/safe.rs
+++ b/src/action/safe.rs
@@ -94,7 +94,7 @@
             excluded.push(pick.addr);
             let slice = slice(left, SENDS - sent);
             match self.send_safe(&call, pick, slice, sent).await {
-                Ok(answer) => return Ok(super::driver::outcome(answer)),
+                Ok(answer) => return Ok(Outcome::from_answer(answer)),
                 Err(failure) => last = failure,
             }
         }
@@ -103,9 +103,9 @@
 
     /// Chooses a target not yet tried or, when there is none, any.
     fn choose_again(&self, call: &Call, excluded: &mut Vec<SocketAddr>) -> Option<Pick> {
-        (self.inner.choose)(call, excluded).or_else(|| {
+        (self.inner.choose)(call.seek(), excluded).or_else(|| {
             excluded.clear();
-            (self.inner.choose)(call, excluded)
+            (self.inner.choose)(call.seek(), excluded)
         })
     }
 
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -6,14 +6,15 @@
 
 use super::Instance;
 use super::witness::{Asked, Witness, plain_route};
-use crate::action::{self, Call, Choose, Outcome, Pick, Report, claim_name};
+use crate::action::{self, Call, Choose, Outcome, Pick, Report, Seek, claim_name};
 use crate::admission::Ask;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
-use crate::ident::{RequestKey, TargetKey};
+use crate::ident::TargetKey;
 use crate::rollout::Book;
 use crate::routing::{Query, Router};
 use crate::settings::Identity;
+use smol_str::SmolStr;
 
 /// Bytes that a plain call is thought to move.
 const CALL_BYTES: u64 = 4096;
@@ -34,7 +35,7 @@
             priority: 0,
             cost: CALL_COST,
             deadline: Some(Instant::now() + call.deadline),
-            request: request_key(&call),
+            request: call.seek().key,
         };
         let permit = self.gate.admit(&call.service, &ask).await;
         match permit {
@@ -55,14 +56,6 @@
     }
 }
 
-/// Names the call for admission. A call without a key cannot be known again.
-fn request_key(call: &Call) -> RequestKey {
-    match &call.key {
-        Some(key) => RequestKey::new(&call.account, key),
-        None => RequestKey(rand::random()),
-    }
-}
-
 /// Chooses targets of plain services of the version in force.
 pub(super) fn chooser(
     identity: &Identity,
@@ -76,10 +69,9 @@
     let router = Arc::clone(router);
     let witness = Arc::clone(witness);
     let moves = Arc::clone(moves);
-    Arc::new(move |call: &Call, excluded| {
+    Arc::new(move |seek: Seek<'_>, excluded| {
         let view = config.view();
-        let service = call.service.as_str();
-        let key = request_key(call);
+        let (service, key) = (seek.service, seek.key);
         let version = moves
             .version_for(service, key)
             .or_else(|| view.version_for(service, key).cloned())?;
@@ -87,8 +79,8 @@
             .services
             .get(service)?
             .value
-            .route(call.method.as_str(), &call.path);
-        let route = plain_route(call.method.as_str(), route.map(|r| r.path.as_str()));
+            .route(seek.method, seek.path);
+        let route = plain_route(seek.method, route.map(|r| r.path.as_str()));
         let excluded = keys(&router, excluded);
         let query = Query {
             service,
@@ -103,15 +95,14 @@
         let lease = router.choose(&query, asked)?;
         let (router, witness) = (Arc::clone(&router), Arc::clone(&witness));
         let addr = lease.addr;
-        let service = call.service.clone();
-        let digest = request_key(call).0;
+        let service = SmolStr::from(service);
         let report = Box::new(move |report| {
             let asked_for = Asked {
                 service: &service,
                 version: &version,
                 route: &route,
                 key: lease.key,
-                digest,
+                digest: key.0,
             };
             witness.reported(asked_for, report, asked.elapsed());
             tell(&router, lease.key, report, asked);
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -52,7 +52,7 @@
     /// What is known of the targets' loads.
     pub views: Views,
     /// Who may start work.
-    pub gate: Gate,
+    pub gate: Arc<Gate>,
     /// What retries may be spent.
     pub budget: Arc<Budget>,
     /// Other instances.
@@ -80,6 +80,7 @@
         let moves = Arc::new(Book::new(settings.instance.name.clone(), rand::random()));
         let witness = Arc::new(Witness::new(Arc::clone(&moves), Arc::clone(&router)));
         let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget, &witness);
+        let gate = Arc::new(Gate::new(rand::random()));
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
         generations.join(&peers);
@@ -87,18 +88,20 @@
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router, &witness, &moves);
+        let metrics = Metrics::new();
+        generations.gate(generate::admission(&config, &gate, &budget, &metrics));
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
         Self {
             settings,
             log,
-            metrics: Metrics::new(),
+            metrics,
             platform: Arc::new(platform),
             config,
             fleet,
             router,
             views,
-            gate: Gate::new(rand::random()),
+            gate,
             budget,
             peers,
             client: Client::new(),
@@ -113,7 +116,7 @@
     /// Whether it knows the configuration and the fleet.
     #[must_use]
     pub fn ready(&self) -> bool {
-        let known = self.config.view().rev > 0;
+        let known = self.config.complete();
         known && self.listed.load(Ordering::Acquire)
     }
 
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -19,6 +19,9 @@
 /// Evidence at which a move does not go on.
 const SUSPICIOUS: f64 = 6.0;
 
+/// Evidence at which a move waits for more, as long as there is time.
+const DOUBTFUL: f64 = 2.5;
+
 /// Fraction of the move's time from which standing suspicion takes it back.
 const VERDICT_DUE: f64 = 0.97;
 
@@ -351,7 +354,7 @@
         let allowed = surroundings.platform
             && self.sees_majority(now, &surroundings.live)
             && self.suspicion() < SUSPICIOUS
-            && schedule::is_due(&self.stored, next, passed, stayed, self.ended);
+            && schedule::is_due(&self.stored, next, passed, stayed, self.seen());
         if !allowed {
             self.due = None;
             return None;
@@ -361,6 +364,14 @@
         (now >= due + TURN * turn).then(|| self.after(next, wall))
     }
 
+    /// How much the new version has shown at this step; nothing while there is doubt.
+    fn seen(&self) -> u64 {
+        match self.suspicion() {
+            doubt if doubt >= DOUBTFUL => 0,
+            _ => self.ended,
+        }
+    }
+
     fn after(&self, next: Next, wall: u64) -> Move {
         let (phase, step, reason) = match next {
             Next::Step(step) => (Phase::Advancing, step, "no_worse_so_far"),
