--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -300,7 +300,7 @@
     async fn connect(&mut self) -> Event {
         self.connection = None;
         while self.excluded.len() < CONNECTS {
-            let Some(pick) = (self.inner.choose)(&self.call.service, &self.excluded) else {
+            let Some(pick) = (self.inner.choose)(self.call.seek(), &self.excluded) else {
                 break;
             };
             match Connection::open(pick.addr).await {
@@ -383,7 +383,7 @@
 
     /// Asks any target of the service, over a new connection.
     async fn check(&mut self, path: &str) -> Event {
-        let Some(pick) = (self.inner.choose)(&self.call.service, &[]) else {
+        let Some(pick) = (self.inner.choose)(self.call.seek(), &[]) else {
             return Event::Checked(None);
         };
         let url = format!("http://{}{path}", pick.addr);
--- a/src/action/sweep.rs
+++ b/src/action/sweep.rs
@@ -8,9 +8,9 @@
 use smol_str::SmolStr;
 
 use super::marks::{Marks, Watcher};
-use super::{Choose, KIND, Now, Outcome, Record, Stage};
+use super::{Choose, KIND, Now, Outcome, Record, Seek, Stage};
 use crate::http::{Client as Http, Via, request};
-use crate::ident::{digest, rendezvous};
+use crate::ident::{RequestKey, digest, rendezvous};
 use crate::platform::{Client, Error, Expect, Object};
 
 /// Object kind and name of the marks.
@@ -215,7 +215,13 @@
     }
 
     async fn ask(&self, record: &Record) -> Option<Outcome> {
-        let pick = (self.choose)(&record.service, &[])?;
+        let seek = Seek {
+            service: &record.service,
+            key: RequestKey(rand::random()),
+            method: "",
+            path: "",
+        };
+        let pick = (self.choose)(seek, &[])?;
         let url = format!("http://{}{}", pick.addr, record.check.as_deref()?);
         let ask = request(Method::GET, &url, Bytes::new());
         let answer = self.http.send(Via::Pool, ask, CHECK_TIMEOUT).await.ok()?;
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -5,13 +5,18 @@
 use std::time::Instant;
 
 use super::Instance;
-use crate::action::{self, Call, Choose, Outcome, Pick, Report, Retention, Sweeper, claim_name};
+use super::witness::{Asked, Witness, plain_route};
+use crate::action::{
+    self, Call, Choose, Outcome, Pick, Report, Retention, Seek, Sweeper, claim_name,
+};
 use crate::admission::Ask;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
-use crate::ident::{RequestKey, TargetKey};
+use crate::ident::TargetKey;
+use crate::rollout::Book;
 use crate::routing::{Query, Router};
 use crate::settings::Identity;
+use smol_str::SmolStr;
 
 /// Bytes that a plain call is thought to move.
 const CALL_BYTES: u64 = 4096;
@@ -32,7 +37,7 @@
             priority: 0,
             cost: CALL_COST,
             deadline: Some(Instant::now() + call.deadline),
-            request: request_key(&call),
+            request: call.seek().key,
         };
         let permit = self.gate.admit(&call.service, &ask).await;
         match permit {
@@ -65,30 +70,35 @@
     }
 }
 
-/// Names the call for admission. A call without a key cannot be known again.
-fn request_key(call: &Call) -> RequestKey {
-    match &call.key {
-        Some(key) => RequestKey::new(&call.account, key),
-        None => RequestKey(rand::random()),
-    }
-}
-
 /// Chooses targets of plain services of the version in force.
 pub(super) fn chooser(
     identity: &Identity,
     config: &Arc<config::Store>,
     router: &Arc<Router>,
+    witness: &Arc<Witness>,
+    moves: &Arc<Book>,
 ) -> Choose {
     let identity = identity.clone();
     let config = Arc::clone(config);
     let router = Arc::clone(router);
-    Arc::new(move |service, excluded| {
+    let witness = Arc::clone(witness);
+    let moves = Arc::clone(moves);
+    Arc::new(move |seek: Seek<'_>, excluded| {
         let view = config.view();
-        let version = &view.services.get(service)?.value.version;
+        let (service, key) = (seek.service, seek.key);
+        let version = moves
+            .version_for(service, key)
+            .or_else(|| view.version_for(service, key).cloned())?;
+        let route = view
+            .services
+            .get(service)?
+            .value
+            .route(seek.method, seek.path);
+        let route = plain_route(seek.method, route.map(|r| r.path.as_str()));
         let excluded = keys(&router, excluded);
         let query = Query {
             service,
-            version,
+            version: &version,
             domain: &identity.domain,
             region: &identity.region,
             prefix: None,
@@ -97,9 +107,18 @@
         };
         let asked = Instant::now();
         let lease = router.choose(&query, asked)?;
-        let router = Arc::clone(&router);
+        let (router, witness) = (Arc::clone(&router), Arc::clone(&witness));
         let addr = lease.addr;
+        let service = SmolStr::from(service);
         let report = Box::new(move |report| {
+            let asked_for = Asked {
+                service: &service,
+                version: &version,
+                route: &route,
+                key: lease.key,
+                digest: key.0,
+            };
+            witness.reported(asked_for, report, asked.elapsed());
             tell(&router, lease.key, report, asked);
             drop(lease);
         });
--- a/src/rollout/reference.rs
+++ b/src/rollout/reference.rs
@@ -19,13 +19,13 @@
 const MARGIN: usize = 1;
 
 /// Weight and rate of failures assumed before anything is known.
-const PRIOR: (f64, f64) = (100.0, 0.005);
+const PRIOR: (f64, f64) = (100.0, 0.004);
 
 /// A rate may be this many times the old version's.
 const TOLERANCE: f64 = 1.5;
 
 /// Added to the tolerated rate of failures.
-const FAILURE_FLOOR: f64 = 0.005;
+const FAILURE_FLOOR: f64 = 0.004;
 
 /// Added to the tolerated rate of slow answers.
 const SLOW_FLOOR: f64 = 0.03;
