Measure what a stream costs and check undisturbed streams

Cause: processor time, memory and false suspicions were not known, an engine's error line was told to the evidence of moves as a refusal, and returns across failure domains had no test. Conclusion: the bound on memory is 512 KiB a stream.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -234,6 +234,7 @@
                 Command::Cancel(number) => self.cancel(number),
                 Command::Lose(loss) => self.lose(loss),
                 Command::Avoid => self.leave(Observation::Refused),
+                Command::Fault => self.leave(Observation::Faulted),
                 Command::Finish(outcome) => self.finish(outcome),
             }
         }
@@ -399,6 +400,9 @@
     }
 
     fn probe(&mut self) {
+        if self.state.progress() > 0 {
+            self.observe(Observation::Suspected);
+        }
         let Some(attempt) = &self.attempt else { return };
         let (engine, name) = (attempt.engine.clone(), attempt.name.clone());
         let call = async move { Answer::Position(engine.position(&name, PROBE_LIMIT).await) };
--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -57,6 +57,8 @@
     Gap(Duration),
     /// Mean time between the tokens of an attempt, once for each attempt that has enough.
     Pace(Duration),
+    /// It was silent for longer than its limit, and is asked.
+    Suspected,
     /// The engine ended the attempt with an error.
     Faulted,
     /// The engine refused the attempt.
--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -91,6 +91,8 @@
     Lose(Loss),
     /// The target refused the attempt.
     Avoid,
+    /// The target ended the attempt with an error.
+    Fault,
     /// The generation is over.
     Finish(Outcome),
 }
@@ -324,12 +326,12 @@
 
     fn faulted(&mut self, reason: &str, now: Instant, out: &mut Vec<Command>) {
         self.faults += 1;
+        out.push(Command::Fault);
         if self.faults >= MAX_FAULTS {
             let message = format!("the engine ended the attempt: {reason}");
             let failure = Failure::failed(502, "engine_failed", message);
             return self.finish(Outcome::Failed(failure), out);
         }
-        out.push(Command::Avoid);
         self.phase = Phase::Choosing(now);
     }
 
--- a/tests/generation_engines.rs
+++ b/tests/generation_engines.rs
@@ -183,3 +183,45 @@
         Duration::from_secs(1),
     );
 }
+
+/// Seconds of undisturbed streams; `ENDIVEFORK_SOAK_S` makes it longer.
+const SOAK: u64 = 10;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn undisturbed_streams_are_not_suspected() {
+    let soak = std::env::var("ENDIVEFORK_SOAK_S");
+    let seconds = soak.map_or(SOAK, |s| s.parse().expect("seconds"));
+    let tokens = seconds * 1000 / TOKEN.as_millis() as u64;
+    let fleet = Fleet::start(4, &options()).await;
+    let generations = Generations::new(fleet.hooks(), Client::new());
+
+    let streams = (0..STREAMS).map(|i| {
+        let generations = generations.clone();
+        tokio::spawn(async move {
+            let mut start = start(&format!("key-{i}"), &prompt(i), tokens);
+            start.deadline += Duration::from_secs(seconds);
+            let mut reader = generations.open(start, None).await.unwrap();
+            read(&mut reader, usize::MAX).await
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    let mut gaps = Vec::new();
+    for (i, stream) in streams.into_iter().enumerate() {
+        let seen = stream.await.unwrap();
+        seen.assert_exact(&prompt(i), 0, tokens);
+        gaps.push(seen.worst_gap());
+    }
+
+    let suspicions = *fleet.suspicions.lock();
+    let losses = fleet.losses.lock().len();
+    println!(
+        "{STREAMS} undisturbed streams for {seconds} s: {suspicions} suspicions, {losses} targets given up, worst gap {:?}",
+        gaps.iter().max().unwrap(),
+    );
+    assert_eq!(losses, 0, "a target was given up falsely");
+    assert_eq!(
+        fleet.tokens(),
+        STREAMS as u64 * tokens,
+        "nothing is generated twice"
+    );
+}
--- a/tests/generation_takeover.rs
+++ b/tests/generation_takeover.rs
@@ -34,12 +34,16 @@
 
 /// `count` instances in one failure domain that know each other, and some engines.
 async fn world(engines: usize, count: usize) -> World {
+    world_in(engines, &vec!["a"; count]).await
+}
+
+async fn world_in(engines: usize, domains: &[&str]) -> World {
     let opts = Options {
         token: TOKEN,
         ..Options::default()
     };
     let fleet = Fleet::start(engines, &opts).await;
-    let entries = entries::entries(&fleet, count).await;
+    let entries = entries::entries_in(&fleet, domains).await;
     World { fleet, entries }
 }
 
@@ -266,3 +270,103 @@
     assert_eq!(tokens, STREAMS as u64 * TOKENS);
     assert!(each < 200.0, "{each}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_returns_in_another_failure_domain() {
+    let mut world = world_in(2, &["a", "a", "b"]).await;
+    let begun = begin(&world, 4).await;
+
+    world.entries[0].kill();
+    let returns = (0..4).map(|i| come_back(&world.entries[2], i, Some(READ as u64 - 1)));
+    let returns = futures_util::future::join_all(returns).await;
+
+    drop(begun);
+    for (i, (took, seen)) in returns.into_iter().enumerate() {
+        seen.assert_exact(&prompt(i), READ as u64, TOKENS);
+        assert!(took <= RETURN_BAR, "{took:?}");
+    }
+    assert_eq!(world.fleet.tokens(), 4 * TOKENS, "generated once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_alone_in_its_domain_journals_to_the_nearest() {
+    let mut world = world_in(2, &["a", "b"]).await;
+    let begun = begin(&world, 4).await;
+
+    let engine = world.fleet.busiest();
+    world.fleet.engines[engine].control(Control {
+        crash: true,
+        ..Control::default()
+    });
+    world.entries[0].kill();
+    let returns = (0..4).map(|i| come_back(&world.entries[1], i, Some(READ as u64 - 1)));
+    let returns = futures_util::future::join_all(returns).await;
+
+    drop(begun);
+    for (i, (_, seen)) in returns.into_iter().enumerate() {
+        seen.assert_exact(&prompt(i), READ as u64, TOKENS);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_cut_off_from_the_others_goes_on_and_refuses_what_it_cannot_know() {
+    let fleet = Fleet::start(
+        2,
+        &Options {
+            token: TOKEN,
+            ..Options::default()
+        },
+    )
+    .await;
+    let mut inside = entries::entries_in(&fleet, &["a", "a"]).await;
+    let outside = entries::entries_in(&fleet, &["b"]).await;
+    let mut reader = inside[0].open(request(0), None).await;
+    read(&mut reader, READ).await;
+
+    inside[0].kill();
+    let last = Some(READ as u64 - 1);
+    let refused = outside[0].try_open(request(0), last).await;
+    let (_, seen) = come_back(&inside[1], 0, last).await;
+
+    assert_eq!(refused.unwrap_err().reason, "generation_unknown");
+    seen.assert_exact(&prompt(0), READ as u64, TOKENS);
+    assert_eq!(fleet.tokens(), TOKENS, "generated once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_instances_take_over_at_once() {
+    let mut world = world(2, 3).await;
+    drop(begin(&world, 1).await);
+    world.entries[0].kill();
+
+    let last = Some(READ as u64 - 1);
+    let (one, two) = tokio::join!(
+        come_back(&world.entries[1], 0, last),
+        come_back(&world.entries[2], 0, last),
+    );
+    let (_, again) = come_back(&world.entries[1], 0, last).await;
+
+    let superseded = |seen: &Seen| {
+        seen.failure
+            .as_ref()
+            .is_some_and(|f| f.reason == "superseded")
+    };
+    println!(
+        "at once: failures {:?} and {:?}",
+        one.1.failure, two.1.failure
+    );
+    assert!(
+        !(superseded(&one.1) && superseded(&two.1)),
+        "one of them goes on"
+    );
+    for seen in [&one.1, &two.1] {
+        let failed = seen.failure.is_some();
+        assert!(!failed || superseded(seen), "{:?}", seen.failure);
+        let texts = seen.tokens.iter().enumerate();
+        for (k, (index, text)) in texts {
+            let due = engines::engine::token::token(&prompt(0), *index);
+            assert_eq!((*index, text.as_str()), ((READ + k) as u64, due.as_str()));
+        }
+    }
+    again.assert_exact(&prompt(0), READ as u64, TOKENS);
+}
--- /dev/null
+++ b/tests/stream_cost.rs
@@ -0,0 +1,202 @@
+//! What a stream costs an instance: processor time for each token, memory, the added wait for a
+//! first token. Prints the figures; run it with `--release` to read them.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use endivefork::http::{Client, Via, request};
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use serde_json::json;
+use support::process::Process;
+use support::world::World;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+/// Clock ticks in a second of `/proc`'s processor times.
+const TICKS: f64 = 100.0;
+
+/// Bytes of a page of memory.
+const PAGE: usize = 4096;
+
+/// Most memory of one open stream, in bytes.
+const STREAM_BAR: usize = 512 << 10;
+
+/// Time after which the memory of new streams is in use.
+const SETTLE: Duration = Duration::from_secs(4);
+
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// Processor time of a process in seconds.
+fn processor(process: &Process) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).expect("it runs");
+    let fields: Vec<_> = stat
+        .rsplit(')')
+        .next()
+        .expect("a name")
+        .split_whitespace()
+        .collect();
+    let ticks = |i: usize| fields[i].parse::<f64>().expect("a number");
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Resident memory of a process in bytes.
+fn memory(process: &Process) -> usize {
+    let stat = std::fs::read_to_string(format!("/proc/{}/statm", process.id())).expect("it runs");
+    let pages = stat.split_whitespace().nth(1).expect("a number");
+    pages.parse::<usize>().expect("a number") * PAGE
+}
+
+fn ask(entry: SocketAddr, i: usize, tokens: usize) -> Request<Full<Bytes>> {
+    let body = json!({
+        "model": "llm", "prompt": format!("cost {i}"), "max_tokens": tokens, "stream": true,
+    });
+    let url = format!("http://{entry}/v1/completions");
+    let mut request = request(Method::POST, &url, body.to_string());
+    let account = ["one", "two"][i % 2];
+    let bearer = format!("Bearer key-{account}").parse().expect("a header");
+    request.headers_mut().insert("authorization", bearer);
+    request
+}
+
+/// Counts the lines that begin with `mark` in an answer without decoding them, and the time to
+/// the first.
+async fn drain(client: &Client, request: Request<Full<Bytes>>, mark: &[u8]) -> (usize, Duration) {
+    let begun = Instant::now();
+    let limit = Duration::from_secs(60);
+    let response = client
+        .open(Via::Pool, request, limit)
+        .await
+        .expect("it answers");
+    let status = response.status();
+    let mut body = response.into_body();
+    if !status.is_success() {
+        panic!("{status}: {:?}", body.collect().await.map(|b| b.to_bytes()));
+    }
+    let mut count = 0;
+    let mut rest = Vec::new();
+    let mut first = Duration::ZERO;
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        rest.extend_from_slice(&data);
+        count += rest.windows(mark.len()).filter(|w| *w == mark).count();
+        rest.drain(..rest.len().saturating_sub(mark.len() - 1));
+        if first.is_zero() && count > 0 {
+            first = begun.elapsed();
+        }
+    }
+    (count, first)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn processor_time_of_a_token() {
+    const STREAMS: usize = 256;
+    let tokens = if cfg!(debug_assertions) { 200 } else { 4000 };
+    let _turn = TURN.lock().await;
+    let world = World::usual(4, 2, &["--token-ms", "2", "--slots", "128"]).await;
+    let entry = &world.entries[0];
+
+    let before = processor(&entry.process);
+    let begun = Instant::now();
+    let streams = (0..STREAMS).map(|i| {
+        let client = world.client.clone();
+        let request = ask(entry.caller, i, tokens);
+        tokio::spawn(async move { drain(&client, request, b"id: ").await.0 })
+    });
+    let streams: Vec<_> = streams.collect();
+    let mut read = 0;
+    for stream in streams {
+        read += stream.await.unwrap();
+    }
+    let time = begun.elapsed().as_secs_f64();
+    let used = processor(&entry.process) - before;
+
+    println!(
+        "{STREAMS} streams: {:.0} tokens a second, {:.1} us of processor time a token, {:.2} cores",
+        read as f64 / time,
+        used * 1e6 / read as f64,
+        used / time,
+    );
+    assert_eq!(read, STREAMS * tokens);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn added_wait_for_a_first_token() {
+    const CALLS: usize = 200;
+    let _turn = TURN.lock().await;
+    let world = World::usual(2, 3, &["--token-ms", "5", "--slots", "128"]).await;
+    let engine = world.engines[0].addr;
+    let mut direct = Vec::new();
+    let mut proxied = Vec::new();
+
+    for i in 0..CALLS {
+        let body =
+            json!({"attempt": format!("direct-{i}"), "prompt": format!("d {i}"), "max_tokens": 2});
+        let url = format!("http://{engine}/v1/attempts");
+        let call = request(Method::POST, &url, body.to_string());
+        direct.push(drain(&world.client, call, b"{\"i\":").await.1);
+        let call = ask(world.entries[0].caller, i, 2);
+        proxied.push(drain(&world.client, call, b"id: ").await.1);
+    }
+
+    direct.sort();
+    proxied.sort();
+    let (half, high) = (CALLS / 2, CALLS * 99 / 100);
+    println!(
+        "first token: direct {:?} median {:?} p99, through an instance {:?} median {:?} p99",
+        direct[half], direct[high], proxied[half], proxied[high],
+    );
+    assert!(proxied[half] < direct[half] + Duration::from_millis(50));
+}
+
+/// Opens `count` streams that last longer than the test reads them.
+fn open(world: &World, from: usize, count: usize, tokens: usize) -> Vec<JoinHandle<usize>> {
+    let entry = world.entries[0].caller;
+    let streams = (from..from + count).map(|i| {
+        let client = world.client.clone();
+        tokio::spawn(async move { drain(&client, ask(entry, i, tokens), b"id: ").await.0 })
+    });
+    streams.collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_of_open_streams_and_of_a_reader_that_does_not_read() {
+    const FEW: usize = 40;
+    const MANY: usize = 200;
+    const TOKENS: usize = 400;
+    let _turn = TURN.lock().await;
+    let world = World::usual(4, 2, &["--token-ms", "41", "--slots", "256"]).await;
+    let entry = &world.entries[0];
+
+    let start = memory(&entry.process);
+    let stuck = ask(entry.caller, FEW + MANY, 2000);
+    let limit = Duration::from_secs(30);
+    let stuck = world
+        .client
+        .open(Via::Fresh, stuck, limit)
+        .await
+        .expect("it answers");
+    let mut streams = open(&world, 0, FEW, TOKENS);
+    tokio::time::sleep(SETTLE).await;
+    let few = memory(&entry.process);
+    streams.extend(open(&world, FEW, MANY, TOKENS));
+    tokio::time::sleep(SETTLE).await;
+    let many = memory(&entry.process);
+    let mut read = 0;
+    for stream in streams {
+        read += stream.await.unwrap();
+    }
+    drop(stuck);
+
+    let each = many.saturating_sub(few) / MANY;
+    println!(
+        "memory: {start} bytes at the start, {few} with {FEW} streams, {many} with {MANY} more: {each} each"
+    );
+    assert_eq!(read, (FEW + MANY) * TOKENS);
+    assert!(each < STREAM_BAR, "{each} bytes");
+}
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -31,6 +31,7 @@
     in_flight: Mutex<HashMap<SmolStr, Arc<()>>>,
     lost: Mutex<HashMap<SmolStr, Instant>>,
     pub losses: Mutex<Vec<(SmolStr, Loss)>>,
+    pub suspicions: Mutex<usize>,
 }
 
 impl Fleet {
@@ -56,6 +57,7 @@
             in_flight: Mutex::default(),
             lost: Mutex::default(),
             losses: Mutex::default(),
+            suspicions: Mutex::default(),
         })
     }
 
@@ -114,9 +116,13 @@
     }
 
     fn observe(&self, target: &Target, seen: Observation) {
-        if let Observation::Lost(loss) = seen {
-            self.lost.lock().insert(target.name.clone(), Instant::now());
-            self.losses.lock().push((target.name.clone(), loss));
+        match seen {
+            Observation::Suspected => *self.suspicions.lock() += 1,
+            Observation::Lost(loss) => {
+                self.lost.lock().insert(target.name.clone(), Instant::now());
+                self.losses.lock().push((target.name.clone(), loss));
+            }
+            _ => {}
         }
     }
 }
--- a/tests/support/entries.rs
+++ b/tests/support/entries.rs
@@ -105,10 +105,16 @@
 
 /// Starts `count` instances in one failure domain and waits until they know each other.
 pub async fn entries(fleet: &Arc<Fleet>, count: usize) -> Vec<Entry> {
+    entries_in(fleet, &vec!["a"; count]).await
+}
+
+/// Starts an instance in each of `domains` and waits until they know each other.
+pub async fn entries_in(fleet: &Arc<Fleet>, domains: &[&str]) -> Vec<Entry> {
+    let count = domains.len();
     let mut all: Vec<Entry> = Vec::new();
-    for i in 0..count {
+    for (i, domain) in domains.iter().enumerate() {
         let seeds = all.iter().map(|e| e.peers.me().addr).collect();
-        all.push(Entry::start(fleet, &format!("entry-{i}"), "a", seeds).await);
+        all.push(Entry::start(fleet, &format!("entry-{i}"), domain, seeds).await);
     }
     let deadline = Instant::now() + PATIENCE;
     while all.iter().any(|e| e.peers.alive().len() + 1 < count) {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -51,6 +51,11 @@
         addr.parse().expect("an address")
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends it without notice.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
