Bound ended generations, give resumed attempts precedence, mark leavers

Cause: ended generations were kept for a minute however many tokens they held; a start whose connection broke unheard could be repeated without end; a target's own refusal as leaving did not reach the router; a generation that goes on elsewhere queued behind new work of its priority. Change: a bound of tokens kept in each shard, one count for every way in which an attempt did not run, the router is told, and an attempt with a prefix goes one priority up.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -355,7 +355,7 @@
                 prompt: &run.start.prompt,
                 prefix: &prefix,
                 max_tokens: run.start.max_tokens,
-                priority: run.start.priority,
+                priority: run.start.priority + i64::from(!prefix.is_empty()),
                 deadline_ms: left.as_millis() as u64,
             };
             Answer::Stream(engine.start(&start, OPEN_LIMIT).await)
--- a/src/generation/journal.rs
+++ b/src/generation/journal.rs
@@ -22,7 +22,7 @@
 const KEEP_RUNNING: Duration = Duration::from_secs(300);
 
 /// Most tokens that one shard holds.
-const SHARD_TOKENS: usize = 1 << 20;
+const SHARD_TOKENS: usize = 1 << 19;
 
 /// Where an attempt runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -346,32 +346,35 @@
 
     fn refused(&mut self, refusal: &Refusal, now: Instant, out: &mut Vec<Command>) {
         match (refusal, self.phase) {
+            (Refusal::NotRun(reason), Phase::Opening) if reason == "leaving" => {
+                out.push(Command::Lose(Loss::Leaving));
+                self.not_run(now, out);
+            }
             (Refusal::NotRun(_) | Refusal::Status(_), Phase::Opening) => {
-                self.refusals += 1;
-                out.push(match refusal {
-                    Refusal::NotRun(reason) if reason == "leaving" => Command::Lose(Loss::Leaving),
-                    _ => Command::Avoid,
-                });
-                self.phase = Phase::Choosing(now);
-                if self.next == 0 && self.refusals >= MAX_REFUSALS {
-                    let failure = Failure::not_run(503, "targets_busy", "no target admits it");
-                    let failure = failure.retry_after(Duration::from_secs(1));
-                    self.finish(Outcome::Failed(failure), out);
-                }
+                out.push(Command::Avoid);
+                self.not_run(now, out);
             }
             (Refusal::Unsent, Phase::Opening) => self.lose(Loss::Unsent, now, out),
             (Refusal::Lost, Phase::Opening) => {
                 self.unsure = true;
                 self.resume(out);
             }
-            (Refusal::Unknown, Phase::Resuming) if self.unsure => {
-                self.refusals += 1;
-                self.phase = Phase::Choosing(now);
-            }
+            (Refusal::Unknown, Phase::Resuming) if self.unsure => self.not_run(now, out),
             _ => self.lose(loss(refusal), now, out),
         }
     }
 
+    /// The attempt did not run: another is made, unless too many were refused.
+    fn not_run(&mut self, now: Instant, out: &mut Vec<Command>) {
+        self.refusals += 1;
+        self.phase = Phase::Choosing(now);
+        if self.next == 0 && self.refusals >= MAX_REFUSALS {
+            let failure = Failure::not_run(503, "targets_busy", "no target admits it");
+            let failure = failure.retry_after(Duration::from_secs(1));
+            self.finish(Outcome::Failed(failure), out);
+        }
+    }
+
     fn positioned(&mut self, position: Position, now: Instant, out: &mut Vec<Command>) {
         let quiet = now - self.heard;
         match position.state {
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -30,6 +30,9 @@
 /// How long a generation that nobody reads goes on.
 const ORPHAN: Duration = Duration::from_secs(30);
 
+/// Most tokens of ended generations that one shard keeps.
+const SHARD_TOKENS: u64 = 1 << 18;
+
 /// Time between two sweeps.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -279,7 +282,9 @@
         };
         let now = Instant::now();
         for shard in &shared.shards {
-            shard.lock().retain(|_, run| keep(run, now));
+            let mut shard = shard.lock();
+            shard.retain(|_, run| keep(run, now));
+            bound(&mut shard);
         }
         shared.journals.sweep(now);
         let used = |pace: &Arc<Mutex<Pace>>| Arc::strong_count(pace) > 1;
@@ -290,6 +295,22 @@
     }
 }
 
+/// Drops the oldest ended generations that nobody reads, beyond the bound.
+fn bound(shard: &mut IndexMap<RequestKey, Arc<Run>>) {
+    let done = |run: &&Arc<Run>| run.ended() && run.idle_since().is_some();
+    let mut tokens: u64 = shard.values().filter(done).map(|run| run.len()).sum();
+    if tokens <= SHARD_TOKENS {
+        return;
+    }
+    shard.retain(|_, run| {
+        let drops = tokens > SHARD_TOKENS && done(&&*run);
+        if drops {
+            tokens -= run.len();
+        }
+        !drops
+    });
+}
+
 fn keep(run: &Run, now: Instant) -> bool {
     let Some(idle) = run.idle_since() else {
         return true;
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -175,6 +175,7 @@
     let now = Instant::now();
     match seen {
         Observation::Lost(Loss::Crashed | Loss::Unsent) => router.mark_dead(key, now),
+        Observation::Lost(Loss::Leaving) => router.mark_leaving(key, now),
         Observation::Lost(_) => router.mark_suspect(key, now),
         Observation::FirstToken(took) => router.mark_alive(key, now - took),
         _ => {}
--- a/tests/generation_rules.rs
+++ b/tests/generation_rules.rs
@@ -263,3 +263,41 @@
     assert!(matches!(again[..], [Command::Start(2)]), "{again:?}");
     assert_eq!(generation.losses(), 0);
 }
+
+#[test]
+fn a_target_that_leaves_is_no_crash_and_another_is_tried() {
+    let now = Instant::now();
+    let mut generation = Generation::new(0, now + Duration::from_secs(60), now);
+    generation.apply(0, Happened::Tick, now);
+
+    let refused = generation.apply(1, Happened::Refused(Refusal::NotRun("leaving".into())), now);
+    let again = generation.apply(1, Happened::Tick, now);
+
+    assert!(
+        matches!(refused[..], [Command::Lose(Loss::Leaving)]),
+        "{refused:?}"
+    );
+    assert!(matches!(again[..], [Command::Start(2)]), "{again:?}");
+}
+
+#[test]
+fn a_generation_without_tokens_gives_up_after_a_few_refusals() {
+    let now = Instant::now();
+    let mut generation = Generation::new(0, now + Duration::from_secs(60), now);
+    let mut last = Vec::new();
+
+    for attempt in 1..=4 {
+        generation.apply(attempt - 1, Happened::Tick, now);
+        last = generation.apply(
+            attempt,
+            Happened::Refused(Refusal::NotRun("full".into())),
+            now,
+        );
+    }
+
+    let Some(Command::Finish(Outcome::Failed(failure))) = last.last() else {
+        panic!("{last:?}");
+    };
+    assert_eq!(failure.outcome, endivefork::failure::Certainty::NotRun);
+    assert!(failure.retry_after.is_some());
+}
