Replace a silent connection to a peer for certain, and count losses

Cause: a call's own limit raced with the limit around it, so a timed out call did not always drop its connection; and it could drop a newer one that another call had opened. Change: one deadline for connecting and calling, after which the call drops its own connection if that is still the open one. A test stalls the open connections of a peer while new ones work. Counters of suspicions, losses by kind, takeovers and quarantines. Conclusion: the next call is answered over a new connection.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -482,12 +482,26 @@
     }
 
     fn observe(&self, seen: Observation) {
+        count(seen);
         if let Some(attempt) = &self.attempt {
             (self.shared.hooks.observe)(&self.run.start, &attempt.target, seen);
         }
     }
 }
 
+fn count(seen: Observation) {
+    match seen {
+        Observation::Suspected => {
+            metrics::counter!("endivefork_generation_suspicions_total").increment(1);
+        }
+        Observation::Lost(loss) => {
+            metrics::counter!("endivefork_generation_losses_total", "loss" => loss.as_str())
+                .increment(1);
+        }
+        _ => {}
+    }
+}
+
 /// Cancels an attempt; a target that is paused gets the call when it returns.
 async fn cancel(engine: Engine, name: SmolStr) {
     for _ in 0..CANCEL_TRIES {
--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -49,6 +49,20 @@
     Leaving,
 }
 
+impl Loss {
+    /// Its name in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::Unsent => "unsent",
+            Self::Silent => "silent",
+            Self::Stalled => "stalled",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/generation/suspect.rs
+++ b/src/generation/suspect.rs
@@ -171,6 +171,7 @@
         let factor = 1_u32.checked_shl(case.convictions).unwrap_or(u32::MAX);
         case.until = Some(now + self.quarantine.saturating_mul(factor).min(LONGEST));
         case.convictions += 1;
+        metrics::counter!("endivefork_generation_quarantines_total").increment(1);
     }
 
     fn bound(&mut self) {
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -240,7 +240,10 @@
         let known = known.max(journal.as_ref().map_or(0, |j| j.epoch));
         let epoch = takeover::next_epoch(known);
         let run = match journal {
-            Some(journal) => Run::adopt(start, epoch, journal),
+            Some(journal) => {
+                metrics::counter!("endivefork_generation_takeovers_total").increment(1);
+                Run::adopt(start, epoch, journal)
+            }
             None => Run::new(start, epoch),
         };
         let reader = run.read(next);
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -128,11 +128,16 @@
         limit: Duration,
     ) -> Result<Bytes, LinkError> {
         let slot = Arc::clone(self.links.lock().entry(addr).or_default());
-        let link = self.link(&slot, addr).await?;
-        let answer = link.call(tag, body, limit).await;
-        if matches!(answer, Err(LinkError::Lost | LinkError::TimedOut)) {
-            // The next call opens a new connection: this one may have been forgotten on its way.
-            *slot.lock().await = None;
+        let deadline = Instant::now() + limit;
+        let link = tokio::time::timeout_at(deadline, self.link(&slot, addr)).await;
+        let link = link.unwrap_or(Err(LinkError::TimedOut))?;
+        let answer = link.call(tag, body, deadline).await;
+        // The next call opens a new connection: this one may have been forgotten on its way.
+        let lost = matches!(answer, Err(LinkError::Lost | LinkError::TimedOut));
+        if let Ok(mut slot) = slot.try_lock()
+            && lost
+        {
+            slot.take_if(|open| open.same(&link));
         }
         answer
     }
@@ -273,9 +278,7 @@
     ) -> Result<Bytes, CallError> {
         let addr = self.hub.members.lock().addr(name);
         let addr = addr.ok_or(CallError::Unknown)?;
-        let exchange = self.hub.exchange(addr, tag, body, limit);
-        let answer = tokio::time::timeout(limit, exchange).await;
-        let answer = answer.unwrap_or(Err(LinkError::TimedOut));
+        let answer = self.hub.exchange(addr, tag, body, limit).await;
         if let Err(LinkError::Refused) = answer {
             let mut members = self.hub.members.lock();
             members.witness(name, Evidence::Refused, Instant::now());
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::auth::{Nonce, PeerKey, Proof, Side, nonce, same};
 use super::frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
@@ -63,6 +63,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Link {
     sender: SendRequest<Bytes>,
+    number: u64,
 }
 
 impl Link {
@@ -78,15 +79,20 @@
             .unwrap_or(Err(LinkError::TimedOut))
     }
 
+    /// Whether both are the same connection.
+    pub(crate) fn same(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+
     /// Sends a message and waits for its answer.
     pub(crate) async fn call(
         &self,
         tag: Tag,
         body: Bytes,
-        limit: Duration,
+        deadline: Instant,
     ) -> Result<Bytes, LinkError> {
         let path = format!("/m/{}", tag as u8);
-        timeout(limit, self.post(&path, body))
+        timeout_at(deadline, self.post(&path, body))
             .await
             .unwrap_or(Err(LinkError::TimedOut))
     }
@@ -104,7 +110,10 @@
             .await
             .map_err(|_| LinkError::Lost)?;
         tokio::spawn(connection);
-        let link = Self { sender };
+        let link = Self {
+            sender,
+            number: rand::random(),
+        };
         link.authenticate(me, key).await?;
         Ok(link)
     }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Time between heartbeats in these tests.
@@ -40,7 +41,19 @@
 
 async fn instance(name: &str, key: &str, seeds: Vec<SocketAddr>) -> Peers {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let me = member(name, listener.local_addr().unwrap());
+    let addr = listener.local_addr().unwrap();
+    instance_behind(listener, addr, name, key, seeds)
+}
+
+/// An instance that tells others to reach it at `addr`.
+fn instance_behind(
+    listener: TcpListener,
+    addr: SocketAddr,
+    name: &str,
+    key: &str,
+    seeds: Vec<SocketAddr>,
+) -> Peers {
+    let me = member(name, addr);
     let opts = Options {
         me,
         key: PeerKey::new(key),
@@ -65,6 +78,34 @@
     }
 }
 
+/// Forwards connections to `to`. Raising the number silences every connection open by then.
+async fn forwarder() -> (
+    SocketAddr,
+    watch::Sender<Option<SocketAddr>>,
+    watch::Sender<u32>,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let to = watch::Sender::new(None);
+    let silent = watch::Sender::new(0);
+    let (target, silenced) = (to.subscribe(), silent.subscribe());
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let Some(to) = *target.borrow() else { continue };
+            let mut silenced = silenced.clone();
+            silenced.mark_unchanged();
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(to).await.unwrap();
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                    _ = silenced.changed() => std::future::pending().await,
+                }
+            });
+        }
+    });
+    (addr, to, silent)
+}
+
 async fn raw(addr: SocketAddr, path: &str, version: &str, body: Bytes) -> StatusCode {
     let stream = TcpStream::connect(addr).await.unwrap();
     let (sender, connection) = h2::client::handshake(stream).await.unwrap();
@@ -180,6 +221,31 @@
     until("c is silent", || a.reach("c") == Reach::Silent).await;
 }
 
+#[tokio::test]
+async fn a_connection_that_went_silent_is_replaced() {
+    let (behind, to, silent) = forwarder().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    to.send_replace(Some(listener.local_addr().unwrap()));
+    let b = instance_behind(listener, behind, "b", "key", vec![]);
+    let a = instance("a", "key", vec![behind]).await;
+    until("a knows b", || a.alive().len() == 1).await;
+    let ask = Ask { text: "hi".into() };
+    let told: Told = a.call("b", Tag::Config, &ask, PATIENCE).await.unwrap();
+
+    silent.send_modify(|n| *n += 1);
+    let begun = Instant::now();
+    let limit = Duration::from_millis(100);
+    let lost: Result<Told, _> = a.call("b", Tag::Config, &ask, limit).await;
+    let again: Result<Told, _> = a.call("b", Tag::Config, &ask, limit).await;
+
+    assert_eq!(told.from, "a");
+    assert_eq!(lost, Err(CallError::Lost));
+    assert_eq!(again.unwrap().text, "hi");
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    assert_eq!(a.reach("b"), Reach::Alive);
+    drop(b);
+}
+
 #[tokio::test]
 async fn a_leaving_peer_is_not_alive() {
     let a = instance("a", "key", vec![]).await;
