Let a burst of connections wait to be accepted

Ruled out: a slow accept loop (the instance was idle), descriptors, and ports.

Change: listeners with a queue of 4,096, in instances and stand-ins.

--- a/examples/engine.rs
+++ b/examples/engine.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Context as _;
 use argh::FromArgs;
-use tokio::net::TcpListener;
+use endivefork::listen::listen;
 
 use self::engine::options::{Crash, Options};
 
@@ -88,9 +88,8 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
-    let listener = TcpListener::bind(args.listen)
-        .await
-        .with_context(|| format!("could not listen on {}", args.listen))?;
+    let listener =
+        listen(args.listen).with_context(|| format!("could not listen on {}", args.listen))?;
     println!("listening {}", listener.local_addr()?);
     engine::serve(listener, args.options()?).await?;
     Ok(())
--- a/examples/plain.rs
+++ b/examples/plain.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
-use tokio::net::TcpListener;
+use endivefork::listen::listen;
 
 /// Serve reads and a counted action. Faults are set by POST /control.
 #[derive(FromArgs)]
@@ -29,7 +29,7 @@
         version: args.version,
         faults: serde_json::from_str(&args.control)?,
     };
-    let listener = TcpListener::bind(args.listen).await?;
+    let listener = listen(args.listen)?;
     println!("listening {}", listener.local_addr()?);
     plain::serve(listener, options).await?;
     Ok(())
--- a/examples/platform.rs
+++ b/examples/platform.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
-use tokio::net::TcpListener;
+use endivefork::listen::listen;
 
 /// Serve objects and the instance list from memory. Faults are set by POST /control.
 #[derive(FromArgs)]
@@ -29,7 +29,7 @@
         faults: serde_json::from_str(&args.control)?,
         history: args.history,
     };
-    let listener = TcpListener::bind(args.listen).await?;
+    let listener = listen(args.listen)?;
     println!("listening {}", listener.local_addr()?);
     platform::serve(listener, options).await?;
     Ok(())
--- a/examples/standin/engine/link.rs
+++ b/examples/standin/engine/link.rs
@@ -68,7 +68,7 @@
         self.inner = None;
         tokio::time::sleep_until(until).await;
         while self.inner.is_none() {
-            self.inner = TcpListener::bind(self.addr).await.ok();
+            self.inner = endivefork::listen::listen(self.addr).ok();
             tokio::time::sleep(LISTEN_RETRY).await;
         }
     }
--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -211,7 +211,7 @@
 
 /// Starts an instance on the present runtime; returns its addresses for callers and for peers.
 async fn start_entry(settings: Settings) -> anyhow::Result<(SocketAddr, SocketAddr)> {
-    let listeners = Listeners::bind(&settings).await?;
+    let listeners = Listeners::bind(&settings)?;
     let addrs = (listeners.caller.local_addr()?, listeners.peer.local_addr()?);
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let drain = Arc::<Drain>::default();
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,6 +13,7 @@
 use crate::admin;
 use crate::caller::{self, Drain, Front};
 use crate::instance::Instance;
+use crate::listen::listen;
 use crate::settings::Settings;
 use crate::telemetry;
 
@@ -32,12 +33,12 @@
     ///
     /// # Errors
     /// When an address cannot be bound.
-    pub async fn bind(settings: &Settings) -> anyhow::Result<Self> {
+    pub fn bind(settings: &Settings) -> anyhow::Result<Self> {
         let listen = settings.listen;
         Ok(Self {
-            caller: bind("caller", listen.caller).await?,
-            admin: bind("admin", listen.admin).await?,
-            peer: bind("peer", listen.peer).await?,
+            caller: bind("caller", listen.caller)?,
+            admin: bind("admin", listen.admin)?,
+            peer: bind("peer", listen.peer)?,
         })
     }
 
@@ -55,10 +56,8 @@
     }
 }
 
-async fn bind(name: &str, addr: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .with_context(|| format!("could not listen on {addr} for [listen] {name}"))
+fn bind(name: &str, addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    listen(addr).with_context(|| format!("could not listen on {addr} for [listen] {name}"))
 }
 
 /// Serves until SIGTERM or SIGINT and then drains.
@@ -67,7 +66,7 @@
 /// When an address cannot be bound or signals cannot be received.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let (log, _guard) = telemetry::logger(&settings.log);
-    let listeners = Listeners::bind(&settings).await?;
+    let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
     let drain = Arc::<Drain>::default();
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -137,3 +137,19 @@
         }
     }
 }
+
+/// Connections of a burst, several times the usual accept queue of 128.
+const BURST: usize = 1000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_connections_waits_to_be_accepted() {
+    let listener = endivefork::listen::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = listener.local_addr().unwrap();
+
+    let limit = Duration::from_millis(500);
+    let connect = move || std::net::TcpStream::connect_timeout(&addr, limit);
+    let open: Vec<_> = (0..BURST).map(|_| connect()).collect();
+
+    let refused = open.iter().filter(|c| c.is_err()).count();
+    assert_eq!(refused, 0, "of {BURST} connections nobody accepted yet");
+}
