--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -234,6 +234,7 @@
                 Command::Cancel(number) => self.cancel(number),
                 Command::Lose(loss) => self.lose(loss),
                 Command::Avoid => self.leave(Observation::Refused),
+                Command::Fault => self.leave(Observation::Faulted),
                 Command::Finish(outcome) => self.finish(outcome),
             }
         }
@@ -354,7 +355,7 @@
                 prompt: &run.start.prompt,
                 prefix: &prefix,
                 max_tokens: run.start.max_tokens,
-                priority: run.start.priority,
+                priority: run.start.priority + i64::from(!prefix.is_empty()),
                 deadline_ms: left.as_millis() as u64,
             };
             Answer::Stream(engine.start(&start, OPEN_LIMIT).await)
@@ -399,6 +400,9 @@
     }
 
     fn probe(&mut self) {
+        if self.state.progress() > 0 {
+            self.observe(Observation::Suspected);
+        }
         let Some(attempt) = &self.attempt else { return };
         let (engine, name) = (attempt.engine.clone(), attempt.name.clone());
         let call = async move { Answer::Position(engine.position(&name, PROBE_LIMIT).await) };
