Answer at once while the platform does not answer

Cause: with a platform that answers nothing each new action waited for two timeouts before its refusal. Counts of verdicts go to the metrics. Contract tables of what a service is sent, and of its outcomes, status calls, large and broken answers. Conclusion: refusals in an outage are quick and still true.

--- a/src/action/claim.rs
+++ b/src/action/claim.rs
@@ -166,6 +166,19 @@
     KeyReused,
 }
 
+impl Verdict {
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::Ran(_) => "ran",
+            Self::Replayed(_) => "replayed",
+            Self::TooLarge(_) => "too_large",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown(_) => "outcome_unknown",
+            Self::KeyReused => "key_reused",
+        }
+    }
+}
+
 /// Why there is no outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
+use super::breaker::Breaker;
 use super::pace::Pace;
 use super::recent::{Known, Recent};
 use super::record::digest;
@@ -63,11 +64,31 @@
     settler: Settler,
     running: AtomicUsize,
     pace: Mutex<Pace>,
+    breaker: Mutex<Breaker>,
     recent: Recent,
     pub(crate) http: Http,
     pub(crate) budgets: Budgets,
 }
 
+impl Inner {
+    /// Admits one new action to the platform.
+    fn admit(&self) -> Result<(), Duration> {
+        let now = Instant::now();
+        self.breaker.lock().admit(now)?;
+        self.pace.lock().admit(now)
+    }
+
+    /// Takes in how a call of the platform ended.
+    fn observe<T>(&self, result: &Result<T, Error>) {
+        let now = Instant::now();
+        let down = matches!(result, Err(Error::Unavailable(_) | Error::Unknown(_)));
+        self.breaker.lock().record(!down, now);
+        if matches!(result, Err(Error::Throttled(_))) {
+            self.pace.lock().refuse(now);
+        }
+    }
+}
+
 impl fmt::Debug for Actions {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Actions({})", self.inner.name)
@@ -95,6 +116,7 @@
             settler: Settler::new(platform.clone()),
             running: AtomicUsize::new(0),
             pace: Mutex::new(Pace::new(Instant::now())),
+            breaker: Mutex::new(Breaker::new(Instant::now())),
             platform,
             choose,
             rules,
@@ -240,7 +262,7 @@
             }) => return answer(Verdict::Replayed(outcome.clone())),
             _ => {}
         }
-        if let Err(wait) = self.inner.pace.lock().admit(Instant::now()) {
+        if let Err(wait) = self.inner.admit() {
             let cause = Cause::Platform(Some(wait));
             return answer(match known {
                 Some(_) => Verdict::Unknown(cause),
@@ -273,6 +295,9 @@
                         self.inner.settler.spawn(self.name.clone(), leftover);
                     }
                     self.remember(&end);
+                    let verdict = end.label();
+                    metrics::counter!("endivefork_actions_total", "verdict" => verdict)
+                        .increment(1);
                     return answer(end);
                 }
             };
@@ -323,14 +348,15 @@
             rev => Expect::Rev(rev),
         };
         let platform = &self.inner.platform;
-        match platform.put(KIND, &self.name, record, expect).await {
+        let written = platform.put(KIND, &self.name, record, expect).await;
+        self.inner.observe(&written);
+        match written {
             Ok(rev) => Event::Written(rev),
             Err(Error::Conflict(None)) => Event::Conflict(None),
             Err(Error::Conflict(Some(present))) => {
                 held(&present).map_or(Event::WriteLost, |held| Event::Conflict(Some(held)))
             }
             Err(Error::Throttled(wait)) => {
-                self.inner.pace.lock().refuse(Instant::now());
                 Event::Refused(Some(wait.mul_f64(rand::random_range(JITTER))))
             }
             Err(Error::Unavailable(_) | Error::Rejected(_)) => Event::Refused(None),
@@ -339,7 +365,9 @@
     }
 
     async fn read(&mut self) -> Event {
-        match self.inner.platform.get(KIND, &self.name).await {
+        let read = self.inner.platform.get(KIND, &self.name).await;
+        self.inner.observe(&read);
+        match read {
             Ok(None) => Event::Read(None),
             Ok(Some(object)) => {
                 held(&object).map_or(Event::ReadFailed, |held| Event::Read(Some(held)))
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! A non-repeatable action holds a claim, an object of the platform. See docs/design/actions.md.
 
+mod breaker;
 mod call;
 mod claim;
 mod driver;
@@ -15,6 +16,7 @@
 mod sweep;
 mod verdict;
 
+pub use breaker::Breaker;
 pub use call::{Call, Choose, Hook, Pick, Point, Report};
 pub use claim::{Cause, Claim, Command, Event, Held, Now, Rules, Terms, Verdict};
 pub use driver::Actions;
--- a/tests/action/cost.rs
+++ b/tests/action/cost.rs
@@ -194,3 +194,40 @@
     );
     assert!(reserved < direct);
 }
+
+/// A platform that answers nothing: refusals are true and, after the first ones, quick.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_in_an_outage() {
+    let world = World::start().await;
+    world
+        .platform_fault(json!({"silent": true, "delay_ms": 60000}))
+        .await;
+    let entry = world.entry("a", None);
+    let mut times = Vec::new();
+    let begun = Instant::now();
+    let mut i = 0;
+    while begun.elapsed() < Duration::from_secs(3) {
+        let tries = (0..4).map(|j| timed(entry.clone(), i + j));
+        for (word, time) in futures_util::future::join_all(tries).await {
+            assert_eq!(word, "not_run");
+            times.push(time);
+        }
+        i += 4;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    world.platform_fault(json!({"delay_ms": 0})).await;
+    until("actions run again", || async {
+        entry.run(call("back")).await.is_ok()
+    })
+    .await;
+
+    times.sort();
+    let median = times[times.len() / 2];
+    println!(
+        "{} refusals, median {median:?}, worst {:?}",
+        times.len(),
+        times[times.len() - 1]
+    );
+    assert!(median < Duration::from_millis(50));
+    assert_eq!(world.runs("back").await, 1);
+}
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -9,6 +9,7 @@
 mod plain;
 
 mod aggregate;
+mod contract;
 mod cost;
 mod faults;
 mod fixture;
