Split the claim's aggregate and its driver into small files

Change: terms, messages, the decisions about another try's claim, the attempt and the instance's calls each have their file; nothing else changed. Conclusion: no behaviour changed.

--- a/src/action/claim.rs
+++ b/src/action/claim.rs
@@ -4,14 +4,12 @@
 //! gives up for good with whatever it answers. An update that lands after that is harmless
 //! (`claimed`) or undone by a [`Leftover`] (`sent`).
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
-use smol_str::SmolStr;
-
-use super::{Leftover, Outcome, Record, Stage};
-
-/// Longest time between two looks at a claim that another try holds.
-const POLL_MAX: Duration = Duration::from_millis(500);
+use super::contend::adopted;
+use super::{
+    Cause, Command, Event, Held, Leftover, Now, Outcome, Record, Rules, Stage, Terms, Verdict,
+};
 
 /// Times that a write is repeated after its answer was lost.
 const REWRITES: u32 = 2;
@@ -19,183 +17,8 @@
 /// Times that a connection is opened anew after nothing could be sent on one.
 const RECONNECTS: u32 = 2;
 
-/// Limits of a try.
-#[derive(Clone, Copy, Debug)]
-pub struct Rules {
-    /// Goes to `sent` in one write, without `claimed` before it.
-    pub direct: bool,
-    /// A claim of another try that has been seen unchanged for so long is taken over.
-    pub takeover: Duration,
-    /// Time before the first look at a claim that another try holds.
-    pub poll: Duration,
-    /// Longest time between the update to `sent` and the first byte to the service.
-    pub window: Duration,
-    /// Times that the status call is made after the service's answer was lost.
-    pub checks: u32,
-    /// Time before the first and between further status calls.
-    pub pause: Duration,
-}
-
-impl Default for Rules {
-    fn default() -> Self {
-        Self {
-            direct: false,
-            takeover: Duration::from_millis(1500),
-            poll: Duration::from_millis(20),
-            window: Duration::from_secs(5),
-            checks: 4,
-            pause: Duration::from_millis(100),
-        }
-    }
-}
-
-/// The time, by both clocks. Only monotonic time decides; wall time is a hint for waiting.
-#[derive(Clone, Copy, Debug)]
-pub struct Now {
-    /// Monotonic time.
-    pub at: Instant,
-    /// Milliseconds since 1970.
-    pub wall_ms: u64,
-}
-
-impl Now {
-    /// Reads both clocks.
-    #[must_use]
-    pub fn read() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-        Self {
-            at: Instant::now(),
-            wall_ms: wall.unwrap_or_default().as_millis() as u64,
-        }
-    }
-}
-
-/// What a try is about.
-#[derive(Clone, Debug)]
-pub struct Terms {
-    /// The record to write; its stage and time are set by each write.
-    pub record: Record,
-    /// Longest answer time of the service.
-    pub timeout: Duration,
-    /// When the caller must have an answer.
-    pub deadline: Instant,
-    /// Whether an earlier try at this instance may have run it.
-    pub known_sent: bool,
-}
-
-/// A claim object as the platform showed it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// Its revision.
-    pub rev: u64,
-    /// Its value.
-    pub record: Record,
-}
-
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// The try begins.
-    Start,
-    /// A connection to a target is open.
-    Connected,
-    /// No target could be reached.
-    NoTarget,
-    /// The write is in force under this revision.
-    Written(u64),
-    /// The condition did not hold; this is the present object.
-    Conflict(Option<Held>),
-    /// The write was not taken and will not be.
-    Refused(Option<Duration>),
-    /// The write may have taken effect, or may do so later.
-    WriteLost,
-    /// The object was read.
-    Read(Option<Held>),
-    /// The object could not be read.
-    ReadFailed,
-    /// The service answered.
-    Answered(Outcome),
-    /// Nothing was sent, as the connection was closed or the window over.
-    NotSent,
-    /// The service's answer was lost.
-    AnswerLost,
-    /// The status call's result; none when it does not know of the action or failed.
-    Checked(Option<Outcome>),
-    /// The wait is over.
-    Waited,
-}
-
-/// What to do next. Each is answered by one event.
-#[derive(Clone, Debug)]
-pub enum Command {
-    /// Open a connection to a target.
-    Connect,
-    /// Write the record if the object has revision `over` (0: is absent).
-    Write {
-        /// The record.
-        record: Record,
-        /// The condition.
-        over: u64,
-    },
-    /// Read the object.
-    Read,
-    /// Send the action, unless it is later than this.
-    Send(Instant),
-    /// Make this status call.
-    Check(SmolStr),
-    /// Wait.
-    Wait(Duration),
-    /// Answer the caller, and settle the rest in the background.
-    Finish(Verdict, Option<Leftover>),
-}
-
-/// What the caller is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// This try ran it.
-    Ran(Outcome),
-    /// An earlier try ran it.
-    Replayed(Outcome),
-    /// An earlier try ran it; its answer was too large to be kept.
-    TooLarge(u16),
-    /// It did not run by this try and will not.
-    NotRun(Cause),
-    /// It may have run.
-    Unknown(Cause),
-    /// The key belongs to another request.
-    KeyReused,
-}
-
-impl Verdict {
-    pub(crate) fn label(&self) -> &'static str {
-        match self {
-            Self::Ran(_) => "ran",
-            Self::Replayed(_) => "replayed",
-            Self::TooLarge(_) => "too_large",
-            Self::NotRun(_) => "not_run",
-            Self::Unknown(_) => "outcome_unknown",
-            Self::KeyReused => "key_reused",
-        }
-    }
-}
-
-/// Why there is no outcome.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// The platform did not take the claim.
-    Platform(Option<Duration>),
-    /// No target could be reached.
-    NoTarget,
-    /// The time for the call is over.
-    Deadline,
-    /// Another try holds the claim.
-    Busy,
-    /// The service's answer was lost.
-    AnswerLost,
-}
-
 #[derive(Clone, Debug)]
-enum Phase {
+pub(super) enum Phase {
     Connecting,
     /// Without a target only an outcome that is already stored can help.
     Looking,
@@ -220,9 +43,9 @@
 /// One try to run an action.
 #[derive(Clone, Debug)]
 pub struct Claim {
-    rules: Rules,
-    terms: Terms,
-    phase: Phase,
+    pub(super) rules: Rules,
+    pub(super) terms: Terms,
+    pub(super) phase: Phase,
     rewrites: u32,
     connects: u32,
     mark_lost: bool,
@@ -288,7 +111,7 @@
     }
 
     /// Starts to take the claim over revision `over`.
-    fn begin(&mut self, over: u64, now: Now) -> Command {
+    pub(super) fn begin(&mut self, over: u64, now: Now) -> Command {
         match () {
             () if now.at >= self.terms.deadline => self.refuse(Cause::Deadline),
             () if self.rules.direct => self.mark(over, now),
@@ -299,7 +122,7 @@
         }
     }
 
-    fn mark(&mut self, over: u64, now: Now) -> Command {
+    pub(super) fn mark(&mut self, over: u64, now: Now) -> Command {
         self.phase = Phase::Marking(over, now.at);
         self.write(Stage::Sent, over, now)
     }
@@ -352,7 +175,7 @@
         }
     }
 
-    fn send(&mut self, rev: u64, since: Instant, now: Now) -> Command {
+    pub(super) fn send(&mut self, rev: u64, since: Instant, now: Now) -> Command {
         let by = (since + self.rules.window).min(self.terms.deadline);
         match () {
             () if now.at >= by => self.release(rev, Cause::Deadline, now),
@@ -428,98 +251,6 @@
         }
     }
 
-    /// Decides by the claim that stands, before this try has sent anything.
-    fn examine(&mut self, held: Held, now: Now) -> Command {
-        let mine = held.record.nonce == self.terms.record.nonce;
-        match &held.record.stage {
-            _ if held.record.digest != self.terms.record.digest => {
-                Command::Finish(Verdict::KeyReused, None)
-            }
-            Stage::Done {
-                outcome: Some(outcome),
-                ..
-            } => Command::Finish(Verdict::Replayed(outcome.clone()), None),
-            Stage::Done { status, .. } => Command::Finish(Verdict::TooLarge(*status), None),
-            Stage::Released => self.begin(held.rev, now),
-            Stage::Claimed if mine => self.mark(held.rev, now),
-            Stage::Sent if mine => self.send(held.rev, now.at, now),
-            Stage::Claimed | Stage::Sent => self.wait(held, now.at, 0, now),
-        }
-    }
-
-    fn wait(&mut self, held: Held, since: Instant, polls: u32, now: Now) -> Command {
-        let left = self.terms.deadline.saturating_duration_since(now.at);
-        let pause = self.rules.poll * 2_u32.pow(polls.min(10));
-        let pause = pause.min(POLL_MAX).min(left);
-        self.phase = Phase::Waiting(held, since, polls + 1);
-        Command::Wait(pause)
-    }
-
-    fn reading(
-        &mut self,
-        held: Held,
-        since: Instant,
-        polls: u32,
-        event: Event,
-        now: Now,
-    ) -> Command {
-        match event {
-            Event::Read(Some(new)) if new.rev != held.rev => self.examine(new, now),
-            Event::Read(Some(_)) => self.unchanged(held, since, polls, now),
-            Event::Read(None) if held.record.stage == Stage::Claimed => self.begin(0, now),
-            _ if self.is_hopeless(&held, since, now) => give_up(&held),
-            _ => self.wait(held, since, polls, now),
-        }
-    }
-
-    fn unchanged(&mut self, held: Held, since: Instant, polls: u32, now: Now) -> Command {
-        let seen = now.at - since;
-        let hopeless = self.is_hopeless(&held, since, now);
-        match held.record.stage {
-            Stage::Claimed if seen >= self.rules.takeover => self.begin(held.rev, now),
-            Stage::Sent
-                if held.record.check.is_some() && (hopeless || seen >= self.rules.pause) =>
-            {
-                let path = held.record.check.clone().unwrap_or_default();
-                self.phase = Phase::Asking(held, since, polls);
-                Command::Check(path)
-            }
-            _ if hopeless => give_up(&held),
-            _ => self.wait(held, since, polls, now),
-        }
-    }
-
-    fn asking(
-        &mut self,
-        held: Held,
-        since: Instant,
-        polls: u32,
-        event: Event,
-        now: Now,
-    ) -> Command {
-        match event {
-            Event::Checked(Some(outcome)) => {
-                let record = held.record.at(Stage::done(&outcome), now.wall_ms);
-                self.phase = Phase::Adopting(outcome);
-                Command::Write {
-                    record,
-                    over: held.rev,
-                }
-            }
-            _ if self.is_hopeless(&held, since, now) => give_up(&held),
-            _ => self.wait(held, since, polls, now),
-        }
-    }
-
-    /// Whether more waiting cannot bring the outcome of another try's action.
-    fn is_hopeless(&self, held: &Held, since: Instant, now: Now) -> bool {
-        let timeout = self.terms.timeout;
-        let age = Duration::from_millis(now.wall_ms.saturating_sub(held.record.at_ms));
-        let over = now.at >= self.terms.deadline;
-        let sent = held.record.stage == Stage::Sent;
-        over || sent && (age > timeout + self.rules.window || now.at - since > timeout)
-    }
-
     fn release(&mut self, over: u64, cause: Cause, now: Now) -> Command {
         self.phase = Phase::Releasing(over, cause);
         self.write(Stage::Released, over, now)
@@ -566,25 +297,3 @@
         }
     }
 }
-
-fn adopted(outcome: Outcome, event: Event) -> Command {
-    let stored = match event {
-        Event::Conflict(Some(held)) => match held.record.stage {
-            Stage::Done {
-                outcome: Some(stored),
-                ..
-            } => stored,
-            _ => outcome,
-        },
-        _ => outcome,
-    };
-    Command::Finish(Verdict::Replayed(stored), None)
-}
-
-fn give_up(held: &Held) -> Command {
-    let verdict = match held.record.stage {
-        Stage::Sent => Verdict::Unknown(Cause::Busy),
-        _ => Verdict::NotRun(Cause::Busy),
-    };
-    Command::Finish(verdict, None)
-}
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! A non-repeatable action holds a claim, an object of the platform. See docs/design/actions.md.
 
+mod actions;
+mod attempt;
 mod breaker;
 mod call;
 mod claim;
-mod driver;
+mod contend;
+mod event;
 mod marks;
 mod outcome;
 mod pace;
@@ -14,12 +17,14 @@
 mod safe;
 mod settle;
 mod sweep;
+mod terms;
 mod verdict;
 
+pub use actions::Actions;
 pub use breaker::Breaker;
 pub use call::{Call, Choose, Hook, Pick, Point, Report};
-pub use claim::{Cause, Claim, Command, Event, Held, Now, Rules, Terms, Verdict};
-pub use driver::Actions;
+pub use claim::Claim;
+pub use event::{Cause, Command, Event, Verdict};
 pub use marks::{MARKS, Marks, Watcher};
 pub use outcome::{OUTCOME_LIMIT, Outcome};
 pub use pace::Pace;
@@ -27,3 +32,4 @@
 pub use safe::Budget;
 pub use settle::Leftover;
 pub use sweep::{Live, Retention, Sweep, Sweeper};
+pub use terms::{Held, Now, Rules, Terms};
