--- a/src/action/attempt.rs
+++ b/src/action/attempt.rs
@@ -150,7 +150,7 @@
     async fn connect(&mut self) -> Event {
         self.connection = None;
         while self.excluded.len() < CONNECTS {
-            let Some(pick) = (self.inner.choose)(&self.call.service, &self.excluded) else {
+            let Some(pick) = (self.inner.choose)(self.call.seek(), &self.excluded) else {
                 break;
             };
             match Connection::open(pick.addr).await {
@@ -236,7 +236,7 @@
 
     /// Asks any target of the service, over a new connection.
     async fn check(&mut self, path: &str) -> Event {
-        let Some(pick) = (self.inner.choose)(&self.call.service, &[]) else {
+        let Some(pick) = (self.inner.choose)(self.call.seek(), &[]) else {
             return Event::Checked(None);
         };
         let url = format!("http://{}{path}", pick.addr);
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -22,7 +22,7 @@
 
 pub use actions::Actions;
 pub use breaker::Breaker;
-pub use call::{Call, Choose, Hook, Pick, Point, Report};
+pub use call::{Call, Choose, Hook, Pick, Point, Report, Seek};
 pub use claim::Claim;
 pub use event::{Cause, Command, Event, Verdict};
 pub use marks::{MARKS, Marks, Watcher};
