Scope keys to their account towards a service

Cause: callers' keys are unique only within their account, but a service saw the bare key, so the status call could tell one account the outcome of another's action; a key with '?' or '/' could reach the status of a shorter key. Change: a service sees account:key, and the status path carries it percent-encoded.

--- a/src/action/attempt.rs
+++ b/src/action/attempt.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::actions::Inner;
 use super::recent::Known;
@@ -18,7 +18,7 @@
     Stage, Terms, Verdict, claim_name,
 };
 use crate::failure::Failure;
-use crate::http::{Via, request};
+use crate::http::{Via, encode, request};
 use crate::platform::{Error, Expect, Object};
 use crate::target::plain::{Connection, SendError};
 
@@ -39,6 +39,7 @@
 pub(crate) struct Attempt {
     inner: Arc<Inner>,
     call: Call,
+    /// The key that the service sees.
     key: SmolStr,
     name: SmolStr,
     record: Record,
@@ -48,8 +49,10 @@
 
 impl Attempt {
     pub(crate) fn new(inner: Arc<Inner>, call: Call, key: SmolStr) -> Self {
-        let path = call.status.as_deref();
-        let check = path.map(|path| format!("{}/{key}", path.trim_end_matches('/')));
+        let name = claim_name(&call.service, &call.account, &key);
+        let key = service_key(&call.account, &key);
+        let path = call.status.as_deref().map(|p| p.trim_end_matches('/'));
+        let check = path.map(|path| format!("{path}/{}", encode(&key)));
         let parts = [
             call.method.as_str().as_bytes(),
             call.path.as_bytes(),
@@ -65,7 +68,7 @@
             stage: Stage::Claimed,
         };
         Self {
-            name: claim_name(&call.service, &call.account, &key),
+            name,
             inner,
             call,
             key,
@@ -260,6 +263,11 @@
     }
 }
 
+/// The key that the service sees. Callers' keys are unique only within their account.
+fn service_key(account: &str, key: &str) -> SmolStr {
+    format_smolstr!("{}:{key}", encode(account))
+}
+
 fn held(object: &Object) -> Option<Held> {
     let record = object.decode().ok()?;
     Some(Held {
--- a/src/http.rs
+++ b/src/http.rs
@@ -218,6 +218,21 @@
     texts.join(": ")
 }
 
+/// Percent-encodes a path segment or query value.
+#[must_use]
+pub fn encode(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                out.push(char::from(byte));
+            }
+            _ => out.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    out
+}
+
 fn pool(idle: usize, limit: Duration) -> Pool<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -13,7 +13,7 @@
 
 use super::calls::{Calls, Op};
 use super::{Changes, Error, Expect, InstanceList, List, Object};
-use crate::http::{Answer, Client as Http, Error as HttpError, Via, request};
+use crate::http::{Answer, Client as Http, Error as HttpError, Via, encode, request};
 
 /// Most objects in one page of a list.
 pub const PAGE_LIMIT: usize = 500;
@@ -278,17 +278,3 @@
 fn object_path(kind: &str, name: &str) -> String {
     format!("/v1/objects/{}/{}", encode(kind), encode(name))
 }
-
-/// Percent-encodes a path segment or query value.
-fn encode(text: &str) -> String {
-    let mut out = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        match byte {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
-                out.push(char::from(byte));
-            }
-            _ => out.push_str(&format!("%{byte:02X}")),
-        }
-    }
-    out
-}
--- a/tests/action/faults.rs
+++ b/tests/action/faults.rs
@@ -305,6 +305,35 @@
     );
 }
 
+/// The same key of two accounts, and keys that need encoding, never meet at the status call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accounts_share_a_key() {
+    let world = World::start().await;
+    let entry = world.entry("a", None);
+    let other = Call {
+        account: "tuul:captions".into(),
+        ..checked("k")
+    };
+    entry.run(checked("k")).await.unwrap();
+    entry.run(checked("k/1")).await.unwrap();
+    world.plain_fault(json!({"lose_requests": 100})).await;
+
+    let theirs = entry.run(other.clone()).await;
+    let longer = entry.run(checked("k?x=1")).await;
+    let odd = entry.run(checked("k/1#%2F")).await;
+    world
+        .plain_fault(json!({"lose_requests": 0, "lose_answers": 1}))
+        .await;
+    let found = entry.run(checked("k?x=2#%2F/")).await;
+
+    assert_eq!(word(&theirs), "unknown", "{theirs:?}");
+    assert_eq!(word(&longer), "unknown", "{longer:?}");
+    assert_eq!(word(&odd), "unknown", "{odd:?}");
+    assert_eq!(word(&found), "ok", "{found:?}");
+    assert_eq!(world.runs("k?x=2#%2F/").await, 1);
+    assert_eq!(world.runs_of("tuul%3Acaptions", "k").await, 0);
+}
+
 /// Requests that are refused before anything is done.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_calls() {
