--- a/src/action/sweep.rs
+++ b/src/action/sweep.rs
@@ -45,7 +45,7 @@
             keep: 24,
             doubt: 168,
             rate: 20.0,
-            page: 200,
+            page: 500,
         }
     }
 }
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -11,6 +11,7 @@
 mod aggregate;
 mod contract;
 mod cost;
+mod cut;
 mod faults;
 mod fixture;
 mod history;
