Remember a running action when the platform goes down

Cause: while a first try still waited for the service, a repeat at the same instance heard not_run once the platform was down. Change: an instance remembers a key as sent before its first byte goes out. Tests of what is remembered in an outage, and that a vanished claim is no leave to send. Conclusion: a repeat at the instance that sent it hears outcome_unknown.

--- a/src/action/attempt.rs
+++ b/src/action/attempt.rs
@@ -221,7 +221,9 @@
         else {
             return Event::NotSent;
         };
-        match connection.send(request, call.timeout).await {
+        // From here on a repeat at this instance must not hear that nothing ran.
+        self.know(None);
+        match connection.send(request, self.call.timeout).await {
             Ok(answer) => {
                 (pick.report)(Report::Answered(answer.status.as_u16()));
                 Event::Answered(Outcome::from_answer(answer))
@@ -255,9 +257,13 @@
             Verdict::Unknown(_) => None,
             Verdict::TooLarge(_) | Verdict::NotRun(_) | Verdict::KeyReused => return,
         };
+        self.know(outcome.filter(|o| o.body.len() <= super::OUTCOME_LIMIT));
+    }
+
+    fn know(&self, outcome: Option<Outcome>) {
         let known = Known {
             digest: self.record.digest.clone(),
-            outcome: outcome.filter(|o| o.body.len() <= super::OUTCOME_LIMIT),
+            outcome,
         };
         self.inner.recent.insert(self.name.clone(), known);
     }
--- a/tests/action/aggregate.rs
+++ b/tests/action/aggregate.rs
@@ -358,3 +358,28 @@
 
     assert_eq!(sim.tries[0].end, Some(Verdict::NotRun(Cause::NoTarget)));
 }
+
+/// A claim that was sent and is not shown any more is no leave to send again: a lagging read may
+/// not know it yet, or its key is no longer kept.
+#[test]
+fn vanished_claim() {
+    let mut sim = Sim::new(false);
+    sim.add_try();
+    while !matches!(sim.tries[0].next, Command::Send(_)) {
+        sim.step(0, 0);
+    }
+    sim.tries[0].killed = true;
+    sim.add_try();
+    while !matches!(sim.tries[1].next, Command::Read) {
+        sim.step(1, 0);
+    }
+
+    sim.past.push(None);
+    while sim.tries[1].end.is_none() {
+        sim.step(1, 0);
+    }
+
+    let end = sim.tries[1].end.clone();
+    assert!(matches!(end, Some(Verdict::Unknown(_))), "{end:?}");
+    assert_eq!(sim.runs, 0);
+}
--- a/tests/action/faults.rs
+++ b/tests/action/faults.rs
@@ -191,6 +191,40 @@
     }
 }
 
+/// An entry that knows an action as sent never calls a repeat not run, however it is refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn doubt_is_remembered_in_an_outage() {
+    let world = World::start().await;
+    world.plain_fault(json!({"lose_answers": 1})).await;
+    let entry = world.entry("a", None);
+    let first = entry.run(call("k")).await;
+    world.platform_fault(json!({"outage": "refuse"})).await;
+
+    assert_eq!(word(&first), "unknown");
+    for _ in 0..8 {
+        let told = entry.run(call("k")).await;
+
+        assert_eq!(word(&told), "unknown", "{told:?}");
+    }
+    assert_eq!(world.runs("k").await, 1);
+}
+
+/// The same while the first try still waits for the service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_running_action_is_remembered_in_an_outage() {
+    let world = World::start().await;
+    world.plain_fault(json!({"slow_ms": 800})).await;
+    let entry = world.entry("a", None);
+    let first = tokio::spawn(run(entry.clone(), call("k")));
+    until("the action runs", || async { world.runs("k").await == 1 }).await;
+    world.platform_fault(json!({"outage": "refuse"})).await;
+
+    let told = entry.run(call("k")).await;
+
+    assert_eq!(word(&told), "unknown", "{told:?}");
+    assert_eq!(word(&first.await.unwrap()), "ok");
+}
+
 /// Faults of the service itself.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn service_faults() {
