--- a/tests/action/aggregate.rs
+++ b/tests/action/aggregate.rs
@@ -383,3 +383,32 @@
     assert!(matches!(end, Some(Verdict::Unknown(_))), "{end:?}");
     assert_eq!(sim.runs, 0);
 }
+
+/// When the owner stores the outcome while another try looks it up, all hear the stored one.
+#[test]
+fn stored_outcome_wins() {
+    let mut sim = Sim::new(false);
+    sim.add_try();
+    while !sim.tries[0].sent {
+        sim.step(0, 0);
+    }
+    sim.add_try();
+    while !matches!(sim.tries[1].next, Command::Check(_)) {
+        sim.step(1, 0);
+    }
+    let now = sim.now();
+    let asked = Outcome {
+        content: "application/json".into(),
+        ..first_run()
+    };
+    let two = &mut sim.tries[1];
+    two.next = two.claim.step(Event::Checked(Some(asked)), now);
+
+    sim.step(0, 0);
+    sim.step(1, 0);
+    sim.step(0, 0);
+    sim.step(1, 0);
+
+    assert_eq!(sim.tries[0].end, Some(Verdict::Ran(first_run())));
+    assert_eq!(sim.tries[1].end, Some(Verdict::Replayed(first_run())));
+}
