--- a/src/action/call.rs
+++ b/src/action/call.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::config::Repeat;
+use crate::ident::RequestKey;
 
 /// A call that a caller wants made.
 #[derive(Clone, Debug)]
@@ -77,8 +78,37 @@
     }
 }
 
-/// Chooses a target of a service, but none of those excluded.
-pub type Choose = Arc<dyn Fn(&str, &[SocketAddr]) -> Option<Pick> + Send + Sync>;
+/// What a target is wanted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Seek<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Names the request, so that its repeats meet the same version.
+    pub key: RequestKey,
+    /// HTTP method, or nothing when it is only to be asked for a status.
+    pub method: &'a str,
+    /// Path of the call.
+    pub path: &'a str,
+}
+
+impl Call {
+    /// What a target is wanted for. A call without a key cannot be known again.
+    pub(crate) fn seek(&self) -> Seek<'_> {
+        let key = match &self.key {
+            Some(key) => RequestKey::new(&self.account, key),
+            None => RequestKey(rand::random()),
+        };
+        Seek {
+            service: &self.service,
+            key,
+            method: self.method.as_str(),
+            path: &self.path,
+        }
+    }
+}
+
+/// Chooses a target, but none of those excluded.
+pub type Choose = Arc<dyn Fn(Seek<'_>, &[SocketAddr]) -> Option<Pick> + Send + Sync>;
 
 /// Where a try of a non-repeatable action stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
