Keep account keys in step without reading all accounts

Cause: each account that was applied rebuilt the index of all keys, so that a new instance with 23,000 accounts was not ready within 30 s. Ruled out: applying a listing in one go, which leaves each later change as dear. Change: an account's change touches its own key alone; another holder of a key is looked for only when the key is given up. Conclusion: the listing is linear in the accounts.

--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -252,16 +252,36 @@
     match entry.kind.as_str() {
         "service" => put_in(&mut view.services, entry),
         "move" => put_in(&mut view.moves, entry),
-        _ => {
-            let done = put_in(&mut view.accounts, entry);
-            view.keys = view
-                .accounts
-                .iter()
-                .map(|(name, a)| (a.value.key_sha256.clone(), name.clone()))
-                .collect();
-            done
-        }
+        _ => put_account(view, entry),
+    }
+}
+
+/// Keeps the keys in step without a look at all accounts, unless a key is given up.
+fn put_account(view: &mut View, entry: &Entry) -> bool {
+    let name = &entry.name;
+    let key = |view: &View| Some(view.accounts.get(name)?.value.key_sha256.clone());
+    let old = key(view);
+    let done = put_in(&mut view.accounts, entry);
+    let new = key(view);
+    match old {
+        old if old == new => return done,
+        Some(old) if view.keys.get(&old) == Some(name) => release(view, &old),
+        _ => {}
     }
+    if let Some(new) = new {
+        view.keys.insert(new, name.clone());
+    }
+    done
+}
+
+/// Gives a key to another account that has it, if there is one.
+fn release(view: &mut View, key: &SmolStr) {
+    let mut accounts = view.accounts.iter();
+    let other = accounts.find(|(_, a)| a.value.key_sha256 == *key);
+    match other.map(|(name, _)| name.clone()) {
+        Some(name) => view.keys.insert(key.clone(), name),
+        None => view.keys.swap_remove(key),
+    };
 }
 
 fn put_in<T: DeserializeOwned>(map: &mut IndexMap<SmolStr, Revised<T>>, entry: &Entry) -> bool {
