Record the resume gap of each account

Cause: the histogram that the users weigh most was registered and never filled. Ruled out: measuring it at the caller's front, which cannot tell a resume from a slow engine. Change: the driver tells of the time between the last token before a loss and the first after it; a takeover at another instance is not part of it.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -80,6 +80,7 @@
     fresh: Vec<SmolStr>,
     outcome: Option<Outcome>,
     placement: Placement,
+    heard: Option<Instant>,
 }
 
 impl Driver {
@@ -103,6 +104,7 @@
             fresh: Vec::new(),
             outcome: None,
             placement: Placement::default(),
+            heard: None,
         }
     }
 
@@ -474,6 +476,9 @@
             None => Observation::FirstToken(now - attempt.began),
         };
         self.state.set_limit(attempt.pace.lock().limit());
+        if let (Some(heard), Observation::FirstToken(_)) = (self.heard.replace(now), seen) {
+            self.observe(Observation::Resumed(now - heard));
+        }
         self.observe(seen);
     }
 
--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -57,6 +57,8 @@
     Gap(Duration),
     /// Mean time between the tokens of an attempt, once for each attempt that has enough.
     Pace(Duration),
+    /// Time between the last token before a loss and the first after it.
+    Resumed(Duration),
     /// The engine ended the attempt with an error.
     Faulted,
     /// The engine refused the attempt.
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -103,7 +103,9 @@
     router: &Arc<Router>,
     budget: &Arc<Budget>,
     witness: &Arc<Witness>,
+    metrics: &Metrics,
 ) -> Hooks {
+    let metrics = metrics.clone();
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
@@ -115,6 +117,9 @@
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
         observe: Box::new(move |start, target, seen| {
+            if let Observation::Resumed(gap) = seen {
+                metrics.span(&start.account).record(Stage::ResumeGap, gap);
+            }
             if let Some(key) = fleet.key(&target.name) {
                 witness.observed(start, key, seen);
                 observe(&router, key, seen);
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -79,7 +79,15 @@
         let budget = Arc::new(Budget::new());
         let moves = Arc::new(Book::new(settings.instance.name.clone(), rand::random()));
         let witness = Arc::new(Witness::new(Arc::clone(&moves), Arc::clone(&router)));
-        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget, &witness);
+        let metrics = Metrics::new();
+        let hooks = generate::hooks(
+            &settings.instance,
+            &fleet,
+            &router,
+            &budget,
+            &witness,
+            &metrics,
+        );
         let gate = Arc::new(Gate::new(rand::random()));
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
@@ -88,7 +96,6 @@
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router, &witness, &moves);
-        let metrics = Metrics::new();
         generations.gate(generate::admission(&config, &gate, &budget, &metrics));
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
--- a/src/instance/witness.rs
+++ b/src/instance/witness.rs
@@ -71,7 +71,7 @@
             Observation::Pace(gap) => self.record(asked, Sample::Gap(gap)),
             Observation::Faulted | Observation::Refused => self.record(asked, Sample::Failed),
             Observation::Ended => self.record(asked, Sample::Answered),
-            Observation::Lost(Loss::Leaving) | Observation::Gap(_) => {}
+            Observation::Lost(Loss::Leaving) | Observation::Gap(_) | Observation::Resumed(_) => {}
             Observation::Lost(_) => self.died(asked),
         }
     }
