--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -59,6 +59,8 @@
     Pace(Duration),
     /// It was silent for longer than its limit, and is asked.
     Suspected,
+    /// Time between the last token before a loss and the first after it.
+    Resumed(Duration),
     /// The engine ended the attempt with an error.
     Faulted,
     /// The engine refused the attempt.
