Spread configuration by few watchers and all peers

Cause: every instance watched the platform for itself, and none could start while it was down. Ruled out: watches in all instances, whose number of calls grows with the fleet; and pushes alone, which are lost in a cut. Change: two watchers in each failure domain by rendezvous; what an instance learns itself it pushes to all peers at once; every 500 ms instances compare digests and pull what they lack; an instance whose peers know nothing newer than 2 s reads by itself; the instance list comes from a peer while the platform gives none; status shows the revision at each peer. Conclusion: waiting calls grow with failure domains, not with instances.

--- a/src/admin/wire.rs
+++ b/src/admin/wire.rs
@@ -59,7 +59,10 @@
                     true => state(entry.leaving),
                     false => reach(instance.peers.reach(&entry.name)),
                 },
-                rev: own.then_some(rev),
+                rev: match own {
+                    true => Some(rev),
+                    false => instance.feed.lock().rev_of(&entry.name),
+                },
                 age_ms: own.then_some(0),
             }
         })
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,7 +1,9 @@
 //! The configuration in force: services, their versions and routes, and client accounts.
 
+mod feed;
 mod model;
 mod store;
 
+pub use feed::{Feed, Message, Note, Reply};
 pub use model::{Account, Fencing, Kind, Repeat, Revised, Route, Service, Version, View};
 pub use store::{Entry, Held, KINDS, Store, Summary};
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::action::{Actions, Rules};
 use crate::admission::{Budget, Gate};
-use crate::config;
+use crate::config::{self, Feed};
 use crate::fleet::Fleet;
 use crate::generation::Generations;
 use crate::http::Client;
@@ -66,6 +66,9 @@
     /// Moves that run.
     pub moves: Arc<Book>,
     storing: Mutex<IndexSet<SmolStr>>,
+    /// Where the configuration comes from.
+    pub feed: Mutex<Feed>,
+    listing: Mutex<Option<platform::InstanceList>>,
     listed: AtomicBool,
 }
 
@@ -109,6 +112,8 @@
             actions,
             moves,
             storing: Mutex::default(),
+            feed: Mutex::default(),
+            listing: Mutex::default(),
             listed: AtomicBool::new(false),
         }
     }
@@ -134,6 +139,9 @@
     pub fn start(self: &Arc<Self>) {
         self.hear_peers();
         self.hear_evidence();
+        self.hear_config();
+        tokio::spawn(Arc::clone(self).push_config());
+        tokio::spawn(Arc::clone(self).compare_config());
         tokio::spawn(Arc::clone(self).drive_moves());
         tokio::spawn(Arc::clone(self).follow_fleet());
         tokio::spawn(Arc::clone(self).poll_loads());
