--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -29,6 +29,7 @@
 /// A running engine.
 pub struct Target {
     pub name: String,
+    pub addr: SocketAddr,
     pub engine: Arc<engine::Engine>,
 }
 
@@ -88,20 +89,31 @@
         Ok(lab)
     }
 
-    /// Starts an engine and lists it.
+    /// Starts an engine in the usual place and lists it.
     pub async fn engine(&mut self, options: engine::options::Options) -> anyhow::Result<()> {
+        self.engine_at(options, "d1", "r1").await
+    }
+
+    /// Starts an engine and lists it.
+    pub async fn engine_at(
+        &mut self,
+        options: engine::options::Options,
+        domain: &str,
+        region: &str,
+    ) -> anyhow::Result<()> {
         let listener = listen().await?;
         let addr = listener.local_addr()?;
         let name = options.name.clone();
         let running = engine::Engine::new(options);
         tokio::spawn(engine::run(listener, Arc::clone(&running)));
         self.list(json!({
-            "name": name, "role": "engine", "addr": addr, "domain": "d1", "region": "r1",
+            "name": name, "role": "engine", "addr": addr, "domain": domain, "region": region,
             "service": SERVICE, "version": "v1", "state": "live",
         }))
         .await?;
         self.targets.push(Target {
             name,
+            addr,
             engine: running,
         });
         Ok(())
@@ -165,7 +177,8 @@
         self.send(Method::PUT, &url, value).await
     }
 
-    async fn list(&self, item: Value) -> anyhow::Result<()> {
+    /// Lists an instance on the platform.
+    pub async fn list(&self, item: Value) -> anyhow::Result<()> {
         let url = format!("http://{}/control/instances", self.platform);
         self.send(Method::POST, &url, &item).await
     }
@@ -182,13 +195,17 @@
     }
 
     fn settings(&self, name: &str) -> anyhow::Result<Settings> {
-        let text = format!(
+        Ok(Settings::parse(&self.settings_text(name))?)
+    }
+
+    /// Settings of an entry instance in the usual place.
+    pub fn settings_text(&self, name: &str) -> String {
+        format!(
             "[instance]\nname = {name}\ndomain = d1\nregion = r1\n\
              [listen]\ncaller = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
              [platform]\naddr = {}\n[peers]\nkey = a-key-that-all-instances-share\n",
             self.platform
-        );
-        Ok(Settings::parse(&text)?)
+        )
     }
 }
 
