--- a/src/config/feed.rs
+++ b/src/config/feed.rs
@@ -6,20 +6,22 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::store::{Entry, Held, Summary};
+use super::store::{Entry, Held, Store, Summary};
 use crate::ident::{digest, rendezvous};
 
 /// Instances of a failure domain that watch the platform for the others.
 const WATCHERS: usize = 2;
 
 /// Age of the peers' knowledge from which an instance reads the platform itself.
-const SILENCE: Duration = Duration::from_secs(2);
+const SILENCE: Duration = Duration::from_millis(2500);
 
 /// What an instance tells its peers of its configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
     /// What it holds.
     pub summary: Summary,
+    /// Whether nothing is missing in it.
+    pub complete: bool,
     /// Milliseconds since the platform was read, by it or by one that told it; none when it does
     /// not know.
     pub age_ms: Option<u64>,
@@ -88,11 +90,12 @@
 
     /// What to tell peers.
     #[must_use]
-    pub fn note(&self, summary: Summary, now: Instant) -> Note {
+    pub fn note(&self, store: &Store, now: Instant) -> Note {
         let read = self.read.max(self.told);
         let age = read.map(|read| now.saturating_duration_since(read));
         Note {
-            summary,
+            summary: store.summary(),
+            complete: store.complete(),
             age_ms: age.map(|age| age.as_millis() as u64),
         }
     }
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -57,6 +57,7 @@
     floors: IndexMap<SmolStr, u64>,
     summary: Summary,
     unreadable: u64,
+    complete: bool,
 }
 
 #[derive(Debug)]
@@ -132,11 +133,17 @@
         count
     }
 
-    /// Whether every kind was listed as a whole at least once.
+    /// Whether every kind was listed as a whole at least once, here or at an instance that holds
+    /// the same.
     #[must_use]
     pub fn complete(&self) -> bool {
         let ledger = self.ledger.lock();
-        KINDS.iter().all(|kind| ledger.floors.contains_key(*kind))
+        ledger.complete || KINDS.iter().all(|kind| ledger.floors.contains_key(*kind))
+    }
+
+    /// Takes the word of an instance that is complete and holds the same.
+    pub fn mark_complete(&self) {
+        self.ledger.lock().complete = true;
     }
 
     /// What two instances compare first.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -17,7 +17,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest wait of a watch. A watch whose connection has gone silent costs this and a timeout.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Time between two looks at whether this instance must read by itself.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
@@ -147,7 +147,7 @@
                 reply.list = listing.as_ref().map(|l| serde_json::json!(l).to_string());
             }
         }
-        reply.note = self.feed.lock().note(self.config.summary(), now);
+        reply.note = self.feed.lock().note(&self.config, now);
         reply
     }
 
@@ -170,7 +170,7 @@
             if news.is_empty() {
                 continue;
             }
-            let note = self.feed.lock().note(self.config.summary(), Instant::now());
+            let note = self.feed.lock().note(&self.config, Instant::now());
             let (peers, message) = (self.peers.clone(), Message::Push(note, news));
             tokio::spawn(async move {
                 peers
@@ -186,7 +186,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let note = self.feed.lock().note(self.config.summary(), Instant::now());
+            let note = self.feed.lock().note(&self.config, Instant::now());
             let replies = self
                 .peers
                 .ask_all::<_, Reply>(Tag::Config, &Message::Note(note), ASK_LIMIT)
@@ -195,6 +195,8 @@
                 self.feed.lock().hear(&name, reply.note, Instant::now());
                 if reply.note.summary.digest != self.config.summary().digest {
                     self.pull_config(&name).await;
+                } else if reply.note.complete {
+                    self.config.mark_complete();
                 }
             }
         }
