Give orders as the holder of a lease and test leaving

Cause: nothing told targets what to load, and nothing showed that a leaving target gets no work. Ruled out: comparing clocks of machines for the end of a lease; orders as a queue, since one that is lost or late is then wrong for good. Change: one lease object a service, its revision the fencing number; a successor waits the whole term by its own clock, and at targets that ignore the number the longest order besides; what a target lacks is ordered, read back and corrected; loads keep to a token bucket. Versions name adapters and a role.

--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -47,12 +47,18 @@
 }
 
 /// A version of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Version {
     /// Model that its engines load; empty for plain services.
     #[serde(default)]
     pub model: SmolStr,
+    /// Adapters that its engines load.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub adapters: Vec<SmolStr>,
+    /// Role of its engines; empty leaves it to them.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub role: SmolStr,
 }
 
 /// Whether a service's targets check the fencing number of an order.
--- /dev/null
+++ b/src/fleet/orders.rs
@@ -0,0 +1,123 @@
+//! Orders as desired state: what a target should have loaded, and what it lacks.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::config::Service;
+
+/// Loads a second that the weight store carries.
+const LOAD_RATE: f64 = 2.0;
+
+/// Loads at once after a quiet time.
+const LOAD_BURST: f64 = 4.0;
+
+/// Operation of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Op {
+    /// Loads a model.
+    LoadModel,
+    /// Loads an adapter.
+    LoadAdapter,
+    /// Loads a version.
+    LoadVersion,
+    /// Changes the role.
+    Role,
+}
+
+/// One order, as targets take it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Operation.
+    pub op: Op,
+    /// What it is about.
+    pub name: SmolStr,
+}
+
+impl Order {
+    /// Whether it reads from the weight store.
+    #[must_use]
+    pub fn loads(&self) -> bool {
+        self.op != Op::Role
+    }
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct Loaded {
+    /// Models.
+    #[serde(default)]
+    pub models: Vec<SmolStr>,
+    /// Adapters.
+    #[serde(default)]
+    pub adapters: Vec<SmolStr>,
+    /// Versions.
+    #[serde(default)]
+    pub versions: Vec<SmolStr>,
+    /// Role.
+    #[serde(default)]
+    pub role: SmolStr,
+    /// Highest fencing number seen.
+    #[serde(default)]
+    pub fence: u64,
+}
+
+/// The orders that bring a target of `version` to its desired state, in the order in which they
+/// must be sent. None for a version that the service does not have.
+#[must_use]
+pub fn missing(service: &Service, version: &str, loaded: &Loaded) -> Vec<Order> {
+    let Some(wanted) = service.versions.get(version) else {
+        return Vec::new();
+    };
+    let order = |op, name: &SmolStr| Order {
+        op,
+        name: name.clone(),
+    };
+    let mut orders = Vec::new();
+    if !wanted.model.is_empty() && !loaded.models.contains(&wanted.model) {
+        orders.push(order(Op::LoadModel, &wanted.model));
+    }
+    let adapters = wanted.adapters.iter();
+    orders.extend(
+        adapters
+            .filter(|name| !loaded.adapters.contains(name))
+            .map(|name| order(Op::LoadAdapter, name)),
+    );
+    if !loaded.versions.iter().any(|v| v == version) {
+        orders.push(order(Op::LoadVersion, &version.into()));
+    }
+    if !wanted.role.is_empty() && wanted.role != loaded.role {
+        orders.push(order(Op::Role, &wanted.role));
+    }
+    orders
+}
+
+/// Keeps loads within the weight store's rate.
+#[derive(Clone, Debug)]
+pub struct LoadBudget {
+    tokens: f64,
+    last: Instant,
+}
+
+impl LoadBudget {
+    /// A full bucket.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tokens: LOAD_BURST,
+            last: now,
+        }
+    }
+
+    /// Takes one load if the rate allows it.
+    pub fn try_take(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.last).as_secs_f64();
+        self.tokens = (self.tokens + passed * LOAD_RATE).min(LOAD_BURST);
+        self.last = now;
+        let enough = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(enough));
+        enough
+    }
+}
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod balance;
+mod command;
 mod follow;
 mod generate;
 mod moves;
@@ -139,6 +140,7 @@
     pub fn start(self: &Arc<Self>) {
         self.hear_peers();
         self.hear_evidence();
+        tokio::spawn(Arc::clone(self).command_targets());
         self.hear_config();
         tokio::spawn(Arc::clone(self).push_config());
         tokio::spawn(Arc::clone(self).compare_config());
--- a/src/setup/plan.rs
+++ b/src/setup/plan.rs
@@ -223,7 +223,10 @@
         Some(text.into())
     });
     fields.end();
-    Version { model }
+    Version {
+        model,
+        ..Version::default()
+    }
 }
 
 fn read_route(title: &str, section: &Section, findings: &mut Findings) -> Option<Route> {
