--- a/tests/rollout_rules.rs
+++ b/tests/rollout_rules.rs
@@ -122,8 +122,8 @@
         trial.suspicion()
     };
 
-    let once = suspicion(&[second.clone()]);
-    let again = suspicion(&[second.clone(), first.clone(), second.clone(), first]);
+    let once = suspicion(std::slice::from_ref(&second));
+    let again = suspicion(&[second.clone(), first.clone(), second, first]);
 
     assert_eq!(once, again);
 }
