--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod balance;
+mod command;
 mod follow;
 mod generate;
 mod moves;
@@ -18,7 +19,7 @@
 
 use crate::action::{Actions, Rules};
 use crate::admission::{Budget, Gate};
-use crate::config;
+use crate::config::{self, Feed};
 use crate::fleet::Fleet;
 use crate::generation::Generations;
 use crate::http::Client;
@@ -66,6 +67,9 @@
     /// Moves that run.
     pub moves: Arc<Book>,
     storing: Mutex<IndexSet<SmolStr>>,
+    /// Where the configuration comes from.
+    pub feed: Mutex<Feed>,
+    listing: Mutex<Option<platform::InstanceList>>,
     listed: AtomicBool,
 }
 
@@ -79,7 +83,15 @@
         let budget = Arc::new(Budget::new());
         let moves = Arc::new(Book::new(settings.instance.name.clone(), rand::random()));
         let witness = Arc::new(Witness::new(Arc::clone(&moves), Arc::clone(&router)));
-        let hooks = generate::hooks(&settings.instance, &fleet, &router, &budget, &witness);
+        let metrics = Metrics::new();
+        let hooks = generate::hooks(
+            &settings.instance,
+            &fleet,
+            &router,
+            &budget,
+            &witness,
+            &metrics,
+        );
         let gate = Arc::new(Gate::new(rand::random()));
         let peers = peers(&settings, peer);
         let generations = Generations::new(hooks, Client::new());
@@ -88,7 +100,6 @@
         let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router, &witness, &moves);
-        let metrics = Metrics::new();
         generations.gate(generate::admission(&config, &gate, &budget, &metrics));
         let name = settings.instance.name.clone();
         let actions = Actions::new(name, platform.clone(), choose, Rules::default());
@@ -109,6 +120,8 @@
             actions,
             moves,
             storing: Mutex::default(),
+            feed: Mutex::default(),
+            listing: Mutex::default(),
             listed: AtomicBool::new(false),
         }
     }
@@ -134,6 +147,10 @@
     pub fn start(self: &Arc<Self>) {
         self.hear_peers();
         self.hear_evidence();
+        tokio::spawn(Arc::clone(self).command_targets());
+        self.hear_config();
+        tokio::spawn(Arc::clone(self).push_config());
+        tokio::spawn(Arc::clone(self).compare_config());
         tokio::spawn(Arc::clone(self).drive_moves());
         tokio::spawn(Arc::clone(self).follow_fleet());
         tokio::spawn(Arc::clone(self).poll_loads());
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -9,7 +9,9 @@
 mod plain;
 
 mod aggregate;
+mod contract;
 mod cost;
+mod cut;
 mod faults;
 mod fixture;
 mod history;
