--- a/examples/standin/engine/batch.rs
+++ b/examples/standin/engine/batch.rs
@@ -166,8 +166,8 @@
     pub leaving: bool,
     /// Whether starts are refused.
     pub refuse: bool,
-    /// Prompt parts that crash it.
-    pub crash_on: Vec<String>,
+    /// Prompt parts that crash it, each with the number of tokens at which it does.
+    pub crash_on: Vec<(String, u64)>,
     /// Faults.
     pub faults: Vec<Fault>,
     opts: Options,
@@ -256,6 +256,10 @@
         let count = ids.len();
         for id in ids {
             self.generate(&id, count, now);
+            let attempt = &self.attempts[&id];
+            if self.crashes(&attempt.start.prompt, attempt.next) {
+                return None;
+            }
         }
         self.sweep(now);
         self.read_load(now);
@@ -279,6 +283,11 @@
         self.attempts.values().filter(|a| a.phase == Phase::Running)
     }
 
+    fn crashes(&self, prompt: &str, tokens: u64) -> bool {
+        let hit = |(part, at): &(String, u64)| tokens >= *at && prompt.contains(part);
+        self.crash_on.iter().any(hit)
+    }
+
     fn queued(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.values().filter(|a| a.phase == Phase::Queued)
     }
@@ -297,7 +306,7 @@
                 })
                 .map(|a| a.start.clone());
             let Some(start) = best else { break };
-            if self.crash_on.iter().any(|part| start.prompt.contains(part)) {
+            if self.crashes(&start.prompt, start.prefix.len() as u64) {
                 return None;
             }
             running += 1;
--- a/examples/standin/engine/fault.rs
+++ b/examples/standin/engine/fault.rs
@@ -46,6 +46,8 @@
     pub crash: bool,
     /// Crashes when an attempt whose prompt contains this begins to run.
     pub crash_on: Option<String>,
+    /// It crashes only when such an attempt has this many tokens, prefix included.
+    pub crash_at: u64,
     /// Every connection open now goes silent for good.
     pub silent: bool,
     /// Whether the engine says that it leaves.
--- a/examples/standin/engine/mod.rs
+++ b/examples/standin/engine/mod.rs
@@ -52,7 +52,9 @@
     /// Sets faults, as `POST /control` does.
     pub fn control(&self, control: Control) {
         let mut batch = self.batch.lock();
-        batch.crash_on.extend(control.crash_on);
+        if let Some(part) = control.crash_on {
+            batch.crash_on.push((part, control.crash_at));
+        }
         batch.leaving = control.leaving.unwrap_or(batch.leaving);
         batch.refuse = control.refuse.unwrap_or(batch.refuse);
         if let Some(faults) = control.faults {
--- a/tests/generation_poison.rs
+++ b/tests/generation_poison.rs
@@ -123,6 +123,53 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_in_the_middle_of_its_answer() {
+    const CRASH_AT: u64 = 12;
+    let fleet = fleet(6).await;
+    for engine in &fleet.engines {
+        engine.heal();
+        engine.control(Control {
+            crash_on: Some("[crashes]".into()),
+            crash_at: CRASH_AT,
+            ..Control::default()
+        });
+    }
+    let entries = entries(&fleet, 2).await;
+    let mut neighbours = Vec::new();
+    for i in 0..NEIGHBOURS {
+        let prompt = format!("neighbour {i}");
+        let start = start(&format!("n-{i}"), &prompt, TOKENS);
+        let mut reader = entries[i % 2].open(start, None).await;
+        neighbours.push(tokio::spawn(async move {
+            let seen = read(&mut reader, usize::MAX).await;
+            seen.assert_exact(&prompt, 0, TOKENS);
+        }));
+    }
+
+    let mut reader = entries[0].open(poison("p"), None).await;
+    let seen = read(&mut reader, usize::MAX).await;
+    let again = send(&entries[1], "q").await;
+
+    println!(
+        "poison in the middle: {} targets lost after {} tokens",
+        fleet.crashed(),
+        seen.tokens.len()
+    );
+    let failure = seen.failure.expect("a final answer");
+    assert_eq!(failure.reason, "quarantined");
+    assert!(failure.retry_after.is_some());
+    assert_eq!(again.reason, "quarantined");
+    assert!(
+        fleet.crashed() <= TARGETS_BAR,
+        "{} targets lost",
+        fleet.crashed()
+    );
+    for neighbour in neighbours {
+        neighbour.await.unwrap();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_quarantine_ends() {
     let fleet = fleet(4).await;
