Prove what holds while failure domains are cut off

Change: a relay that holds bytes back while it is cut, an address that an instance advertises to its peers (needed behind any relay or translation), and three tests over processes: a domain cut off from all finishes and begins generations, refuses an action truly, and has the missed change in force after the cut; a caller goes on at the other side of a cut between peers; changes reach both sides. The drain lasts 30 minutes by default, since 30 s would cut the generations that run for minutes.

--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -163,7 +163,8 @@
 }
 
 fn peers(settings: &Settings, listener: TcpListener) -> Peers {
-    let addr = listener.local_addr().unwrap_or(settings.listen.peer);
+    let bound = listener.local_addr().unwrap_or(settings.listen.peer);
+    let addr = settings.peers.advertise.unwrap_or(bound);
     let me = Member {
         name: settings.instance.name.clone(),
         addr,
--- a/src/settings/key.rs
+++ b/src/settings/key.rs
@@ -108,6 +108,13 @@
         "peer addresses of other instances, separated by commas",
         "Instances to ask before the platform's list is known",
     ),
+    key(
+        "peers",
+        "advertise",
+        Some(""),
+        "an IP address and port; empty: the address of listen.peer",
+        "Address under which other instances reach this one",
+    ),
     key(
         "limits",
         "headers",
@@ -160,9 +167,9 @@
     key(
         "drain",
         "timeout",
-        Some("30s"),
+        Some("30m"),
         DURATION,
-        "Longest wait for running requests at a graceful stop",
+        "Longest wait for running requests at a graceful stop; longer than the longest generation",
     ),
 ];
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -78,6 +78,8 @@
     pub heartbeat: Duration,
     /// Peer addresses to try before the platform's list is known.
     pub seeds: Vec<SocketAddr>,
+    /// Address under which other instances reach this one; `None`: its listener's.
+    pub advertise: Option<SocketAddr>,
 }
 
 /// `[limits]`: bounds on what callers may send.
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -156,10 +156,12 @@
         let key = self.take("peers", "key", secret);
         let heartbeat = self.take("peers", "heartbeat", value::duration);
         let seeds = self.take("peers", "seeds", parse_addrs);
+        let advertise = self.take("peers", "advertise", parse_optional);
         Some(Peers {
             key: key?,
             heartbeat: heartbeat?,
             seeds: seeds?,
+            advertise: advertise?,
         })
     }
 
@@ -304,6 +306,13 @@
     text.parse().ok()
 }
 
+fn parse_optional(text: &str) -> Option<Option<SocketAddr>> {
+    match text {
+        "" => Some(None),
+        text => parse_addr(text).map(Some),
+    }
+}
+
 fn parse_addrs(text: &str) -> Option<Vec<SocketAddr>> {
     text.split(',')
         .map(str::trim)
--- /dev/null
+++ b/tests/cut.rs
@@ -0,0 +1,268 @@
+//! Failure domains that are cut off from each other and from the platform.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use endivefork::http::{Via, request};
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use support::caller::Ask;
+use support::process::{Process, example};
+use support::relay::Relay;
+use support::world::{Instance, Node, World, start_entry, until};
+
+/// Time in which an accepted change is in force.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// Two failure domains, each with an entry instance and an engine; the plain target is in the
+/// first. The second reaches the platform through a relay, and peers reach each other through
+/// relays.
+struct Domains {
+    world: World,
+    platform: Relay,
+    peers: [Relay; 2],
+}
+
+impl Domains {
+    async fn start() -> Self {
+        let mut world = World::new();
+        world.configure().await;
+        let platform = Relay::start().await;
+        platform.point(world.platform.addr);
+        let peers = [Relay::start().await, Relay::start().await];
+        let platforms = [world.platform.addr, platform.addr];
+        for (i, relay) in peers.iter().enumerate() {
+            let engine = start_engine(&format!("engine-{i}"));
+            list(
+                &world,
+                &engine.name,
+                "engine",
+                i,
+                json!({
+                    "addr": engine.addr, "service": "llm", "version": "v1",
+                }),
+            )
+            .await;
+            world.engines.push(engine);
+            let entry = entry(i, platforms[i], relay);
+            relay.point(entry.peer);
+            list(
+                &world,
+                &entry.name,
+                "entry",
+                i,
+                json!({
+                    "addr": entry.caller, "peer": relay.addr,
+                }),
+            )
+            .await;
+            world.entries.push(entry);
+        }
+        world.plain(&[]).await;
+        world.ready().await;
+        let domains = Self {
+            world,
+            platform,
+            peers,
+        };
+        domains.peers_are("live").await;
+        domains
+    }
+
+    fn cut_peers(&self) {
+        self.peers.iter().for_each(Relay::cut);
+    }
+
+    fn heal(&self) {
+        self.peers.iter().for_each(Relay::heal);
+        self.platform.heal();
+    }
+
+    async fn status(&self, entry: usize) -> Value {
+        let url = format!("http://{}/v1/status", self.world.entries[entry].admin);
+        let mut ask = request(Method::GET, &url, "");
+        let key = "Bearer operator-key".parse().unwrap();
+        ask.headers_mut().insert("authorization", key);
+        let answer = self.world.client.send(Via::Fresh, ask, IN_FORCE).await;
+        answer.unwrap().json().unwrap()
+    }
+
+    /// Waits until each entry instance sees the other in `state`.
+    async fn peers_are(&self, state: &str) {
+        for i in 0..2 {
+            until(&format!("entry-{i} sees its peer {state}"), async || {
+                let status = self.status(i).await;
+                let instances = status["instances"].as_array().cloned();
+                let instances = instances.unwrap_or_default();
+                let other = instances.iter().find(|x| x["name"] != format!("entry-{i}"));
+                other.is_some_and(|x| x["state"] == state)
+            })
+            .await;
+        }
+    }
+
+    /// Whether `entry` knows the account that holds `key`.
+    async fn knows(&self, entry: usize, key: &str) -> bool {
+        let addr = self.world.entries[entry].caller;
+        let ask = Ask::service(addr, Method::GET, "nowhere", "/x").account(key);
+        let (status, _) = ask.whole(&self.world.client).await.unwrap();
+        status != StatusCode::UNAUTHORIZED
+    }
+
+    async fn deposits(&self) -> usize {
+        let log = self
+            .world
+            .read(self.world.plains[0].addr, "/control/log")
+            .await;
+        log["total"].as_u64().expect("a count of runs") as usize
+    }
+}
+
+fn start_engine(name: &str) -> Node {
+    let mut command = std::process::Command::new(example("engine"));
+    command.args(["--listen", "127.0.0.1:0", "--name", name]);
+    command.args(["--token-ms", "20"]);
+    let process = Process::start(&mut command);
+    Node {
+        name: name.into(),
+        addr: process.addr("listening"),
+        process,
+    }
+}
+
+fn entry(i: usize, platform: std::net::SocketAddr, relay: &Relay) -> Instance {
+    let operator = hex::encode(Sha256::digest(b"operator-key"));
+    let name = format!("entry-{i}");
+    let settings = format!(
+        "[instance]\nname = {name}\ndomain = d{i}\nregion = r{i}\n\
+         [listen]\ncaller = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
+         [platform]\naddr = {platform}\n\
+         [peers]\nkey = a-key-that-all-instances-share\nadvertise = {}\n\
+         [operators]\nops = {operator}\n",
+        relay.addr,
+    );
+    start_entry(&name, settings)
+}
+
+async fn list(world: &World, name: &str, role: &str, domain: usize, more: Value) {
+    let mut item = json!({
+        "name": name, "role": role, "domain": format!("d{domain}"),
+        "region": format!("r{domain}"), "state": "live",
+    });
+    for (key, value) in more.as_object().unwrap() {
+        item[key] = value.clone();
+    }
+    world
+        .control(world.platform.addr, "/control/instances", &item)
+        .await;
+}
+
+async fn add_account(world: &World, name: &str) {
+    let hash = hex::encode(Sha256::digest(format!("key-{name}")));
+    world
+        .store("account", name, &json!({"key_sha256": hash}))
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_cut_off_from_all_serves_on_and_learns_what_it_missed() {
+    let domains = Domains::start().await;
+    let world = &domains.world;
+    let cut_off = world.entries[1].caller;
+    let before = Ask::completion(cut_off, "llm", "begun before the cut", 150);
+    let client = world.client.clone();
+    let running = tokio::spawn(async move { before.all(&client).await });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    domains.cut_peers();
+    domains.platform.cut();
+    domains.peers_are("silent").await;
+    let rev = domains.status(1).await["rev"].as_u64().unwrap();
+    add_account(world, "three").await;
+    let begun = Instant::now();
+    until("the change is in force in d0", async || {
+        domains.knows(0, "key-three").await
+    })
+    .await;
+    let near = begun.elapsed();
+    let known_in_cut = domains.knows(1, "key-three").await;
+    let during = Ask::completion(cut_off, "llm", "begun in the cut", 50);
+    let during = during.all(&world.client).await;
+    let running = running.await.unwrap();
+    let action = Ask::service(cut_off, Method::POST, "desk", "/actions/deposit")
+        .key("one-deposit")
+        .body(json!({"amount": 5}));
+    let refused = action.whole(&world.client).await.unwrap();
+    let runs_in_cut = domains.deposits().await;
+    let elsewhere = action.clone().at(world.entries[0].caller);
+    let accepted = elsewhere.whole(&world.client).await.unwrap();
+
+    domains.heal();
+    let healed = Instant::now();
+    until("the change is in force in d1", async || {
+        domains.knows(1, "key-three").await
+    })
+    .await;
+    let far = healed.elapsed();
+    domains.peers_are("live").await;
+    let repeated = action.whole(&world.client).await.unwrap();
+    let runs = domains.deposits().await;
+    let after = domains.status(1).await["rev"].as_u64().unwrap();
+
+    println!("in force near {near:?}, after the cut {far:?}");
+    assert!(running.done && running.in_order(0), "{running:?}");
+    assert_eq!(running.tokens.len(), 150);
+    assert!(during.done && during.in_order(0), "{during:?}");
+    assert_eq!(during.tokens.len(), 50);
+    assert!(!known_in_cut, "nothing passes a cut");
+    assert_eq!(refused.1["error"]["outcome"], "not_run", "{refused:?}");
+    assert_eq!(runs_in_cut, 0, "a refusal that says not run is true");
+    assert!(accepted.0.is_success(), "{accepted:?}");
+    assert_eq!(repeated, accepted, "the stored outcome is replayed");
+    assert_eq!(runs, 1, "the deposit ran once");
+    assert!(near <= IN_FORCE, "{near:?}");
+    assert!(far <= IN_FORCE, "{far:?}");
+    assert!(after > rev, "revisions go up: {rev} to {after}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_goes_on_across_a_cut_between_peers() {
+    let domains = Domains::start().await;
+    let world = &domains.world;
+    let owner = world.entries[1].caller;
+    let ask = Ask::completion(owner, "llm", "a story over a cut", 120).key("across");
+    let whole = Ask::completion(owner, "llm", "a story over a cut", 120);
+    let whole = whole.all(&world.client).await;
+
+    let first = ask.stream(&world.client, |token| token.id == 40).await;
+    domains.cut_peers();
+    domains.peers_are("silent").await;
+    let last = first.tokens.last().unwrap().id;
+    let back = ask.clone().at(world.entries[0].caller).last(last);
+    let rest = back.all(&world.client).await;
+
+    let texts = [first.texts(), rest.texts()].concat();
+    assert!(rest.done, "{:?}", rest.error);
+    assert!(rest.in_order(last + 1));
+    assert_eq!(texts, whole.texts(), "the same tokens, each once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_reach_all_while_peers_are_cut_from_each_other() {
+    let domains = Domains::start().await;
+    domains.cut_peers();
+    domains.peers_are("silent").await;
+
+    add_account(&domains.world, "four").await;
+    let begun = Instant::now();
+    until("the change is in force in both", async || {
+        domains.knows(0, "key-four").await && domains.knows(1, "key-four").await
+    })
+    .await;
+
+    let worst = begun.elapsed();
+    println!("in force everywhere after {worst:?}");
+    assert!(worst <= IN_FORCE, "{worst:?}");
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -50,7 +50,8 @@
     assert_eq!(settings.limits.connections, 10_000);
     assert_eq!(settings.log.format, LogFormat::Human);
     assert_eq!(settings.log.level, slog::Level::Info);
-    assert_eq!(settings.drain, Duration::from_secs(30));
+    assert_eq!(settings.drain, Duration::from_secs(30 * 60));
+    assert_eq!(settings.peers.advertise, None);
     assert!(settings.operators.is_empty());
     assert!(settings.peers.seeds.is_empty());
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,5 +4,6 @@
 
 pub mod caller;
 pub mod process;
+pub mod relay;
 pub mod returning;
 pub mod world;
