Let repeats that meet at one instance share one try

Cause: each concurrent repeat cost a refused write and several reads, and one that came while the first still waited for the service had to guess in an outage. Change: a repeat joins the running try of its key at its instance, for as long as its own deadline; another request under the key is refused at once. This replaces remembering the key before the send; its test now expects the outcome itself, where outcome_unknown sufficed before. Conclusion: a storm of repeats costs one try an instance.

--- a/src/action/actions.rs
+++ b/src/action/actions.rs
@@ -11,11 +11,13 @@
 
 use super::attempt::Attempt;
 use super::breaker::Breaker;
+use super::flights::{Flights, Join, Lead, follow};
 use super::pace::Pace;
 use super::recent::Recent;
 use super::safe::Budgets;
 use super::settle::Settler;
-use super::{Call, Choose, Hook, Live, Outcome, Retention, Rules, Sweeper};
+use super::verdict::answer;
+use super::{Call, Choose, Hook, Live, Outcome, Retention, Rules, Sweeper, Verdict};
 use crate::config::Repeat;
 use crate::failure::Failure;
 use crate::http::Client as Http;
@@ -41,6 +43,7 @@
     pub(crate) hook: Option<Hook>,
     pub(crate) settler: Settler,
     running: AtomicUsize,
+    flights: Flights,
     pace: Mutex<Pace>,
     breaker: Mutex<Breaker>,
     pub(crate) recent: Recent,
@@ -93,6 +96,7 @@
             name,
             settler: Settler::new(platform.clone()),
             running: AtomicUsize::new(0),
+            flights: Flights::default(),
             pace: Mutex::new(Pace::new(Instant::now())),
             breaker: Mutex::new(Breaker::new(Instant::now())),
             platform,
@@ -147,11 +151,22 @@
             return self.run_safe(call).await;
         }
         let key = check_key(call.key.as_deref())?;
+        let deadline = call.deadline;
         let one = Attempt::new(Arc::clone(&self.inner), call, key);
+        match self.inner.flights.join(one.name(), one.digest()) {
+            Join::Lead(lead) => self.lead(one, lead).await,
+            Join::Follow(told) => follow(told, deadline).await,
+            Join::Reused => answer(Verdict::KeyReused),
+        }
+    }
+
+    /// Runs a try in a task of its own, since its caller may go away.
+    async fn lead(&self, one: Attempt, lead: Lead) -> Result<Outcome, Failure> {
         self.inner.running.fetch_add(1, Ordering::Relaxed);
         let inner = Arc::clone(&self.inner);
         let task = tokio::spawn(async move {
             let told = one.run().await;
+            lead.tell(&told);
             inner.running.fetch_sub(1, Ordering::Relaxed);
             told
         });
--- a/src/action/attempt.rs
+++ b/src/action/attempt.rs
@@ -78,6 +78,16 @@
         }
     }
 
+    /// Name of its claim.
+    pub(crate) fn name(&self) -> &SmolStr {
+        &self.name
+    }
+
+    /// Digest of its request.
+    pub(crate) fn digest(&self) -> &SmolStr {
+        &self.record.digest
+    }
+
     pub(crate) async fn run(mut self) -> Result<Outcome, Failure> {
         let known = self.inner.recent.get(&self.name);
         match &known {
@@ -221,9 +231,7 @@
         else {
             return Event::NotSent;
         };
-        // From here on a repeat at this instance must not hear that nothing ran.
-        self.know(None);
-        match connection.send(request, self.call.timeout).await {
+        match connection.send(request, call.timeout).await {
             Ok(answer) => {
                 (pick.report)(Report::Answered(answer.status.as_u16()));
                 Event::Answered(Outcome::from_answer(answer))
@@ -257,13 +265,9 @@
             Verdict::Unknown(_) => None,
             Verdict::TooLarge(_) | Verdict::NotRun(_) | Verdict::KeyReused => return,
         };
-        self.know(outcome.filter(|o| o.body.len() <= super::OUTCOME_LIMIT));
-    }
-
-    fn know(&self, outcome: Option<Outcome>) {
         let known = Known {
             digest: self.record.digest.clone(),
-            outcome,
+            outcome: outcome.filter(|o| o.body.len() <= super::OUTCOME_LIMIT),
         };
         self.inner.recent.insert(self.name.clone(), known);
     }
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod contend;
 mod event;
+mod flights;
 mod marks;
 mod outcome;
 mod pace;
--- a/tests/action/faults.rs
+++ b/tests/action/faults.rs
@@ -209,9 +209,9 @@
     assert_eq!(world.runs("k").await, 1);
 }
 
-/// The same while the first try still waits for the service.
+/// While the first try still waits for the service, a repeat at its entry waits with it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_running_action_is_remembered_in_an_outage() {
+async fn a_running_action_is_joined_in_an_outage() {
     let world = World::start().await;
     world.plain_fault(json!({"slow_ms": 800})).await;
     let entry = world.entry("a", None);
@@ -221,8 +221,10 @@
 
     let told = entry.run(call("k")).await;
 
-    assert_eq!(word(&told), "unknown", "{told:?}");
-    assert_eq!(word(&first.await.unwrap()), "ok");
+    let first = first.await.unwrap();
+    assert_eq!(word(&first), "ok");
+    assert_eq!(told.unwrap(), first.unwrap());
+    assert_eq!(world.runs("k").await, 1);
 }
 
 /// Faults of the service itself.
@@ -415,6 +417,13 @@
     let tries = (0..24).map(|i| tokio::spawn(run(entries[i % 6].clone(), call("k"))));
     let told = futures_util::future::join_all(tries).await;
 
+    let counts = world.counts().await;
+    println!(
+        "24 repeats at 6 entries: {} writes, {} reads",
+        counts["writes"], counts["reads"]
+    );
+    let writes = counts["writes"].as_u64().unwrap();
+    assert!(writes <= 3 + 5 * 2, "one try an entry: {writes} writes");
     let outcomes: Vec<_> = told.into_iter().map(|t| t.unwrap().unwrap()).collect();
     assert!(outcomes.iter().all(|o| *o == outcomes[0]));
     assert_eq!(world.runs("k").await, 1);
