--- a/tests/action/cut.rs
+++ b/tests/action/cut.rs
@@ -35,9 +35,11 @@
 async fn relay(mut near: TcpStream, target: SocketAddr, mut cut: watch::Receiver<bool>) {
     cut.wait_for(|cut| !cut).await.ok();
     let mut far = TcpStream::connect(target).await.unwrap();
+    // The cut is looked at first, so that nothing passes after it.
     tokio::select! {
-        _ = copy_bidirectional(&mut near, &mut far) => {}
+        biased;
         _ = cut.wait_for(|cut| *cut) => {}
+        _ = copy_bidirectional(&mut near, &mut far) => {}
     }
     // A cut connection stays open and silent at the entry's end.
     tokio::time::sleep(Duration::from_secs(30)).await;
