--- a/tests/generation_processes.rs
+++ b/tests/generation_processes.rs
@@ -11,6 +11,7 @@
 
 use serde_json::{Value, json};
 use support::caller::Ask;
+use support::relay::Relay;
 use support::returning::{Story, follow};
 use support::world::World;
 use tokio::sync::Mutex;
@@ -50,7 +51,11 @@
 }
 
 fn begin(world: &World, tokens: u64) -> Vec<JoinHandle<Story>> {
-    let entries: Vec<SocketAddr> = world.entries.iter().map(|e| e.caller).collect();
+    let entries = world.entries.iter().map(|e| e.caller);
+    begin_at(world, entries.collect(), tokens)
+}
+
+fn begin_at(world: &World, entries: Vec<SocketAddr>, tokens: u64) -> Vec<JoinHandle<Story>> {
     let mut streams = Vec::new();
     for i in 0..STREAMS {
         let entry = entries[i % entries.len()];
@@ -270,6 +275,29 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_of_callers_go_silent() {
+    let _turn = TURN.lock().await;
+    let world = World::usual(ENGINES, ENTRIES, &ENGINE).await;
+    let relay = Relay::start().await;
+    relay.point(world.entries[0].caller);
+    let mut entries: Vec<SocketAddr> = world.entries.iter().map(|e| e.caller).collect();
+    entries[0] = relay.addr;
+    let streams = begin_at(&world, entries, TOKENS);
+    running(&world).await;
+
+    relay.cut();
+    let stories = finish(streams, TOKENS).await;
+
+    assert_returns("callers' connections silent", &stories);
+    let (tokens, _) = check_engines(&world).await;
+    assert_eq!(
+        tokens,
+        STREAMS as u64 * TOKENS,
+        "nothing is generated twice"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_and_engine_processes_killed_together_with_the_platform_down() {
     let _turn = TURN.lock().await;
