Remember a target's longest gap by time, not by tokens

Cause: 64 undisturbed streams for 600 s on a machine at a load of 23 to 39 gave 132 suspicions (all answered, no target given up, worst gap 483 ms): the longest gap was forgotten within seconds on a busy target. Ruled out: a higher shortest limit, which each real silence would pay. Change: the longest gap counts half after 60 s, whatever the rate.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -469,7 +469,7 @@
         };
         let seen = match attempt.heard.replace(now) {
             Some(heard) => {
-                attempt.pace.lock().observe(now - heard);
+                attempt.pace.lock().observe(now - heard, now);
                 attempt.gaps.0 += 1;
                 attempt.gaps.1 += now - heard;
                 match attempt.gaps {
--- a/src/generation/pace.rs
+++ b/src/generation/pace.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 /// Shortest limit.
 const SHORTEST: Duration = Duration::from_millis(300);
 
@@ -20,8 +22,8 @@
 /// The limit is at least this many times the longest recent gap.
 const PEAKS: f64 = 1.5;
 
-/// What is left of the longest gap after each token.
-const PEAK_DECAY: f64 = 0.9995;
+/// Time after which the longest gap counts half.
+const PEAK_HALF: Duration = Duration::from_secs(60);
 
 /// Token gaps of one target, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,18 +31,24 @@
     mean: f64,
     deviation: f64,
     peak: f64,
+    heard: Option<Instant>,
 }
 
 impl Pace {
     /// Takes the time between two tokens of one stream into account.
-    pub fn observe(&mut self, gap: Duration) {
+    pub fn observe(&mut self, gap: Duration, now: Instant) {
+        let since = self
+            .heard
+            .replace(now)
+            .map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard));
         let gap = gap.as_secs_f64();
         if self.mean == 0.0 {
             self.mean = gap;
         }
         self.deviation += ((gap - self.mean).abs() - self.deviation) / SMOOTHING;
         self.mean += (gap - self.mean) / SMOOTHING;
-        self.peak = gap.max(self.peak * PEAK_DECAY);
+        let halves = since.as_secs_f64() / PEAK_HALF.as_secs_f64();
+        self.peak = gap.max(self.peak * (-halves).exp2());
     }
 
     /// How long a stream of this target may be silent before it is suspected.
--- a/tests/generation_rules.rs
+++ b/tests/generation_rules.rs
@@ -165,8 +165,10 @@
     #[test]
     fn the_limit_stays_within_its_bounds(gaps in proptest::collection::vec(0_u64..5000, 0..200)) {
         let mut pace = Pace::default();
+        let mut now = Instant::now();
         for gap in gaps {
-            pace.observe(Duration::from_millis(gap));
+            now += Duration::from_millis(gap);
+            pace.observe(Duration::from_millis(gap), now);
         }
         let limit = pace.limit();
         prop_assert!(limit >= Duration::from_millis(300), "{limit:?}");
@@ -301,3 +303,29 @@
     assert_eq!(failure.outcome, endivefork::failure::Certainty::NotRun);
     assert!(failure.retry_after.is_some());
 }
+
+#[test]
+fn a_long_gap_is_remembered_whatever_the_rate() {
+    let mut now = Instant::now();
+    let mut pace = Pace::default();
+    pace.observe(Duration::from_millis(400), now);
+
+    let fresh = pace.limit();
+    for _ in 0..15_000 {
+        now += Duration::from_millis(2);
+        pace.observe(Duration::from_millis(41), now);
+    }
+    let later = pace.limit();
+    for _ in 0..30_000 {
+        now += Duration::from_millis(10);
+        pace.observe(Duration::from_millis(41), now);
+    }
+
+    assert!(fresh >= Duration::from_millis(600), "{fresh:?}");
+    assert!(later >= Duration::from_millis(400), "{later:?}");
+    assert!(
+        pace.limit() < Duration::from_millis(330),
+        "{:?}",
+        pace.limit()
+    );
+}
