Move an attempt and its calls out of the driver

Change: attempt.rs holds the attempt at a target and its calls; no change of behaviour. Conclusion: the engines, takeover, poison and path tests pass.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -4,33 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{BoxFuture, FutureExt as _};
-use parking_lot::Mutex;
+use futures_util::future::BoxFuture;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::hooks::{Choice, Lease, Observation, Target};
+use super::attempt::{Answer, Attempt};
+use super::hooks::{Choice, Lease, Observation};
 use super::journal::{Change, Place};
-use super::pace::Pace;
 use super::run::Run;
 use super::state::{Command, Event, Generation, Loss, Outcome};
 use super::suspect::{Crash, Verdict};
 use super::table::{Shared, quarantined, suspect_digest};
 use super::writer::Placement;
 use crate::failure::{Certainty, Failure};
-use crate::target::engine::{Engine, Line, Position, Refusal, Start, Stream};
-
-/// Longest wait for the head of an attempt's stream.
-const OPEN_LIMIT: Duration = Duration::from_millis(600);
-
-/// Longest wait for the answer to a question over a new connection.
-const PROBE_LIMIT: Duration = Duration::from_millis(450);
-
-/// How long a cancellation waits for a target that does not answer.
-const CANCEL_LIMIT: Duration = Duration::from_secs(60);
-
-/// Tries of a cancellation whose connection broke.
-const CANCEL_TRIES: u32 = 3;
+use crate::target::engine::{Engine, Line, Stream};
 
 /// Gaps of one attempt whose mean is its pace.
 const PACE_GAPS: u32 = 12;
@@ -38,25 +25,6 @@
 /// Tokens of one attempt that clear a suspect.
 const CLEARING: u64 = 16;
 
-/// An attempt at a target.
-struct Attempt {
-    number: u32,
-    name: SmolStr,
-    target: Target,
-    _lease: Option<Lease>,
-    engine: Engine,
-    pace: Arc<Mutex<Pace>>,
-    began: Instant,
-    heard: Option<Instant>,
-    gaps: (u32, Duration),
-}
-
-/// What a pending call returned.
-enum Answer {
-    Stream(Result<Stream, Refusal>),
-    Position(Result<Position, Refusal>),
-}
-
 enum Next {
     Lines(bool),
     Answer(Answer),
@@ -328,7 +296,7 @@
         let name = SmolStr::from(format!("{}-{:x}-{number}", run.start.key, run.epoch));
         let place = Place {
             number,
-            attempt: name.clone(),
+            attempt: name,
             target: lease.target.name.clone(),
             addr: lease.target.addr,
         };
@@ -344,25 +312,8 @@
                 snapshot,
             );
         }
-        let engine = self.attend(place, Some(lease));
-        let prefix = run.tokens();
-        let call = async move {
-            let request = run.start.key.to_string();
-            let left = run.start.deadline.saturating_duration_since(Instant::now());
-            let start = Start {
-                attempt: &name,
-                request: &request,
-                model: &run.start.model,
-                version: &run.start.version,
-                prompt: &run.start.prompt,
-                prefix: &prefix,
-                max_tokens: run.start.max_tokens,
-                priority: run.start.priority + i64::from(!prefix.is_empty()),
-                deadline_ms: left.as_millis() as u64,
-            };
-            Answer::Stream(engine.start(&start, OPEN_LIMIT).await)
-        };
-        self.call = Some(call.boxed());
+        let attempt = self.attend(place, Some(lease));
+        self.call = Some(attempt.start(run));
     }
 
     /// Reads on where an earlier owner's attempt runs.
@@ -371,50 +322,31 @@
         self.resume();
     }
 
-    fn attend(&mut self, place: Place, lease: Option<Lease>) -> Engine {
+    fn attend(&mut self, place: Place, lease: Option<Lease>) -> &Attempt {
         let engine = Engine::new(self.shared.client.clone(), place.addr);
         let pace = self.shared.pace(&place.target);
         self.state.set_limit(pace.lock().limit());
-        self.attempt = Some(Attempt {
-            number: place.number,
-            name: place.attempt,
-            target: Target {
-                name: place.target,
-                addr: place.addr,
-            },
-            _lease: lease,
-            engine: engine.clone(),
-            pace,
-            began: Instant::now(),
-            heard: None,
-            gaps: (0, Duration::ZERO),
-        });
-        engine
+        self.attempt
+            .insert(Attempt::new(place, lease, engine, pace))
     }
 
     fn resume(&mut self) {
         self.stream = None;
-        let Some(attempt) = &self.attempt else { return };
-        let (engine, name) = (attempt.engine.clone(), attempt.name.clone());
         let from = self.state.next();
-        let call = async move { Answer::Stream(engine.resume(&name, from, PROBE_LIMIT).await) };
-        self.call = Some(call.boxed());
+        self.call = self.attempt.as_ref().map(|a| a.resume(from));
     }
 
     fn probe(&mut self) {
         if self.state.progress() > 0 {
             self.observe(Observation::Suspected);
         }
-        let Some(attempt) = &self.attempt else { return };
-        let (engine, name) = (attempt.engine.clone(), attempt.name.clone());
-        let call = async move { Answer::Position(engine.position(&name, PROBE_LIMIT).await) };
-        self.call = Some(call.boxed());
+        self.call = self.attempt.as_ref().map(Attempt::probe);
     }
 
     fn cancel(&self, number: u32) {
         let attempt = self.attempt.as_ref().filter(|a| a.number == number);
         if let Some(attempt) = attempt {
-            tokio::spawn(cancel(attempt.engine.clone(), attempt.name.clone()));
+            attempt.cancel();
         }
     }
 
@@ -506,13 +438,3 @@
         _ => {}
     }
 }
-
-/// Cancels an attempt; a target that is paused gets the call when it returns.
-async fn cancel(engine: Engine, name: SmolStr) {
-    for _ in 0..CANCEL_TRIES {
-        match engine.cancel(&name, CANCEL_LIMIT).await {
-            Err(Refusal::Lost) => {}
-            _ => return,
-        }
-    }
-}
--- a/src/generation/mod.rs
+++ b/src/generation/mod.rs
@@ -1,5 +1,6 @@
 //! Generations: attempts, token journal, resume, takeover.
 
+mod attempt;
 mod drive;
 mod hooks;
 mod journal;
