Count a refusal against a version only when nobody serves the request

Cause: a target that leaves or is full refuses some requests, which counted as failures of its version although another target took them. Ruled out: ignoring refusals altogether, since a version may refuse everything. Change: a refusal alone is no evidence; a request that no target of its version takes is one failure, however often it asks. Conclusion: leaving targets do not speak against their version.

--- a/src/instance/witness.rs
+++ b/src/instance/witness.rs
@@ -69,9 +69,10 @@
         match seen {
             Observation::FirstToken(wait) => self.record(asked, Sample::First(wait)),
             Observation::Pace(gap) => self.record(asked, Sample::Gap(gap)),
-            Observation::Faulted | Observation::Refused => self.record(asked, Sample::Failed),
+            Observation::Faulted => self.record(asked, Sample::Failed),
             Observation::Ended => self.record(asked, Sample::Answered),
-            Observation::Lost(Loss::Leaving) | Observation::Gap(_) => {}
+            // A version that refuses everywhere leaves its requests unserved, which counts.
+            Observation::Refused | Observation::Lost(Loss::Leaving) | Observation::Gap(_) => {}
             Observation::Lost(_) => self.died(asked),
         }
     }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -220,3 +220,28 @@
         ended - started.finish_by
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_refuses_all_work_is_taken_back() {
+    let world = world_of_two_versions().await;
+    for engine in &world.engines[2..] {
+        let refuse = json!({"refuse": true});
+        world.control(engine.addr, "/control", &refuse).await;
+    }
+    let mut started = plan("refusing", Duration::from_secs(600));
+    started.step = 3;
+
+    let traffic = Traffic::start(&world);
+    world.store("move", "llm", &json!(started)).await;
+    until("the move is withdrawn", async || {
+        stored(&world).await["phase"] == "withdrawn"
+    })
+    .await;
+    traffic.end().await;
+
+    let value = stored(&world).await;
+    assert!(
+        value["reason"].as_str().unwrap().contains("fails"),
+        "{value}"
+    );
+}
