--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -80,6 +80,7 @@
     fresh: Vec<SmolStr>,
     outcome: Option<Outcome>,
     placement: Placement,
+    heard: Option<Instant>,
 }
 
 impl Driver {
@@ -103,6 +104,7 @@
             fresh: Vec::new(),
             outcome: None,
             placement: Placement::default(),
+            heard: None,
         }
     }
 
@@ -234,6 +236,7 @@
                 Command::Cancel(number) => self.cancel(number),
                 Command::Lose(loss) => self.lose(loss),
                 Command::Avoid => self.leave(Observation::Refused),
+                Command::Fault => self.leave(Observation::Faulted),
                 Command::Finish(outcome) => self.finish(outcome),
             }
         }
@@ -354,7 +357,7 @@
                 prompt: &run.start.prompt,
                 prefix: &prefix,
                 max_tokens: run.start.max_tokens,
-                priority: run.start.priority,
+                priority: run.start.priority + i64::from(!prefix.is_empty()),
                 deadline_ms: left.as_millis() as u64,
             };
             Answer::Stream(engine.start(&start, OPEN_LIMIT).await)
@@ -399,6 +402,9 @@
     }
 
     fn probe(&mut self) {
+        if self.state.progress() > 0 {
+            self.observe(Observation::Suspected);
+        }
         let Some(attempt) = &self.attempt else { return };
         let (engine, name) = (attempt.engine.clone(), attempt.name.clone());
         let call = async move { Answer::Position(engine.position(&name, PROBE_LIMIT).await) };
@@ -474,6 +480,9 @@
             None => Observation::FirstToken(now - attempt.began),
         };
         self.state.set_limit(attempt.pace.lock().limit());
+        if let (Some(heard), Observation::FirstToken(_)) = (self.heard.replace(now), seen) {
+            self.observe(Observation::Resumed(now - heard));
+        }
         self.observe(seen);
     }
 
--- a/src/instance/witness.rs
+++ b/src/instance/witness.rs
@@ -72,7 +72,11 @@
             Observation::Faulted => self.record(asked, Sample::Failed),
             Observation::Ended => self.record(asked, Sample::Answered),
             // A version that refuses everywhere leaves its requests unserved, which counts.
-            Observation::Refused | Observation::Lost(Loss::Leaving) | Observation::Gap(_) => {}
+            Observation::Refused
+            | Observation::Lost(Loss::Leaving)
+            | Observation::Gap(_)
+            | Observation::Suspected
+            | Observation::Resumed(_) => {}
             Observation::Lost(_) => self.died(asked),
         }
     }
