Measure the policy of moves and sharpen its test of failures

Cause: a fault on a small route was held against an assumed rate of 0.4% failures where the old version's own rate there is not known yet, which cost a third of the evidence of each failure. Ruled out: a lower limit alone, which gains one bad answer only.

--- a/src/rollout/reference.rs
+++ b/src/rollout/reference.rs
@@ -25,7 +25,7 @@
 const TOLERANCE: f64 = 1.5;
 
 /// Added to the tolerated rate of failures.
-const FAILURE_FLOOR: f64 = 0.004;
+const FAILURE_FLOOR: f64 = 0.003;
 
 /// Added to the tolerated rate of slow answers.
 const SLOW_FLOOR: f64 = 0.03;
@@ -66,9 +66,14 @@
         }
     }
 
-    /// Tolerated rate of failures.
-    pub(crate) fn failure_null(&self, now: f64) -> f64 {
-        let rate = |w: &Window| w.failed.rate(now, PRIOR);
+    /// Rate of failures since the beginning.
+    pub(crate) fn failure_rate(&self, now: f64) -> f64 {
+        self.whole.failed.rate(now, PRIOR)
+    }
+
+    /// Tolerated rate of failures. `usual` is the rate assumed where little is known here.
+    pub(crate) fn failure_null(&self, now: f64, usual: f64) -> f64 {
+        let rate = |w: &Window| w.failed.rate(now, (PRIOR.0, usual));
         let worst = rate(&self.long).max(rate(&self.short));
         (TOLERANCE * worst + FAILURE_FLOOR).min(0.9)
     }
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -7,14 +7,15 @@
 
 use super::detector::Detector;
 use super::evidence::{Band, Cell, CellKey, Own, Peer, Sample, Side, Snapshot};
+use super::histogram::Histogram;
 use super::model::{Move, Phase};
 use super::reference::{Reference, SlowLimit};
 use super::schedule::{self, Next};
 use crate::ident::{RequestKey, rendezvous};
 
-/// Evidence, as a natural logarithm, at which the new version is refuted: a chance of 1 in 1000
+/// Evidence, as a natural logarithm, at which the new version is refuted: a chance of 1 in 500
 /// over 128 streams.
-const REFUTED: f64 = 11.76;
+const REFUTED: f64 = 11.07;
 
 /// Evidence at which a move does not go on.
 const SUSPICIOUS: f64 = 6.0;
@@ -25,6 +26,9 @@
 /// Fraction of the move's time from which standing suspicion takes it back.
 const VERDICT_DUE: f64 = 0.97;
 
+/// Tolerated rate of failures while the old version has shown nothing.
+const UNKNOWN: f64 = 0.02;
+
 /// Age at which a peer's evidence no longer counts as fresh.
 const FRESH: Duration = Duration::from_secs(5);
 
@@ -75,6 +79,8 @@
     peers: IndexMap<(SmolStr, u64), Peer>,
     heard: IndexMap<SmolStr, Heard>,
     pending: IndexMap<CellKey, Cell>,
+    /// Durations of the new version that wait for something to be held against.
+    unmatched: IndexMap<Scope, Cell>,
     references: IndexMap<Scope, Reference>,
     detectors: IndexMap<(Scope, Measure), Detector>,
     ended: u64,
@@ -103,6 +109,7 @@
             peers: IndexMap::new(),
             heard: IndexMap::new(),
             pending: IndexMap::new(),
+            unmatched: IndexMap::new(),
             references: IndexMap::new(),
             detectors: IndexMap::new(),
             ended: 0,
@@ -248,7 +255,7 @@
 
     fn test_pending(&mut self, now: Instant) {
         let at = (now - self.began).as_secs_f64();
-        let mut tried: IndexMap<Scope, Cell> = IndexMap::new();
+        let mut tried = std::mem::take(&mut self.unmatched);
         for (key, cell) in std::mem::take(&mut self.pending) {
             for scope in scopes(&key) {
                 match key.side {
@@ -271,23 +278,48 @@
 
     fn test(&mut self, scope: &Scope, cell: &Cell, at: f64) {
         let ended = cell.answered + cell.failed;
-        let null = self.reference(scope).map_or(0.02, |r| r.failure_null(at));
+        let all = self.references.get(&(None, None));
+        let usual = all.map_or(UNKNOWN, |r| r.failure_rate(at));
+        let null = self
+            .reference(scope)
+            .map_or(UNKNOWN, |r| r.failure_null(at, usual));
         self.update(scope, Measure::Failure, at, ended, cell.failed, null);
         if *scope == (None, None) {
-            let null = self.reference(scope).map_or(0.02, |r| r.death_null(at));
+            let null = self.reference(scope).map_or(UNKNOWN, |r| r.death_null(at));
             let all = ended + cell.deaths;
             self.update(scope, Measure::Death, at, all, cell.deaths, null);
         }
         if scope.1.is_none() {
             return;
         }
-        if let Some(limit) = self.slow_limit(scope, |r| r.first_limit(at)) {
-            let (all, bad) = (cell.first.total(), cell.first.tail_from(limit.edge));
-            self.update(scope, Measure::First, at, all, bad, limit.null);
-        }
-        if let Some(limit) = self.slow_limit(scope, |r| r.gap_limit(at)) {
-            let (all, bad) = (cell.gap.total(), cell.gap.tail_from(limit.edge));
-            self.update(scope, Measure::Gap, at, all, bad, limit.null);
+        let limit = self.slow_limit(scope, |r| r.first_limit(at));
+        self.test_slow(scope, Measure::First, at, &cell.first, limit);
+        let limit = self.slow_limit(scope, |r| r.gap_limit(at));
+        self.test_slow(scope, Measure::Gap, at, &cell.gap, limit);
+    }
+
+    fn test_slow(
+        &mut self,
+        scope: &Scope,
+        measure: Measure,
+        at: f64,
+        durations: &Histogram,
+        limit: Option<SlowLimit>,
+    ) {
+        let all = durations.total();
+        match limit {
+            Some(limit) => {
+                let bad = durations.tail_from(limit.edge);
+                self.update(scope, measure, at, all, bad, limit.null);
+            }
+            None if all > 0 => {
+                let waiting = self.unmatched.entry(scope.clone()).or_default();
+                match measure {
+                    Measure::First => waiting.first.add(durations),
+                    _ => waiting.gap.add(durations),
+                }
+            }
+            None => {}
         }
     }
 
