--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -18,6 +18,8 @@
 mod lab;
 #[path = "measure/line.rs"]
 mod line;
+#[path = "measure/moves.rs"]
+mod moves;
 #[path = "measure/naive.rs"]
 mod naive;
 #[path = "standin/platform/mod.rs"]
@@ -29,6 +31,9 @@
 mod resume;
 #[path = "measure/table.rs"]
 mod table;
+#[path = "measure/world.rs"]
+#[allow(dead_code, reason = "a part of it is for tests")]
+mod world;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -93,6 +98,7 @@
     let tables: Vec<Table> = match args.what.as_str() {
         "resume" => runtime.block_on(resume::measure(budget))?,
         "resources" => runtime.block_on(resources::measure(budget))?,
+        "moves" => moves::measure(budget),
         "control" => runtime.block_on(control::measure(budget))?,
         "child-entry" => {
             let file = args.rest.first().map(PathBuf::from).unwrap_or_default();
