--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -4,7 +4,7 @@
 //! [--seconds N] [--json]`. A run is bounded and ends by itself.
 
 #[path = "../tests/support/caller.rs"]
-#[allow(dead_code, reason = "a part of it is for tests")]
+#[allow(dead_code, reason = "a part of it is for the policy's test")]
 mod caller;
 #[path = "measure/child.rs"]
 mod child;
@@ -31,8 +31,8 @@
 mod resume;
 #[path = "measure/table.rs"]
 mod table;
-#[path = "measure/world.rs"]
-#[allow(dead_code, reason = "a part of it is for tests")]
+#[path = "../tests/rollout/world.rs"]
+#[allow(dead_code, reason = "a part of it is for the policy's test")]
 mod world;
 
 use std::path::PathBuf;
