--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -4,34 +4,17 @@
 //! divided among instances by its demand at each. A request that would wait too long is refused at
 //! once, with a promise of when it may come back while the account's share has room for it.
 
-use std::cmp::Reverse;
+mod estimate;
+mod exchange;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::ask::{Ask, Decision, Grant, Reason, Refusal, Ticket, Waiter};
 use super::book::{Book, Found};
-use super::flow::{FlowKey, Flows, Rank, span};
+use super::flow::{FlowKey, Flows, span};
 use super::meter::Drain;
-use super::share::{AccountUse, Peers, Usage};
-use crate::ident::RequestKey;
-
-/// Longest expected wait of a request that is let in.
-const WAIT_MAX: Duration = Duration::from_secs(2);
-
-/// Longest expected wait of a request that comes back as promised.
-const RETURN_WAIT_MAX: Duration = Duration::from_secs(6);
-
-/// How far ahead promises are made.
-const HORIZON: Duration = Duration::from_secs(60);
-
-/// Part of an account's share that promises may use.
-const PROMISED_PART: f64 = 0.8;
-
-/// Shortest time after which a refused request may come back.
-const RETURN_MIN: Duration = Duration::from_secs(1);
-
-/// Time for which slots that all were lost are thought to stay away.
-const LOST_RETURN: Duration = Duration::from_secs(5);
+use super::share::Peers;
 
 /// Slots assumed until the supply is known.
 const SLOTS_DEFAULT: f64 = 64.0;
@@ -39,27 +22,15 @@
 /// One slot in so many is kept for accounts that use less than their share.
 const RESERVE: u32 = 48;
 
-/// Waiting requests of an account up to which nothing is refused before the drain is measured.
-const QUEUE_UNMEASURED: usize = 256;
-
 /// Error of the floating-point division of slots.
 const ROUNDING: f64 = 1e-6;
 
 /// Time that one unit of cost holds a slot, until it is measured.
 const HOLD_DEFAULT: Duration = Duration::from_millis(20);
 
-/// Slots below which an account's demand is left out.
-const DEMAND_MIN: f64 = 0.01;
-
-/// Most accounts in one usage message.
-const USAGE_ACCOUNTS: usize = 2_048;
-
 /// Time of its share that an account may save up and use in a burst.
 const CREDIT_MAX: Duration = Duration::from_secs(2);
 
-/// Deadline of a request that names none.
-const DEADLINE_DEFAULT: Duration = Duration::from_secs(3_600);
-
 /// The line before one service.
 #[derive(Debug)]
 pub struct Line {
@@ -164,50 +135,6 @@
         self.refuse(key, ask, now)
     }
 
-    /// Takes the slots of all fit targets and the number of instances on the list.
-    pub fn supply(&mut self, slots: u32, members: usize, now: Instant) -> Vec<Grant> {
-        self.supply = Some(f64::from(slots));
-        self.peers.forget(now);
-        let own = self.uses(now);
-        let split = self.peers.split(&own, f64::from(slots), members);
-        self.part = split.part;
-        for used in &own {
-            let Some(key) = self.flows.find(&used.account) else {
-                continue;
-            };
-            let fraction = split.fractions.get(&used.account);
-            let remote = self.peers.running(&used.account);
-            let flow = &mut self.flows[key];
-            flow.fraction = fraction.copied().unwrap_or(1.0);
-            flow.remote = remote;
-            self.settle(key);
-        }
-        self.dispatch(now)
-    }
-
-    /// What this instance tells its peers.
-    pub fn usage(&mut self, service: &str, epoch: u64, now: Instant) -> Usage {
-        self.told += 1;
-        let mut accounts = self.uses(now);
-        if accounts.len() > USAGE_ACCOUNTS {
-            accounts.sort_by(|a, b| b.demand.total_cmp(&a.demand));
-            accounts.truncate(USAGE_ACCOUNTS);
-        }
-        Usage {
-            service: service.into(),
-            epoch,
-            seq: self.told,
-            accounts,
-            promises: self.book.recent(now),
-        }
-    }
-
-    /// Takes a peer's usage. Older messages than the newest one change nothing.
-    pub fn merge(&mut self, origin: &str, usage: &Usage, now: Instant) {
-        self.book.merge(&usage.promises, now);
-        self.peers.merge(origin, usage, now);
-    }
-
     /// Slots that this instance may use.
     #[must_use]
     pub fn limit(&self) -> u32 {
@@ -233,122 +160,6 @@
         self.flows.len()
     }
 
-    /// Use by account, of those that ask for something.
-    fn uses(&self, now: Instant) -> Vec<AccountUse> {
-        let hold = self.drain.hold();
-        let flows = self.flows.iter();
-        let uses = flows.map(|flow| AccountUse {
-            account: flow.account.clone(),
-            weight: flow.weight,
-            running: flow.running,
-            demand: f64::from(flow.running).max(flow.offered.rate(now) * hold),
-        });
-        uses.filter(|used| used.demand > DEMAND_MIN).collect()
-    }
-
-    fn queue_or_refuse(
-        &mut self,
-        key: FlowKey,
-        ask: &Ask,
-        cost: u64,
-        returns: bool,
-        now: Instant,
-    ) -> Decision {
-        self.seq += 1;
-        let rank = Rank {
-            fresh: !returns,
-            priority: Reverse(ask.priority),
-            deadline: ask.deadline.unwrap_or(now + DEADLINE_DEFAULT),
-            seq: self.seq,
-        };
-        let longest = if returns { RETURN_WAIT_MAX } else { WAIT_MAX };
-        let wait = match self.drain.measured() || self.flows[key].queue.len() > QUEUE_UNMEASURED {
-            true => self.expected(key, &rank, cost, now),
-            false => Duration::ZERO,
-        };
-        if now + wait > rank.deadline {
-            let reason = Reason::Deadline;
-            return Decision::Refuse(Refusal { reason, wait: None });
-        }
-        if wait > longest {
-            return Decision::Refuse(self.refuse(key, ask, now));
-        }
-        let flow = &mut self.flows[key];
-        flow.queue.insert(rank, cost);
-        flow.queued += cost;
-        self.settle(key);
-        let until = rank.deadline.min(now + 2 * longest);
-        Decision::Wait(Waiter { flow: key, rank }, until)
-    }
-
-    /// Expected wait of a request of the flow: what starts before it, at the drain rate.
-    ///
-    /// That is what waits before it in its own flow, and of each other flow with a waiting request
-    /// what fair queuing lets start until the flow's virtual time has come.
-    fn expected(&self, key: FlowKey, rank: &Rank, cost: u64, now: Instant) -> Duration {
-        let flow = &self.flows[key];
-        let whole = self.drain.rate(f64::from(self.limit()), now);
-        let horizon = RETURN_WAIT_MAX.as_secs_f64();
-        let returns = match rank.fresh {
-            true => flow.returned.rate(now) * WAIT_MAX.as_secs_f64(),
-            false => 0.0,
-        };
-        let own = flow.ahead(rank) as f64 + returns;
-        let start = flow.finish.max(self.virtual_floor()) + flow.span(own as u64);
-        let mut ahead = own + cost as f64;
-        for (tag, rival) in self.ready.range(..(start, key)).filter(|r| r.1 != key) {
-            let rival = &self.flows[*rival];
-            let fair = rival.cost_of(start - tag);
-            let most = rival.queued as f64 + rival.offered.rate(now) * horizon;
-            ahead += fair.min(most);
-            if ahead > whole * horizon {
-                break;
-            }
-        }
-        Duration::from_secs_f64((ahead / whole.max(1e-6)).min(1e6))
-    }
-
-    /// Cost a second that the flow can expect: its share, or more when it lately got more.
-    fn rate(&self, key: FlowKey, now: Instant) -> f64 {
-        let flow = &self.flows[key];
-        let weight = flow.share();
-        let rivals = match flow.active() {
-            true => self.weights,
-            false => self.weights + weight,
-        };
-        let whole = self.drain.rate(f64::from(self.limit()), now);
-        let share = whole * weight as f64 / rivals as f64;
-        let own = f64::from(flow.concurrency) / self.drain.hold();
-        share.max(flow.rate.rate(now)).min(own).max(1e-6)
-    }
-
-    /// Refuses, with a promise while the account's share has room for one.
-    fn refuse(&mut self, key: FlowKey, ask: &Ask, now: Instant) -> Refusal {
-        let cost = ask.cost.max(1) as f64;
-        let rate = self.rate(key, now);
-        let flow = &mut self.flows[key];
-        let step = Duration::from_secs_f64((cost / rate / PROMISED_PART).min(1e6));
-        let due = (flow.promised + step).max(now + RETURN_MIN);
-        let useful = ask.deadline.is_none_or(|deadline| due < deadline);
-        let wait = match due <= now + HORIZON && useful {
-            true if self.book.add(ask.request, due, now) => {
-                self.flows[key].promised = due;
-                Some(due - now)
-            }
-            _ => None,
-        };
-        let reason = Reason::OverShare;
-        Refusal { reason, wait }
-    }
-
-    /// Spreads the returns by request, as no rate is known.
-    fn no_target(&self, request: RequestKey) -> Refusal {
-        Refusal {
-            reason: Reason::NoTarget,
-            wait: Some(LOST_RETURN.mul_f64(1.0 + request.fraction())),
-        }
-    }
-
     /// Whether there is a slot for the flow: the last ones are kept for those below their share.
     fn spare(&self, key: FlowKey) -> bool {
         let limit = self.limit();
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -14,7 +14,7 @@
 /// How long a peer's word that a target leaves holds unless it is repeated.
 const PEER_LEAVING: Duration = Duration::from_secs(10);
 
-/// Own evidence of life this fresh outweighs a peer's word.
+/// Evidence of life this fresh, own or a peer's, outweighs a peer's word of death.
 const ALIVE_FRESH: Duration = Duration::from_secs(1);
 
 /// Suspicion from which a target is avoided while there is another.
@@ -47,6 +47,7 @@
     hold: Option<Instant>,
     own_dead: bool,
     alive: Option<Instant>,
+    vouched: Option<Instant>,
 }
 
 impl Health {
@@ -95,7 +96,8 @@
 
     /// Found dead by a peer.
     pub(crate) fn peer_dead(&mut self, now: Instant) {
-        if self.alive.is_some_and(|at| at + ALIVE_FRESH > now) {
+        let lives = self.alive.max(self.vouched);
+        if lives.is_some_and(|at| at + ALIVE_FRESH > now) {
             return;
         }
         if !self.held(now) {
@@ -104,6 +106,16 @@
         }
     }
 
+    /// It answered a peer at `at`. That outweighs other peers' word of death, not own evidence.
+    pub(crate) fn vouch(&mut self, at: Instant) {
+        self.vouched = self.vouched.max(Some(at));
+        let by_peers = self.hold.is_some() && !self.own_dead;
+        if by_peers && self.at.is_some_and(|fault| fault < at) {
+            self.hold = None;
+            self.suspicion = 0.0;
+        }
+    }
+
     /// It answered something that was sent after `since`.
     pub(crate) fn alive(&mut self, since: Instant) {
         let faulted = self.at.is_some_and(|at| at > since);
--- a/src/routing/poll.rs
+++ b/src/routing/poll.rs
@@ -59,6 +59,8 @@
     pub slots: u32,
     /// Age of the figures in milliseconds.
     pub age_ms: u32,
+    /// Milliseconds since the target answered.
+    pub polled_ms: u32,
     /// The target's own word that it is leaving.
     pub leaving: bool,
 }
@@ -198,14 +200,15 @@
         let state = self.state.lock();
         let fresh = state.views.iter().filter_map(|(name, view)| {
             let (report, at) = view.own.filter(|(_, at)| *at + STALE > now)?;
-            Some((name, report, now - at + report.age))
+            Some((name, report, now.saturating_duration_since(at)))
         });
-        let loads = fresh.map(|(name, report, age)| TargetLoad {
+        let loads = fresh.map(|(name, report, since)| TargetLoad {
             target: name.clone(),
             running: report.running,
             queued: report.queued,
             slots: report.slots,
-            age_ms: age.as_millis() as u32,
+            age_ms: (since + report.age).as_millis() as u32,
+            polled_ms: since.as_millis() as u32,
             leaving: report.leaving,
         });
         Sight {
@@ -230,6 +233,8 @@
                 leaving: load.leaving,
             };
             view.heard = now;
+            let answered = Duration::from_millis(load.polled_ms.into());
+            router.vouch(view.key, now.checked_sub(answered).unwrap_or(now));
             router.report(view.key, report, now);
         }
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -138,6 +138,11 @@
         self.with(key, |entry| entry.state.lock().health.alive(since));
     }
 
+    /// The target answered a peer at `at`.
+    pub fn vouch(&self, key: TargetKey, at: Instant) {
+        self.with(key, |entry| entry.state.lock().health.vouch(at));
+    }
+
     /// The target's own word that it is leaving.
     pub fn mark_leaving(&self, key: TargetKey, now: Instant) {
         self.with(key, |entry| entry.state.lock().health.leave(now));
--- a/tests/routing_views.rs
+++ b/tests/routing_views.rs
@@ -124,6 +124,34 @@
     assert!(here.choose(&query(&excluded), now).is_none());
 }
 
+#[test]
+fn a_peer_that_reaches_a_target_outweighs_one_that_does_not() {
+    let me = poller("a1", "a");
+    let (here, near, far) = (router(), router(), router());
+    let now = Instant::now();
+    let views = Views::new(me);
+    let (neighbour, cut_off) = (Views::new(poller("a2", "a")), Views::new(poller("b1", "b")));
+    for view in [&views, &neighbour, &cut_off] {
+        view.due(&targets(), &[], now);
+    }
+    let target = &targets()[0];
+    cut_off.polled(&far, target, Polled::Refused, now);
+    neighbour.polled(&near, target, Polled::Load(report(1)), now);
+    let excluded: Vec<_> = (1..30).map(TargetKey).collect();
+    let later = Instant::now();
+
+    views.hear(&here, "b1", &cut_off.sight(&far, later), later);
+    let before = here.choose(&query(&excluded), later).is_some();
+    let then = later + Duration::from_millis(1);
+    neighbour.polled(&near, target, Polled::Load(report(1)), then);
+    views.hear(&here, "a2", &neighbour.sight(&near, then), then);
+    let after = here.choose(&query(&excluded), then).is_some();
+    views.hear(&here, "b1", &cut_off.sight(&far, then), then);
+    let again = here.choose(&query(&excluded), then).is_some();
+
+    assert_eq!((before, after, again), (false, true, true));
+}
+
 #[test]
 fn a_target_that_never_answers_becomes_suspect_then_dead() {
     let (views, router) = (Views::new(poller("a1", "a")), router());
