--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -15,7 +15,7 @@
 mod sweep;
 mod verdict;
 
-pub use call::{Call, Choose, Hook, Pick, Point, Report};
+pub use call::{Call, Choose, Hook, Pick, Point, Report, Seek};
 pub use claim::{Cause, Claim, Command, Event, Held, Now, Rules, Terms, Verdict};
 pub use driver::Actions;
 pub use marks::{MARKS, Marks, Watcher};
