Use one retry budget for generations and plain calls

Cause: plain calls had a budget of their own at two retries for ten first sends, twice what an outage may add, and only by service, so one account could use up all of it. A refused generation earned retries.

Plain calls draw on admission's budget, by account and by service. A first try earns once it is admitted.

Ruled out: the old budget at half the ratio; it would stand twice.

--- a/src/action/driver.rs
+++ b/src/action/driver.rs
@@ -16,13 +16,13 @@
 use super::pace::Pace;
 use super::recent::{Known, Recent};
 use super::record::digest;
-use super::safe::Budgets;
 use super::settle::Settler;
 use super::verdict::answer;
 use super::{
     Call, Cause, Choose, Claim, Command, Event, Held, Hook, KIND, Live, Now, Outcome, Pick, Point,
     Record, Report, Retention, Rules, Stage, Sweeper, Terms, Verdict, claim_name,
 };
+use crate::admission::Budget;
 use crate::config::Repeat;
 use crate::failure::Failure;
 use crate::http::{Client as Http, Via, request};
@@ -65,7 +65,7 @@
     pace: Mutex<Pace>,
     recent: Recent,
     pub(crate) http: Http,
-    pub(crate) budgets: Budgets,
+    pub(crate) budget: Budget,
 }
 
 impl fmt::Debug for Actions {
@@ -101,7 +101,7 @@
             hook,
             recent: Recent::default(),
             http: Http::new(),
-            budgets: Budgets::default(),
+            budget: Budget::default(),
         };
         Self {
             inner: Arc::new(inner),
--- a/src/action/mod.rs
+++ b/src/action/mod.rs
@@ -22,6 +22,5 @@
 pub use outcome::{OUTCOME_LIMIT, Outcome};
 pub use pace::Pace;
 pub use record::{KIND, Record, Stage, claim_name};
-pub use safe::Budget;
 pub use settle::Leftover;
 pub use sweep::{Live, Retention, Sweep, Sweeper};
--- a/src/action/safe.rs
+++ b/src/action/safe.rs
@@ -1,13 +1,9 @@
 //! Calls that may be repeated: tried again elsewhere within a budget.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::Method;
-use parking_lot::Mutex;
-use smol_str::SmolStr;
 
 use super::{Actions, Call, Outcome, Pick, Report};
 use crate::failure::Failure;
@@ -17,75 +13,20 @@
 /// Most times that one call is sent.
 const SENDS: usize = 3;
 
-/// Retries that each first send adds to the budget.
-const RETRY_RATIO: f64 = 0.2;
-
-/// Most retries saved up.
-const RETRY_BURST: f64 = 10.0;
-
 /// Shortest wait for one answer.
 const SLICE_MIN: Duration = Duration::from_millis(250);
 
-/// Retries allowed in proportion to the calls, so that an outage is not multiplied.
-#[derive(Debug)]
-pub struct Budget {
-    saved: Mutex<f64>,
-}
-
-impl Budget {
-    /// A full budget.
-    #[must_use]
-    pub fn new() -> Self {
-        Self {
-            saved: Mutex::new(RETRY_BURST),
-        }
-    }
-
-    /// Counts a first send.
-    pub fn earn(&self) {
-        let mut saved = self.saved.lock();
-        *saved = (*saved + RETRY_RATIO).min(RETRY_BURST);
-    }
-
-    /// Takes one retry if one is left.
-    #[must_use]
-    pub fn take(&self) -> bool {
-        let mut saved = self.saved.lock();
-        let left = *saved >= 1.0;
-        *saved -= if left { 1.0 } else { 0.0 };
-        left
-    }
-}
-
-impl Default for Budget {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// A budget for each service.
-#[derive(Debug, Default)]
-pub(crate) struct Budgets {
-    services: Mutex<HashMap<SmolStr, Arc<Budget>>>,
-}
-
-impl Budgets {
-    fn get(&self, service: &SmolStr) -> Arc<Budget> {
-        let mut services = self.services.lock();
-        Arc::clone(services.entry(service.clone()).or_default())
-    }
-}
-
 impl Actions {
     pub(crate) async fn run_safe(&self, call: Call) -> Result<Outcome, Failure> {
         let until = Instant::now() + call.deadline.min(call.timeout);
-        let budget = self.inner.budgets.get(&call.service);
+        let budget = &self.inner.budget;
+        let retry = || budget.try_take(&call.account, &call.service, Instant::now());
         let mut excluded = Vec::new();
         let mut last = Failure::not_run(503, "no_target", "no target could be reached");
-        budget.earn();
+        budget.earn(&call.account, &call.service, Instant::now());
         for sent in 0..SENDS {
             let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || sent > 0 && !budget.take() {
+            if left.is_zero() || sent > 0 && !retry() {
                 break;
             }
             let Some(pick) = self.choose_again(&call, &mut excluded) else {
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -62,7 +62,7 @@
         let ask = ask(start, account.map(|a| &**a));
         let service = start.service.clone();
         let gate = Arc::clone(&gate);
-        budget.earn(&start.account, &service, Instant::now());
+        let budget = Arc::clone(&budget);
         let prefill = prefill(start);
         let span = metrics.span(&start.account);
         async move {
@@ -71,6 +71,9 @@
                 true => gate.count(&service, &ask),
                 false => gate.admit(&service, &ask).await?,
             };
+            if !runs {
+                budget.earn(&ask.account, &service, Instant::now());
+            }
             span.record(Stage::Admission, asked.elapsed());
             let release: Release = Box::new(move |tokens| permit.charge(prefill + tokens));
             Ok(release)
--- a/tests/action/safe.rs
+++ b/tests/action/safe.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use endivefork::action::{Actions, Budget, Call, Choose, Pick, Report, Rules};
+use endivefork::action::{Actions, Call, Choose, Pick, Report, Rules};
 use endivefork::config::Repeat;
 use http::Method;
 use parking_lot::Mutex;
@@ -116,15 +116,3 @@
     assert_eq!(word(&told), "unknown");
     assert!(begun.elapsed() < Duration::from_millis(2000));
 }
-
-/// The budget's arithmetic.
-#[test]
-fn budget() {
-    let budget = Budget::new();
-    let burst = (0..100).filter(|_| budget.take()).count();
-    (0..5).for_each(|_| budget.earn());
-
-    assert_eq!(burst, 10);
-    assert!(budget.take());
-    assert!(!budget.take());
-}
