Average admission's rates over the time that requests hold a slot

Cause: with generations of two minutes an account starts one request in 25 s at an instance, so rates averaged over 5 s were noise.

Change: the window follows the hold time, 5 to 60 s, and so does what an account may catch up.

--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -121,10 +121,10 @@
     }
 
     /// Counts a request of `cost` as started at virtual time `start`.
-    pub(crate) fn start(&mut self, cost: u64, start: u64, now: Instant) {
+    pub(crate) fn start(&mut self, cost: u64, start: u64, window: f64, now: Instant) {
         self.finish = start + self.span(cost);
         self.running += 1;
-        self.rate.add(cost as f64, now);
+        self.rate.add(cost as f64, window, now);
     }
 }
 
--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -29,7 +29,7 @@
 const HOLD_DEFAULT: Duration = Duration::from_millis(20);
 
 /// Time of its share that an account may save up and use in a burst.
-const CREDIT_MAX: Duration = Duration::from_secs(2);
+const CREDIT_MIN: Duration = Duration::from_secs(2);
 
 /// The line before one service.
 #[derive(Debug)]
@@ -75,6 +75,7 @@
         if self.limit() == 0 {
             return Decision::Refuse(self.no_target(ask.request));
         }
+        let window = self.drain.window();
         let found = self.book.find(ask.request, now);
         if let Found::Early(left) = found {
             return Decision::Refuse(Refusal {
@@ -84,10 +85,10 @@
         }
         let cost = ask.cost.max(1);
         let key = self.enter(ask, now);
-        self.flows[key].offered.add(cost as f64, now);
+        self.flows[key].offered.add(cost as f64, window, now);
         let returns = found == Found::Due;
         if returns {
-            self.flows[key].returned.add(cost as f64, now);
+            self.flows[key].returned.add(cost as f64, window, now);
         }
         let flow = &self.flows[key];
         if flow.free() && flow.queue.is_empty() && self.spare(key) {
@@ -197,10 +198,10 @@
     }
 
     fn run(&mut self, key: FlowKey, cost: u64, now: Instant) -> Ticket {
-        let floor = self.virtual_floor();
+        let (floor, window) = (self.virtual_floor(), self.drain.window());
         let flow = &mut self.flows[key];
         let start = flow.finish.max(floor);
-        flow.start(cost, start, now);
+        flow.start(cost, start, window, now);
         self.virtual_now = self.virtual_now.max(start);
         self.running += 1;
         self.settle(key);
@@ -228,7 +229,8 @@
 
     /// Earliest virtual start: an account that used less than its share may catch up a little.
     fn virtual_floor(&self) -> u64 {
-        let credit = self.virtual_span(CREDIT_MAX);
+        let memory = Duration::from_secs_f64(self.drain.request() / 4.0);
+        let credit = self.virtual_span(memory.max(CREDIT_MIN));
         self.virtual_now.saturating_sub(credit)
     }
 
--- a/src/admission/line/estimate.rs
+++ b/src/admission/line/estimate.rs
@@ -81,7 +81,7 @@
         let whole = self.drain.rate(f64::from(self.limit()), now);
         let horizon = RETURN_WAIT_MAX.as_secs_f64();
         let returns = match rank.fresh {
-            true => flow.returned.rate(now) * WAIT_MAX.as_secs_f64(),
+            true => flow.returned.rate(self.drain.window(), now) * WAIT_MAX.as_secs_f64(),
             false => 0.0,
         };
         let own = flow.ahead(rank) as f64 + returns;
@@ -92,7 +92,7 @@
         for (tag, rival) in earlier().take(RIVALS_MAX) {
             let rival = &self.flows[*rival];
             let fair = rival.cost_of(start - tag);
-            let most = rival.queued as f64 + rival.offered.rate(now) * horizon;
+            let most = rival.queued as f64 + rival.offered.rate(self.drain.window(), now) * horizon;
             rivals += fair.min(most);
             seen += 1;
         }
@@ -115,7 +115,10 @@
         let whole = self.drain.rate(f64::from(self.limit()), now);
         let share = whole * weight as f64 / rivals as f64;
         let own = f64::from(flow.concurrency) / self.drain.hold();
-        share.max(flow.rate.rate(now)).min(own).max(1e-6)
+        share
+            .max(flow.rate.rate(self.drain.window(), now))
+            .min(own)
+            .max(1e-6)
     }
 
     /// Refuses, with a promise while the account's share has room for one.
--- a/src/admission/line/exchange.rs
+++ b/src/admission/line/exchange.rs
@@ -65,7 +65,7 @@
             account: flow.account.clone(),
             weight: flow.weight,
             running: flow.running,
-            demand: f64::from(flow.running).max(flow.offered.rate(now) * hold),
+            demand: f64::from(flow.running).max(flow.offered.rate(self.drain.window(), now) * hold),
         });
         uses.filter(|used| used.demand > DEMAND_MIN).collect()
     }
--- a/src/admission/meter.rs
+++ b/src/admission/meter.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-/// Time over which a rate is averaged.
-const WINDOW: Duration = Duration::from_secs(5);
+/// Shortest and longest time over which a rate is averaged, in seconds.
+const WINDOW_S: (f64, f64) = (5.0, 60.0);
 
 /// Weight of one measured hold time in the mean.
 const HOLD_WEIGHT: f64 = 1.0 / 16.0;
@@ -16,15 +16,16 @@
 }
 
 impl Meter {
-    pub(crate) fn add(&mut self, amount: f64, now: Instant) {
-        self.rate = self.rate(now) + amount / WINDOW.as_secs_f64();
+    /// Adds to a rate that is averaged over `window` seconds.
+    pub(crate) fn add(&mut self, amount: f64, window: f64, now: Instant) {
+        self.rate = self.rate(window, now) + amount / window;
         self.at = Some(now);
     }
 
-    pub(crate) fn rate(&self, now: Instant) -> f64 {
+    pub(crate) fn rate(&self, window: f64, now: Instant) -> f64 {
         let Some(at) = self.at else { return 0.0 };
         let age = now.saturating_duration_since(at).as_secs_f64();
-        self.rate * (-age / WINDOW.as_secs_f64()).exp()
+        self.rate * (-age / window).exp()
     }
 }
 
@@ -33,6 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Drain {
     hold: f64,
+    request: f64,
     measured: bool,
     out: Meter,
     full_since: Option<Instant>,
@@ -43,6 +45,7 @@
     pub(crate) fn new(hold: Duration) -> Self {
         Self {
             hold: hold.as_secs_f64(),
+            request: 0.0,
             measured: false,
             out: Meter::default(),
             full_since: None,
@@ -52,8 +55,9 @@
     /// A request of `cost` held a slot for `held`.
     pub(crate) fn ended(&mut self, cost: f64, held: Duration, now: Instant) {
         self.hold += (held.as_secs_f64() / cost - self.hold) * HOLD_WEIGHT;
+        self.request += (held.as_secs_f64() - self.request) * HOLD_WEIGHT;
         self.measured = true;
-        self.out.add(cost, now);
+        self.out.add(cost, self.window(), now);
     }
 
     /// Whether anything has come out yet.
@@ -75,11 +79,23 @@
         self.hold.max(1e-9)
     }
 
+    /// Seconds that one request holds a slot.
+    pub(crate) fn request(&self) -> f64 {
+        self.request
+    }
+
+    /// Seconds over which rates are averaged: longer where requests are long and so fewer.
+    pub(crate) fn window(&self) -> f64 {
+        (self.request / 2.0).clamp(WINDOW_S.0, WINDOW_S.1)
+    }
+
     /// Cost a second with `slots` slots.
     pub(crate) fn rate(&self, slots: f64, now: Instant) -> f64 {
         let little = slots / self.hold();
-        let settled = self.full_since.is_some_and(|at| at + 2 * WINDOW < now);
-        match self.out.rate(now) {
+        let settled = self
+            .full_since
+            .is_some_and(|at| at + Duration::from_secs_f64(2.0 * self.window()) < now);
+        match self.out.rate(self.window(), now) {
             out if settled && out < little / 2.0 => out.max(little / 20.0),
             _ => little,
         }
--- a/tests/admission_policy.rs
+++ b/tests/admission_policy.rs
@@ -7,11 +7,12 @@
 use driver::{COST, Caller, Got, Plan, capacity, quantile, run};
 
 const SLOTS: usize = 96;
+/// Seconds that one unit of cost holds a slot.
+const UNIT: f64 = 0.02;
 const SMALL: [&str; 9] = ["s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"];
 
-/// One large and nine small accounts of equal weight, with loads as multiples of a fair share.
-fn callers(large: f64, small: f64) -> Vec<Caller> {
-    let share = capacity(SLOTS) / 10.0;
+/// One large and nine small accounts of equal weight, with loads as multiples of `share`.
+fn callers(share: f64, large: f64, small: f64) -> Vec<Caller> {
     let caller = |name, rate| Caller {
         name,
         weight: 1,
@@ -26,11 +27,12 @@
 fn plan(seed: u64, large: f64, small: f64) -> Plan {
     Plan {
         seed,
-        callers: callers(large, small),
+        callers: callers(capacity(SLOTS, UNIT) / 10.0, large, small),
         instances: 1,
         linked: true,
         entered: 1,
         slots: SLOTS,
+        unit: UNIT,
         warmup: Duration::from_secs(30),
         length: Duration::from_secs(150),
     }
@@ -43,12 +45,12 @@
 /// What an account got, in fair shares.
 fn shares(plan: &Plan, got: &Got) -> f64 {
     let cost = got.cost as f64 / COST as f64;
-    cost / seconds(plan) / (capacity(SLOTS) / 10.0)
+    cost / seconds(plan) / (capacity(plan.slots, plan.unit) / 10.0)
 }
 
 fn goodput(plan: &Plan, got: &[Got]) -> f64 {
     let cost: u64 = got.iter().map(|g| g.cost).sum();
-    cost as f64 / COST as f64 / seconds(plan) / capacity(SLOTS)
+    cost as f64 / COST as f64 / seconds(plan) / capacity(plan.slots, plan.unit)
 }
 
 fn kept(got: &[Got]) -> (usize, f64) {
@@ -110,6 +112,23 @@
     }
 }
 
+/// Generations of two minutes on 36 engines with 8 slots.
+#[test]
+fn small_accounts_keep_their_share_of_long_generations() {
+    let (slots, unit) = (288, 1.2);
+    let plan = Plan {
+        callers: callers(capacity(slots, unit) / 10.0, 10.0, 20.0 / 9.0),
+        instances: 6,
+        entered: 6,
+        slots,
+        unit,
+        warmup: Duration::from_secs(600),
+        length: Duration::from_secs(3_600),
+        ..plan(13, 10.0, 20.0 / 9.0)
+    };
+    check_overload(&plan);
+}
+
 #[test]
 fn small_accounts_within_their_share_start_as_if_alone() {
     let cases = [
--- a/tests/driver/mod.rs
+++ b/tests/driver/mod.rs
@@ -31,6 +31,8 @@
     /// Instances whose callers all are; others get none.
     pub entered: usize,
     pub slots: usize,
+    /// Seconds that one unit of cost holds a slot.
+    pub unit: f64,
     pub warmup: Duration,
     pub length: Duration,
 }
@@ -52,9 +54,6 @@
 /// Mean cost of a request.
 pub const COST: u64 = 100;
 
-/// Seconds that one unit of cost holds a slot.
-pub const UNIT: f64 = 0.02;
-
 /// Time between exchanges among instances.
 const EXCHANGE: Duration = Duration::from_millis(500);
 
@@ -114,9 +113,9 @@
     driver.got
 }
 
-/// Requests a second that the plan's slots can carry.
-pub fn capacity(slots: usize) -> f64 {
-    slots as f64 / (COST as f64 * UNIT)
+/// Requests a second that `slots` can carry when one unit of cost holds a slot for `unit` seconds.
+pub fn capacity(slots: usize, unit: f64) -> f64 {
+    slots as f64 / (COST as f64 * unit)
 }
 
 /// The value below which the part `q` of `values` lies.
@@ -293,7 +292,7 @@
 
     fn serve(&mut self, work: Work) {
         self.busy += 1;
-        let held = work.request.cost as f64 * UNIT;
+        let held = work.request.cost as f64 * self.plan.unit;
         self.schedule(self.now + Duration::from_secs_f64(held), Event::End(work));
     }
 
