Promise returns from the share alone, and let them wait longer

Cause: promises counted on the rate that an account lately got, which drops as soon as others come.

Change: promises use part of the share; a return may wait a tenth of the hold time.

--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -52,8 +52,6 @@
     pub(crate) tag: u64,
     /// Cost a second that asked.
     pub(crate) offered: Meter,
-    /// Cost a second that started.
-    pub(crate) rate: Meter,
     /// Cost a second that came back as promised.
     pub(crate) returned: Meter,
     /// Time up to which promises use the account's share.
@@ -76,7 +74,6 @@
             finish: 0,
             tag: 0,
             offered: Meter::default(),
-            rate: Meter::default(),
             returned: Meter::default(),
             promised: now,
             used: now,
@@ -121,10 +118,9 @@
     }
 
     /// Counts a request of `cost` as started at virtual time `start`.
-    pub(crate) fn start(&mut self, cost: u64, start: u64, window: f64, now: Instant) {
+    pub(crate) fn start(&mut self, cost: u64, start: u64) {
         self.finish = start + self.span(cost);
         self.running += 1;
-        self.rate.add(cost as f64, window, now);
     }
 }
 
--- a/src/admission/line.rs
+++ b/src/admission/line.rs
@@ -28,7 +28,8 @@
 /// Time that one unit of cost holds a slot, until it is measured.
 const HOLD_DEFAULT: Duration = Duration::from_millis(20);
 
-/// Time of its share that an account may save up and use in a burst.
+/// Least time of its share that an account may save up and use in a burst; a quarter of the time
+/// that a request holds its slot where that is longer.
 const CREDIT_MIN: Duration = Duration::from_secs(2);
 
 /// The line before one service.
@@ -198,10 +199,10 @@
     }
 
     fn run(&mut self, key: FlowKey, cost: u64, now: Instant) -> Ticket {
-        let (floor, window) = (self.virtual_floor(), self.drain.window());
+        let floor = self.virtual_floor();
         let flow = &mut self.flows[key];
         let start = flow.finish.max(floor);
-        flow.start(cost, start, window, now);
+        flow.start(cost, start);
         self.virtual_now = self.virtual_now.max(start);
         self.running += 1;
         self.settle(key);
--- a/src/admission/line/estimate.rs
+++ b/src/admission/line/estimate.rs
@@ -11,14 +11,17 @@
 /// Longest expected wait of a request that is let in.
 const WAIT_MAX: Duration = Duration::from_secs(2);
 
-/// Longest expected wait of a request that comes back as promised.
-const RETURN_WAIT_MAX: Duration = Duration::from_secs(6);
+/// Longest expected wait of a request that comes back as promised, where requests are short.
+const RETURN_WAIT_MIN: Duration = Duration::from_secs(6);
+
+/// The same as a part of the time that a request holds its slot.
+const RETURN_WAIT_PART: f64 = 0.1;
 
 /// How far ahead promises are made.
 const HORIZON: Duration = Duration::from_secs(60);
 
 /// Part of an account's share that promises may use.
-const PROMISED_PART: f64 = 0.8;
+const PROMISED_PART: f64 = 0.6;
 
 /// Shortest time after which a refused request may come back.
 const RETURN_MIN: Duration = Duration::from_secs(1);
@@ -52,7 +55,10 @@
             deadline: ask.deadline.unwrap_or(now + DEADLINE_DEFAULT),
             seq: self.seq,
         };
-        let longest = if returns { RETURN_WAIT_MAX } else { WAIT_MAX };
+        let longest = match returns {
+            true => self.return_wait(),
+            false => WAIT_MAX,
+        };
         let wait = match self.drain.measured() || self.flows[key].queue.len() > QUEUE_UNMEASURED {
             true => self.expected(key, &rank, cost, now),
             false => Duration::ZERO,
@@ -72,6 +78,13 @@
         Decision::Wait(Waiter { flow: key, rank }, until)
     }
 
+    /// Longest expected wait of a request that comes back as promised: longer where a slot is held
+    /// for long and so is free seldom.
+    fn return_wait(&self) -> Duration {
+        let part = Duration::from_secs_f64(self.drain.request() * RETURN_WAIT_PART);
+        part.max(RETURN_WAIT_MIN)
+    }
+
     /// Expected wait of a request of the flow: what starts before it, at the drain rate.
     ///
     /// That is what waits before it in its own flow, and of each other flow with a waiting request
@@ -79,7 +92,7 @@
     fn expected(&self, key: FlowKey, rank: &Rank, cost: u64, now: Instant) -> Duration {
         let flow = &self.flows[key];
         let whole = self.drain.rate(f64::from(self.limit()), now);
-        let horizon = RETURN_WAIT_MAX.as_secs_f64();
+        let horizon = self.return_wait().as_secs_f64();
         let returns = match rank.fresh {
             true => flow.returned.rate(self.drain.window(), now) * WAIT_MAX.as_secs_f64(),
             false => 0.0,
@@ -104,7 +117,7 @@
         Duration::from_secs_f64((ahead / whole.max(1e-6)).min(1e6))
     }
 
-    /// Cost a second that the flow can expect: its share, or more when it lately got more.
+    /// Cost a second that the flow can count on: its share while all active accounts want theirs.
     fn rate(&self, key: FlowKey, now: Instant) -> f64 {
         let flow = &self.flows[key];
         let weight = flow.share();
@@ -115,10 +128,7 @@
         let whole = self.drain.rate(f64::from(self.limit()), now);
         let share = whole * weight as f64 / rivals as f64;
         let own = f64::from(flow.concurrency) / self.drain.hold();
-        share
-            .max(flow.rate.rate(self.drain.window(), now))
-            .min(own)
-            .max(1e-6)
+        share.min(own).max(1e-6)
     }
 
     /// Refuses, with a promise while the account's share has room for one.
--- a/tests/admission_policy.rs
+++ b/tests/admission_policy.rs
@@ -116,17 +116,19 @@
 #[test]
 fn small_accounts_keep_their_share_of_long_generations() {
     let (slots, unit) = (288, 1.2);
-    let plan = Plan {
-        callers: callers(capacity(slots, unit) / 10.0, 10.0, 20.0 / 9.0),
-        instances: 6,
-        entered: 6,
-        slots,
-        unit,
-        warmup: Duration::from_secs(600),
-        length: Duration::from_secs(3_600),
-        ..plan(13, 10.0, 20.0 / 9.0)
-    };
-    check_overload(&plan);
+    for seed in [13, 14] {
+        let plan = Plan {
+            callers: callers(capacity(slots, unit) / 10.0, 10.0, 20.0 / 9.0),
+            instances: 6,
+            entered: 6,
+            slots,
+            unit,
+            warmup: Duration::from_secs(600),
+            length: Duration::from_secs(3_600),
+            ..plan(seed, 10.0, 20.0 / 9.0)
+        };
+        check_overload(&plan);
+    }
 }
 
 #[test]
