Cap an account near its fair slots while slots are scarce

Cause: one account could hold slots for minutes that others had a share in.

Change: at most a quarter and one more than its fair slots while slots are scarce.

--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -39,6 +39,8 @@
     pub(crate) weight: u32,
     /// Part of its weight that counts at this instance.
     pub(crate) fraction: f64,
+    /// Most slots while slots are scarce.
+    pub(crate) fair_max: f64,
     pub(crate) concurrency: u32,
     pub(crate) running: u32,
     /// Its weight as counted among the active flows; 0 while it is not.
@@ -65,6 +67,7 @@
             account: account.into(),
             weight: 1,
             fraction: 1.0,
+            fair_max: f64::INFINITY,
             concurrency: u32::MAX,
             running: 0,
             weighed: 0,
@@ -80,9 +83,10 @@
         }
     }
 
-    /// Whether a request may start as far as the account's own limit goes.
+    /// Whether a request may start as far as the account's own limits go.
     pub(crate) fn free(&self) -> bool {
-        self.running == 0 || self.running + self.remote < self.concurrency
+        let own = self.running + self.remote < self.concurrency;
+        self.running == 0 || own && f64::from(self.running) < self.fair_max
     }
 
     pub(crate) fn active(&self) -> bool {
--- a/src/admission/line/exchange.rs
+++ b/src/admission/line/exchange.rs
@@ -12,6 +12,12 @@
 /// Most accounts in one usage message.
 const USAGE_ACCOUNTS: usize = 2_048;
 
+/// How far above its fair slots an account may run while slots are scarce.
+const FAIR_FACTOR: f64 = 1.25;
+
+/// Slots above that, for accounts with few.
+const FAIR_EXTRA: f64 = 1.0;
+
 impl Line {
     /// Takes the slots of all fit targets and the number of instances on the list.
     pub fn supply(&mut self, slots: u32, members: usize, now: Instant) -> Vec<Grant> {
@@ -28,6 +34,8 @@
             let remote = self.peers.running(&used.account);
             let flow = &mut self.flows[key];
             flow.fraction = fraction.copied().unwrap_or(1.0);
+            let fair = f64::from(flow.weight) * flow.fraction * split.level;
+            flow.fair_max = fair * FAIR_FACTOR + FAIR_EXTRA;
             flow.remote = remote;
             self.settle(key);
         }
--- a/src/admission/share.rs
+++ b/src/admission/share.rs
@@ -55,6 +55,8 @@
     pub part: f64,
     /// Part of each account's weight; accounts without demand elsewhere are left out.
     pub fractions: IndexMap<SmolStr, f64>,
+    /// Fair slots for each unit of weight, over all instances; infinite while there are enough.
+    pub level: f64,
 }
 
 /// The newest usage of each peer.
@@ -143,6 +145,7 @@
     Split {
         part: part(own_want, &wants, members),
         fractions: fractions.collect(),
+        level,
     }
 }
 
