--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -106,7 +106,9 @@
     router: &Arc<Router>,
     budget: &Arc<Budget>,
     witness: &Arc<Witness>,
+    metrics: &Metrics,
 ) -> Hooks {
+    let metrics = metrics.clone();
     let chooser = Chooser {
         identity: identity.clone(),
         fleet: Arc::clone(fleet),
@@ -118,6 +120,9 @@
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
         observe: Box::new(move |start, target, seen| {
+            if let Observation::Resumed(gap) = seen {
+                metrics.span(&start.account).record(Stage::ResumeGap, gap);
+            }
             if let Some(key) = fleet.key(&target.name) {
                 witness.observed(start, key, seen);
                 observe(&router, key, seen);
@@ -178,6 +183,7 @@
     let now = Instant::now();
     match seen {
         Observation::Lost(Loss::Crashed | Loss::Unsent) => router.mark_dead(key, now),
+        Observation::Lost(Loss::Leaving) => router.mark_leaving(key, now),
         Observation::Lost(_) => router.mark_suspect(key, now),
         Observation::FirstToken(took) => router.mark_alive(key, now - took),
         _ => {}
