--- a/src/action/actions.rs
+++ b/src/action/actions.rs
@@ -14,10 +14,10 @@
 use super::flights::{Flights, Join, Lead, follow};
 use super::pace::Pace;
 use super::recent::Recent;
-use super::safe::Budgets;
 use super::settle::Settler;
 use super::verdict::answer;
 use super::{Call, Choose, Hook, Live, Outcome, Retention, Rules, Sweeper, Verdict};
+use crate::admission::Budget;
 use crate::config::Repeat;
 use crate::failure::Failure;
 use crate::http::Client as Http;
@@ -48,7 +48,7 @@
     breaker: Mutex<Breaker>,
     pub(crate) recent: Recent,
     pub(crate) http: Http,
-    pub(crate) budgets: Budgets,
+    pub(crate) budget: Budget,
 }
 
 impl Inner {
@@ -105,7 +105,7 @@
             hook,
             recent: Recent::default(),
             http: Http::new(),
-            budgets: Budgets::default(),
+            budget: Budget::default(),
         };
         Self {
             inner: Arc::new(inner),
--- a/src/admission/flow.rs
+++ b/src/admission/flow.rs
@@ -39,6 +39,8 @@
     pub(crate) weight: u32,
     /// Part of its weight that counts at this instance.
     pub(crate) fraction: f64,
+    /// Most slots while slots are scarce.
+    pub(crate) fair_max: f64,
     pub(crate) concurrency: u32,
     pub(crate) running: u32,
     /// Its weight as counted among the active flows; 0 while it is not.
@@ -52,8 +54,6 @@
     pub(crate) tag: u64,
     /// Cost a second that asked.
     pub(crate) offered: Meter,
-    /// Cost a second that started.
-    pub(crate) rate: Meter,
     /// Cost a second that came back as promised.
     pub(crate) returned: Meter,
     /// Time up to which promises use the account's share.
@@ -67,6 +67,7 @@
             account: account.into(),
             weight: 1,
             fraction: 1.0,
+            fair_max: f64::INFINITY,
             concurrency: u32::MAX,
             running: 0,
             weighed: 0,
@@ -76,16 +77,16 @@
             finish: 0,
             tag: 0,
             offered: Meter::default(),
-            rate: Meter::default(),
             returned: Meter::default(),
             promised: now,
             used: now,
         }
     }
 
-    /// Whether a request may start as far as the account's own limit goes.
+    /// Whether a request may start as far as the account's own limits go.
     pub(crate) fn free(&self) -> bool {
-        self.running == 0 || self.running + self.remote < self.concurrency
+        let own = self.running + self.remote < self.concurrency;
+        self.running == 0 || own && f64::from(self.running) < self.fair_max
     }
 
     pub(crate) fn active(&self) -> bool {
@@ -121,10 +122,9 @@
     }
 
     /// Counts a request of `cost` as started at virtual time `start`.
-    pub(crate) fn start(&mut self, cost: u64, start: u64, now: Instant) {
+    pub(crate) fn start(&mut self, cost: u64, start: u64) {
         self.finish = start + self.span(cost);
         self.running += 1;
-        self.rate.add(cost as f64, now);
     }
 }
 
