--- a/src/generation/takeover.rs
+++ b/src/generation/takeover.rs
@@ -3,7 +3,12 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::time::{Instant, timeout_at};
 
 use super::journal::{Entry, Journal, Journals};
 use super::run::Start;
@@ -12,11 +17,20 @@
 use super::writer::Net;
 use crate::failure::Failure;
 use crate::ident::RequestKey;
-use crate::peer::{Peers, Tag};
+use crate::peer::{CallError, Member, Peers, Tag};
 
 /// Longest wait for peers when the caller has tokens already.
 const RETURN_LIMIT: Duration = Duration::from_millis(300);
 
+/// Times that peers which do not answer are asked when the caller has tokens already.
+const RETURN_ROUNDS: u32 = 3;
+
+/// Longest further wait for peers once one has handed over a journal.
+const GRACE: Duration = Duration::from_millis(50);
+
+/// When a caller should come back whose generation could not be asked for.
+const COME_BACK: Duration = Duration::from_secs(1);
+
 /// Longest wait for peers when the request may be new.
 const REPEAT_LIMIT: Duration = Duration::from_millis(100);
 
@@ -80,6 +94,10 @@
 
 /// Looks for a request's generation at the peers: in the own failure domain, or everywhere when
 /// the caller has tokens of it.
+///
+/// # Errors
+/// When the key belongs to another body, or when a caller that has tokens must come back because
+/// peers that may know the generation do not answer.
 pub(crate) async fn find(
     net: &Net,
     own: &Journals,
@@ -90,31 +108,101 @@
         key: start.key,
         body: start.body_digest,
     };
-    let limit = match returning {
-        true => RETURN_LIMIT,
-        false => REPEAT_LIMIT,
+    let (limit, rounds) = match returning {
+        true => (RETURN_LIMIT, RETURN_ROUNDS),
+        false => (REPEAT_LIMIT, 1),
     };
+    let mut search = Search::new(kept(own, claim))?;
     let domain = &net.peers.me().domain;
     let mut asked = net.peers.alive();
     asked.retain(|m| returning || m.domain == *domain);
-    let calls = asked.iter().map(|member| {
-        net.peers
-            .call::<_, Claimed>(&member.name, Tag::Takeover, &claim, limit)
-    });
-    let answers = futures_util::future::join_all(calls).await;
-    let mut best: Option<Journal> = None;
-    let kept = kept(own, claim);
-    for answer in answers.into_iter().flatten().chain([kept]) {
+    for _ in 0..rounds {
+        let silent = search.round(net, claim, &asked, limit).await?;
+        if search.best.is_some() || silent.is_empty() {
+            return Ok(search.best);
+        }
+        asked.retain(|m| silent.contains(&m.name));
+    }
+    match returning {
+        true => Err(unreachable()),
+        false => Ok(None),
+    }
+}
+
+/// The best journal found so far.
+struct Search {
+    best: Option<Journal>,
+}
+
+impl Search {
+    fn new(kept: Claimed) -> Result<Self, Failure> {
+        let mut search = Self { best: None };
+        search.take(kept)?;
+        Ok(search)
+    }
+
+    fn take(&mut self, answer: Claimed) -> Result<(), Failure> {
         match answer {
-            Claimed::Unknown => {}
             Claimed::Reused => return Err(key_reused()),
-            Claimed::Found(journal) if best.as_ref().is_none_or(|b| better(&journal, b)) => {
-                best = Some(*journal);
+            Claimed::Found(journal) if self.best.as_ref().is_none_or(|b| better(&journal, b)) => {
+                self.best = Some(*journal);
             }
-            Claimed::Found(_) => {}
+            Claimed::Found(_) | Claimed::Unknown => {}
         }
+        Ok(())
+    }
+
+    /// Asks `members` at once; returns those that did not answer. Once there is a journal, the
+    /// others, of which one may be the paused owner, are not waited for much longer.
+    async fn round(
+        &mut self,
+        net: &Net,
+        claim: Claim,
+        members: &[Member],
+        limit: Duration,
+    ) -> Result<IndexSet<SmolStr>, Failure> {
+        let mut silent: IndexSet<_> = members.iter().map(|m| m.name.clone()).collect();
+        let mut calls: FuturesUnordered<_> = members
+            .iter()
+            .map(|member| async move {
+                let name = member.name.as_str();
+                let call = net
+                    .peers
+                    .call::<_, Claimed>(name, Tag::Takeover, &claim, limit);
+                (name, call.await)
+            })
+            .collect();
+        let mut end = Instant::now() + limit;
+        loop {
+            if self.best.is_some() {
+                end = end.min(Instant::now() + GRACE);
+            }
+            let Ok(Some((name, answer))) = timeout_at(end, calls.next()).await else {
+                return Ok(silent);
+            };
+            match answer {
+                Ok(claimed) => {
+                    silent.swap_remove(name);
+                    self.take(claimed)?;
+                }
+                Err(CallError::Lost) => {}
+                Err(_) => {
+                    silent.swap_remove(name);
+                }
+            }
+        }
+    }
+}
+
+/// Peers that may know the generation did not answer.
+fn unreachable() -> Failure {
+    let text = "peers that may know the generation do not answer";
+    let failure = Failure::unknown("generation_unreachable", text);
+    Failure {
+        status: 503,
+        ..failure
     }
-    Ok(best)
+    .retry_after(COME_BACK)
 }
 
 /// Tells all peers of a crash.
--- a/tests/cut.rs
+++ b/tests/cut.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use endivefork::http::{Via, request};
+use endivefork::ident::{RequestKey, rendezvous};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -16,6 +18,9 @@
 /// Time in which an accepted change is in force.
 const IN_FORCE: Duration = Duration::from_secs(4);
 
+/// How long peers do not hear each other in the short cut, less than any silence that counts.
+const SHORT_CUT: Duration = Duration::from_millis(600);
+
 /// Two failure domains, each with an entry instance and an engine; the plain target is in the
 /// first. The second reaches the platform through a relay, and peers reach each other through
 /// relays.
@@ -46,7 +51,7 @@
             )
             .await;
             world.engines.push(engine);
-            let entry = entry(i, platforms[i], relay);
+            let entry = entry(i, i, platforms[i], relay);
             relay.point(entry.peer);
             list(
                 &world,
@@ -132,11 +137,11 @@
     }
 }
 
-fn entry(i: usize, platform: std::net::SocketAddr, relay: &Relay) -> Instance {
+fn entry(i: usize, domain: usize, platform: SocketAddr, relay: &Relay) -> Instance {
     let operator = hex::encode(Sha256::digest(b"operator-key"));
     let name = format!("entry-{i}");
     let settings = format!(
-        "[instance]\nname = {name}\ndomain = d{i}\nregion = r{i}\n\
+        "[instance]\nname = {name}\ndomain = d{domain}\nregion = r{domain}\n\
          [listen]\ncaller = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeer = 127.0.0.1:0\n\
          [platform]\naddr = {platform}\n\
          [peers]\nkey = a-key-that-all-instances-share\nadvertise = {}\n\
@@ -266,3 +271,49 @@
     println!("in force everywhere after {worst:?}");
     assert!(worst <= IN_FORCE, "{worst:?}");
 }
+
+/// A key whose journal the first instance keeps at the second and the third, not at the fourth.
+fn key_kept_elsewhere() -> String {
+    let others = ["entry-1", "entry-2", "entry-3"];
+    let key = |i: u32| format!("kept-elsewhere-{i}");
+    let fits = |key: &String| {
+        let order = rendezvous(RequestKey::new("one", key).0, others.into_iter());
+        order[2] == "entry-3"
+    };
+    (0..).map(key).find(fits).expect("one of three keys fits")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_return_waits_for_replicas_that_a_short_cut_holds_up() {
+    let mut world = World::new();
+    world.configure().await;
+    world.engine("v1", &["--token-ms", "20"]).await;
+    let mut relays = Vec::new();
+    for i in 0..4 {
+        let relay = Relay::start().await;
+        let entry = entry(i, 0, world.platform.addr, &relay);
+        relay.point(entry.peer);
+        let addrs = json!({"addr": entry.caller, "peer": relay.addr});
+        list(&world, &entry.name, "entry", 0, addrs).await;
+        world.entries.push(entry);
+        relays.push(relay);
+    }
+    world.ready().await;
+    let ask = Ask::completion(world.entries[0].caller, "llm", "held up", 120);
+    let whole = ask.all(&world.client).await;
+    let ask = ask.key(&key_kept_elsewhere());
+
+    let first = ask.stream(&world.client, |token| token.id == 40).await;
+    world.entries[0].process.kill();
+    relays.iter().for_each(Relay::cut);
+    let back = ask.at(world.entries[3].caller).last(40);
+    let client = world.client.clone();
+    let rest = tokio::spawn(async move { back.all(&client).await });
+    tokio::time::sleep(SHORT_CUT).await;
+    relays.iter().for_each(Relay::heal);
+    let rest = rest.await.unwrap();
+
+    assert!(rest.done, "{:?}", rest.error);
+    assert!(rest.in_order(41));
+    assert_eq!([first.texts(), rest.texts()].concat(), whole.texts());
+}
