Be ready only after meeting the peers of the failure domain

Change: peers that are new on the list are tried at once, and an instance is ready when it has tried all of its failure domain that it knows.

The new test of readiness fails without the condition (state unknown) and passes with it.

--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -71,6 +71,7 @@
     pub feed: Mutex<Feed>,
     listing: Mutex<Option<platform::InstanceList>>,
     listed: AtomicBool,
+    met: AtomicBool,
 }
 
 impl Instance {
@@ -123,14 +124,19 @@
             feed: Mutex::default(),
             listing: Mutex::default(),
             listed: AtomicBool::new(false),
+            met: AtomicBool::new(false),
         }
     }
 
-    /// Whether it knows the configuration and the fleet.
+    /// Whether it knows the configuration and the fleet, and has met its peers: before that no
+    /// peer would keep a generation's journal.
     #[must_use]
     pub fn ready(&self) -> bool {
-        let known = self.config.complete();
-        known && self.listed.load(Ordering::Acquire)
+        let known = self.config.complete() && self.listed.load(Ordering::Acquire);
+        if known && self.peers.introduced() {
+            self.met.store(true, Ordering::Release);
+        }
+        known && self.met.load(Ordering::Acquire)
     }
 
     /// The version that serves `key`.
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -311,7 +311,20 @@
     pub fn list(&self, members: &[Member]) {
         let me = &self.hub.opts.me.name;
         let others: Vec<_> = members.iter().filter(|m| m.name != *me).cloned().collect();
-        self.hub.members.lock().list(&others, Instant::now());
+        let mut known = self.hub.members.lock();
+        known.list(&others, Instant::now());
+        let untried = known.untried(&self.hub.opts.me.domain);
+        drop(known);
+        if untried {
+            self.hub.beat_all();
+        }
+    }
+
+    /// Whether this instance has tried to reach all others that it knows in its failure domain.
+    #[must_use]
+    pub fn introduced(&self) -> bool {
+        let members = self.hub.members.lock();
+        !members.untried(&self.hub.opts.me.domain)
     }
 
     /// This instance.
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -178,6 +178,13 @@
         self.known.get(name).map_or(Reach::Unknown, |k| k.reach)
     }
 
+    /// Whether an instance of `domain` was not tried yet.
+    #[must_use]
+    pub fn untried(&self, domain: &str) -> bool {
+        let mut inside = self.known.values().filter(|k| k.member.domain == domain);
+        inside.any(|k| k.reach == Reach::Unknown)
+    }
+
     /// Address of `name`.
     #[must_use]
     pub fn addr(&self, name: &str) -> Option<SocketAddr> {
--- a/tests/cut.rs
+++ b/tests/cut.rs
@@ -86,12 +86,7 @@
     }
 
     async fn status(&self, entry: usize) -> Value {
-        let url = format!("http://{}/v1/status", self.world.entries[entry].admin);
-        let mut ask = request(Method::GET, &url, "");
-        let key = "Bearer operator-key".parse().unwrap();
-        ask.headers_mut().insert("authorization", key);
-        let answer = self.world.client.send(Via::Fresh, ask, IN_FORCE).await;
-        answer.unwrap().json().unwrap()
+        status(&self.world, entry).await
     }
 
     /// Waits until each entry instance sees the other in `state`.
@@ -125,6 +120,15 @@
     }
 }
 
+async fn status(world: &World, entry: usize) -> Value {
+    let url = format!("http://{}/v1/status", world.entries[entry].admin);
+    let mut ask = request(Method::GET, &url, "");
+    let key = "Bearer operator-key".parse().unwrap();
+    ask.headers_mut().insert("authorization", key);
+    let answer = world.client.send(Via::Fresh, ask, IN_FORCE).await;
+    answer.unwrap().json().unwrap()
+}
+
 fn start_engine(name: &str) -> Node {
     let mut command = std::process::Command::new(example("engine"));
     command.args(["--listen", "127.0.0.1:0", "--name", name]);
@@ -317,3 +321,29 @@
     assert!(rest.in_order(41));
     assert_eq!([first.texts(), rest.texts()].concat(), whole.texts());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_ready_once_it_has_tried_to_meet_its_peers() {
+    let mut world = World::new();
+    world.configure().await;
+    let relays = [Relay::start().await, Relay::start().await];
+    relays[0].cut();
+    for (i, relay) in relays.iter().enumerate() {
+        let entry = entry(i, 0, world.platform.addr, relay);
+        relay.point(entry.peer);
+        let addrs = json!({"addr": entry.caller, "peer": relay.addr});
+        list(&world, &entry.name, "entry", 0, addrs).await;
+        world.entries.push(entry);
+    }
+
+    world.ready().await;
+    let status = status(&world, 1).await;
+
+    let instances = status["instances"].as_array().unwrap();
+    let other = instances.iter().find(|x| x["name"] == "entry-0");
+    assert_eq!(
+        other.unwrap()["state"],
+        "silent",
+        "tried, without an answer"
+    );
+}
