--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -134,7 +134,7 @@
         known.reach = Reach::Alive;
         known.heard = now;
         for other in &beat.others {
-            if other.reach == Reach::Alive {
+            if other.reach == Reach::Alive && other.member.name != self.me {
                 self.learn(&other.member, now);
             }
         }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use endivefork::peer::{
-    CallError, Evidence, Heartbeat, MAX_FRAME, Member, Members, Options, PeerKey, Peers, Reach, Tag,
+    CallError, Evidence, Gossip, Heartbeat, MAX_FRAME, Member, Members, Options, PeerKey, Peers,
+    Reach, Tag,
 };
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -284,3 +285,28 @@
     assert!(!one);
     assert!(members.cut_off("a"));
 }
+
+#[test]
+fn an_instance_that_peers_tell_of_itself_stays_out_of_its_members() {
+    let now = Instant::now();
+    let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let (me, other) = (member("me", at(1)), member("b", at(2)));
+    let mut members = Members::new("me".into(), PERIOD);
+
+    let told = Gossip {
+        member: me.clone(),
+        reach: Reach::Alive,
+    };
+    members.hear(
+        &Heartbeat {
+            from: other,
+            incarnation: 1,
+            leaving: false,
+            others: vec![told],
+        },
+        now,
+    );
+
+    assert_eq!(members.reach("me"), Reach::Unknown);
+    assert!(!members.untried(&me.domain), "it would wait for itself");
+}
--- a/tests/stream_cost.rs
+++ b/tests/stream_cost.rs
@@ -22,7 +22,8 @@
 /// Bytes of a page of memory.
 const PAGE: usize = 4096;
 
-/// Most memory of one open stream, in bytes.
+/// Most memory of one open stream, in bytes: the 256 MB of an instance over the 436 streams that
+/// it has open when 320 instances stream 3.4 million tokens a second at 41 ms each, rounded down.
 const STREAM_BAR: usize = 512 << 10;
 
 /// Time after which the memory of new streams is in use.
