Do not take an attempt that never arrived for a crash after a takeover

Ruled out: a second report of one crash (it names the same target and does not convict).

Change: an attempt taken over is unsure until it is open; unknown then means that it never ran, as after a start whose connection broke.

--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -184,6 +184,8 @@
         Self {
             attempt,
             phase: Phase::Resuming,
+            // The earlier owner may have died before its start arrived.
+            unsure: true,
             ..Self::new(next, deadline, now)
         }
     }
--- a/tests/generation_rules.rs
+++ b/tests/generation_rules.rs
@@ -329,3 +329,16 @@
         pace.limit()
     );
 }
+
+#[test]
+fn an_attempt_that_an_earlier_owner_never_got_through_is_no_crash() {
+    let now = Instant::now();
+    let mut generation = Generation::attached(5, 2, now + Duration::from_secs(60), now);
+
+    let unknown = generation.apply(2, Happened::Refused(Refusal::Unknown), now);
+    let again = generation.apply(2, Happened::Tick, now);
+
+    assert!(unknown.is_empty(), "{unknown:?}");
+    assert!(matches!(again[..], [Command::Start(3)]), "{again:?}");
+    assert_eq!(generation.losses(), 0);
+}
