Keep a run's copy alive, ask silent engines, and shut down without cutting

Prompts read again fed on themselves: an id that was gone was revived by its address, backups were placed where a domain had just died, a copy was lost in one crash and its run in the next, callers cut by a shutdown were read anew, and a queue of two prompts looked silent after 2.5 s.

Change: requests that cannot end in a shutdown are refused; 421 and the name at a revived address tell a target that is gone; several losses in a domain put the rest there in doubt; a lost copy is made anew by order; instances tell each other where copies lie; a silent engine is asked.

--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -1,7 +1,7 @@
 //! Accepts callers' connections and drains them at shutdown.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -38,6 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Drain {
     draining: AtomicBool,
+    begun: OnceLock<Instant>,
     requests: AtomicUsize,
     last: Mutex<Option<Instant>>,
 }
@@ -51,9 +52,16 @@
 
     /// Starts to shut down.
     pub fn begin(&self) {
+        self.begun.get_or_init(Instant::now);
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Time since the shutdown began, if it has.
+    #[must_use]
+    pub fn since(&self) -> Option<Duration> {
+        self.begun.get().map(Instant::elapsed)
+    }
+
     /// Waits until the instance shuts down.
     pub async fn begun(&self) {
         while !self.draining() {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -57,6 +57,7 @@
 enum Tried {
     Answer(Whole),
     Declined,
+    Gone,
     Unsent,
     Lost(&'static str),
 }
@@ -117,6 +118,11 @@
                     self.declined += 1;
                     "declined"
                 }
+                Ok(Tried::Gone) => {
+                    self.declined += 1;
+                    self.relay.router.mark_leaving(lease.key, begun.into_std());
+                    "another target has the address"
+                }
                 Ok(Tried::Unsent) => {
                     self.unreached += 1;
                     self.relay.probe(&lease);
@@ -250,7 +256,10 @@
         if !head.close {
             self.relay.links.keep(lease.key, link, head.keep);
         }
-        if head.not_run || head.misdirected {
+        if head.misdirected {
+            return Tried::Gone;
+        }
+        if head.not_run {
             return Tried::Declined;
         }
         if promises(parts.status) {
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -4,9 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::progress::Report;
+
 /// What a caller's head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ask {
@@ -22,13 +27,18 @@
     pub output: u32,
     /// Event after which a stream goes on.
     pub last: Option<u64>,
+    /// Names the parts of the prompt.
+    pub parts: SmolStr,
 }
 
-/// Where a run's memory lies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Names a copy of a run's memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Copied {
-    /// Address of the engine that holds it.
+    /// Address of the engine that gave the handle: the one that holds a copy kept while the run
+    /// goes on, the one that ran it for a copy made by order.
     pub at: SocketAddr,
+    /// Handle; the run's id for a copy kept while the run goes on.
+    pub handle: SmolStr,
 }
 
 /// What one attempt tells its target.
@@ -47,7 +57,7 @@
     /// Engine that is to hold a copy of the run's memory.
     pub backup: Option<SocketAddr>,
     /// Copy that the run goes on from.
-    pub copied: Option<Copied>,
+    pub copied: Option<&'a Copied>,
 }
 
 /// What a target's head says.
@@ -82,6 +92,17 @@
     pub attempt: fn(&mut HeaderMap, &Attempt<'_>),
     /// Reads a target's head in answer to the request of this id.
     pub head: fn(&str, StatusCode, &HeaderMap) -> Head,
+    /// Name of the target that answered a health check.
+    pub name: fn(&HeaderMap) -> Option<SmolStr>,
+    /// The order to copy the memory of a run to another engine, or to bring the copy there up to
+    /// date.
+    pub copy: fn(&str, SocketAddr) -> Option<Request<Full<Bytes>>>,
+    /// Path of an engine's report.
+    pub report: &'static str,
+    /// Reads an engine's report.
+    pub read_report: fn(&[u8]) -> Option<Report>,
+    /// Reads the handle of a copy.
+    pub copy_handle: fn(&[u8]) -> Option<SmolStr>,
     /// Removes from a target's head what must not reach a caller.
     pub pass: fn(&mut HeaderMap),
 }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -23,7 +23,7 @@
 use super::record::Outcome;
 use super::relay::Relay;
 use super::rules::{Kind, Rules};
-use super::{call, stream};
+use super::{call, leaving, stream};
 use crate::caller::{Drain, say_close};
 use crate::http::{BodyError, read_body};
 use crate::ident::digest;
@@ -31,6 +31,9 @@
 /// When a caller may come back while this instance knows no rules yet.
 const STARTING: Duration = Duration::from_millis(500);
 
+/// When a caller may come back to another instance: at once, but for a burst of them.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Longest wait for an answer when neither the caller nor the route names one.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(60);
 
@@ -81,6 +84,15 @@
             return own.into();
         }
     };
+    if let Some(since) = front.drain.since() {
+        let budget = inquiry.left(arrived);
+        let left = relay.settings.drain.saturating_sub(since);
+        if !leaving::takes(inquiry.route.kind, budget, since, left) {
+            let own = Own::refuse(ELSEWHERE, "shutting down");
+            note_rejected(relay, &own, &inquiry.ask.id, arrived);
+            return own.into();
+        }
+    }
     let now = arrived.into_std();
     relay.retries.lock().request(&inquiry.service, now);
     let noted = (
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -3,14 +3,17 @@
 
 use std::future::ready;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use slog::info;
 use smol_str::SmolStr;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::follow::{Held, Sources};
 use super::relay::Relay;
+use super::runs::Note;
 use crate::peer::Tag;
 use crate::routing::Word;
 
@@ -24,13 +27,11 @@
 /// platform tells this instance itself.
 const BEHIND_MAX: Duration = Duration::from_secs(1);
 
-/// Time between two looks for dead targets that answer again.
-const REVIVE_PERIOD: Duration = Duration::from_millis(400);
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Told {
     word: Word,
     held: Held,
+    runs: Vec<Note>,
 }
 
 impl Relay {
@@ -40,14 +41,46 @@
         self.peers.on(Tag::Load, move |from, told: Told| {
             let now = Instant::now();
             me.router.peer_word(&from, &told.word, now);
+            let mut runs = me.runs.lock();
+            told.runs.into_iter().for_each(|note| runs.hear(note, now));
+            drop(runs);
+            me.greet(&from);
             me.compare(sources, from, told.held, now);
             ready(())
         });
         let me = Arc::clone(self);
+        self.peers
+            .on(Tag::Journal, move |_, ()| ready(me.runs.lock().all()));
+        let me = Arc::clone(self);
         self.peers
             .on(Tag::Config, move |_, held: Held| ready(me.copy_for(held)));
     }
 
+    /// Takes the runs that the first peer heard of knows: their callers may come here.
+    fn greet(self: &Arc<Self>, peer: &SmolStr) {
+        if self.greeted.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (me, peer) = (Arc::clone(self), peer.clone());
+        tokio::spawn(async move {
+            let runs = me
+                .peers
+                .call::<(), Vec<Note>>(&peer, Tag::Journal, &(), TELL_LIMIT);
+            match runs.await {
+                Ok(runs) => {
+                    info!(me.record.log, "runs: taken from a peer"; "peer" => peer.as_str(), "runs" => runs.len());
+                    let now = Instant::now();
+                    let mut known = me.runs.lock();
+                    runs.into_iter().for_each(|note| known.hear(note, now));
+                }
+                Err(e) => {
+                    info!(me.record.log, "runs: could not ask a peer"; "peer" => peer.as_str(), "error" => %e);
+                    me.greeted.store(false, Ordering::Relaxed);
+                }
+            }
+        });
+    }
+
     /// Asks a peer that has newer rules, or targets that this instance has lacked for a while.
     fn compare(self: &Arc<Self>, sources: Sources, from: SmolStr, theirs: Held, now: Instant) {
         let mine = self.held();
@@ -78,6 +111,7 @@
             let told = Told {
                 word: self.router.word(Instant::now()),
                 held: self.held(),
+                runs: self.runs.lock().news(),
             };
             let peers = self.peers.clone();
             tokio::spawn(async move {
@@ -86,17 +120,4 @@
             self.links.sweep();
         }
     }
-
-    /// Looks after targets that were found dead: one that accepts connections again is used.
-    pub(crate) async fn revive_targets(self: Arc<Self>) {
-        let mut ticks = interval(REVIVE_PERIOD);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            ticks.tick().await;
-            for subject in self.router.found_dead(Instant::now()) {
-                self.links.forget(subject.key);
-                self.probe_target(subject);
-            }
-        }
-    }
 }
--- a/src/relay/inquiry.rs
+++ b/src/relay/inquiry.rs
@@ -8,9 +8,11 @@
 use http_body_util::Full;
 use smol_str::SmolStr;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::dialect::{Ask, Attempt, Dialect};
 use super::rules::Route;
+use crate::ident::digest;
 
 /// A caller's request.
 #[derive(Debug)]
@@ -37,6 +39,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Digest of the content, the same when the caller sends it again under another id.
+    pub(crate) fn digest(&self) -> u128 {
+        let account = self.account.as_deref().unwrap_or_default();
+        let body = xxh3_128(&self.body).to_string();
+        digest(&[self.path.as_str(), account, &self.ask.parts, &body])
+    }
+
     /// Builds the request of one attempt.
     pub(crate) fn attempt(&self, dialect: &Dialect, attempt: &Attempt<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,15 +7,18 @@
 mod answer;
 mod call;
 mod catalog;
+mod copies;
 mod dialect;
 mod events;
 mod follow;
 mod front;
 mod gossip;
 mod inquiry;
+mod leaving;
 mod links;
 mod pace;
 mod probe;
+mod progress;
 mod record;
 #[expect(
     clippy::module_inception,
@@ -23,14 +26,17 @@
 )]
 mod relay;
 mod retries;
+mod revive;
 mod rules;
 mod run;
+mod runs;
 mod settings;
 mod stream;
 
 pub use catalog::{Listed, Registration};
 pub use dialect::{Ask, Attempt, Copied, Dialect, Head};
 pub use follow::Sources;
+pub use progress::Report;
 pub use retries::Allowance;
 pub use rules::{Engine, Kind, Limits, Route, Rules, Service, Share};
 pub use run::{Platform, main};
--- a/src/relay/pace.rs
+++ b/src/relay/pace.rs
@@ -20,7 +20,14 @@
 /// The same where the prompt would be read again, which takes a second or more.
 const REREAD_AFTER: Duration = Duration::from_secs(3);
 
-/// Least silence before the first event after which a live target is given up.
+/// Least silence before the first event after which a live target is asked how far the run is: a
+/// usual prompt is read by then.
+const ASK_AFTER: Duration = Duration::from_millis(1200);
+
+/// Time between two such questions, which are billed.
+const ASK_AGAIN: Duration = Duration::from_millis(700);
+
+/// Silence before the first event after which a live target that does not say is given up.
 const FIRST_AFTER: Duration = Duration::from_millis(2500);
 
 /// Multiple of the longest recent pause that counts as silence.
@@ -29,7 +36,11 @@
 /// Weight by which an old longest pause fades with each event.
 const FADE: f64 = 0.98;
 
-/// Multiple of the expected time to the first event after which a live target is given up.
+/// Multiple of the expected time to the first event that is waited before asking: engines of one
+/// service differ in speed by a third.
+const ASK_FACTOR: f64 = 1.4;
+
+/// The same before a live target that does not say is given up.
 const FIRST_FACTOR: f64 = 2.5;
 
 /// The pace of one run.
@@ -69,6 +80,16 @@
         }
     }
 
+    /// Silence before the first event after which the target is asked how far the run is.
+    pub(crate) fn ask_after(&self) -> Duration {
+        ASK_AFTER.max(self.expected.mul_f64(ASK_FACTOR))
+    }
+
+    /// Time between two such questions.
+    pub(crate) fn ask_again(&self) -> Duration {
+        ASK_AGAIN
+    }
+
     /// Silence after which the run is given up though its target lives.
     pub(crate) fn give_up_after(&self, copied: bool) -> Duration {
         match (self.longest, copied) {
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -58,18 +58,29 @@
                     probes.learn(&subject.domain, trip);
                     router.mark_alive(subject.key, now);
                 }
-                Found::Refused => {
-                    record.lost_target(&subject.name, "refused", now.elapsed());
-                    router.mark_dead(subject.key, Instant::now());
-                }
-                Found::Silent => {
-                    record.lost_target(&subject.name, "silent", now.elapsed());
-                    router.mark_dead(subject.key, Instant::now());
-                }
+                Found::Refused => probes.dead(&router, &record, &subject, "refused", now),
+                Found::Silent => probes.dead(&router, &record, &subject, "silent", now),
             }
         });
     }
 
+    /// Marks a target dead, and asks after the others of a domain that is in trouble.
+    fn dead(
+        self: &Arc<Self>,
+        router: &Arc<Router>,
+        record: &Record,
+        subject: &Subject,
+        why: &str,
+        asked: Instant,
+    ) {
+        let now = Instant::now();
+        record.lost_target(&subject.name, why, now.saturating_duration_since(asked));
+        router.mark_dead(subject.key, now);
+        for other in router.doubted(&subject.domain, now) {
+            self.probe(router, record, other);
+        }
+    }
+
     fn limit(&self, domain: &str) -> Duration {
         let trip = self.trips.lock().get(domain).copied();
         2 * trip.unwrap_or(ROUND_TRIP) + MARGIN
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -1,23 +1,26 @@
 //! The parts of one relaying instance, and the choice of targets by them.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
 
 use super::catalog::Catalog;
+use super::copies::{RunCopy, Source};
 use super::dialect::Dialect;
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
 use super::retries::Retries;
-use super::rules::Rules;
+use super::rules::{Engine, Rules};
+use super::runs::{Note, Runs};
 use super::settings::Settings;
 use crate::ident::TargetKey;
 use crate::peer::Peers;
 use crate::platform;
-use crate::routing::{Capacity, Costs, Lease, Policy, Query, Router, Subject, Work};
+use crate::routing::{Capacity, Costs, Lease, Policy, Query, Router, Work};
 use crate::telemetry::Metrics;
 
 /// Prompt tokens that an engine reads in a second, from the sheets of both deployments.
@@ -41,6 +44,9 @@
     pub(crate) links: Links,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
+    pub(crate) runs: Mutex<Runs>,
+    /// Whether a peer was asked for its runs.
+    pub(crate) greeted: AtomicBool,
     /// JSON text of the rules in force, to pass on.
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
     /// Since when peers have had newer targets.
@@ -53,7 +59,7 @@
 pub(crate) struct Wanted<'a> {
     pub(crate) service: &'a str,
     pub(crate) work: Option<Work>,
-    pub(crate) avoid: Option<&'a str>,
+    pub(crate) avoid: &'a [SmolStr],
     pub(crate) excluded: &'a [TargetKey],
 }
 
@@ -78,6 +84,8 @@
             links: Links::default(),
             probes: Arc::default(),
             retries: Mutex::new(retries),
+            runs: Mutex::default(),
+            greeted: AtomicBool::new(false),
             rules_text: Mutex::default(),
             behind: Mutex::default(),
             rules: RwLock::default(),
@@ -141,6 +149,42 @@
         self.router.choose(&query, Instant::now())
     }
 
+    /// Whether the engines of a service copy the memory of their runs.
+    pub(crate) fn keeps_copies(&self, service: &str) -> bool {
+        self.engine(service).is_some_and(|e| e.backups)
+    }
+
+    /// Whether the engines of a service copy the memory of a run by order.
+    pub(crate) fn copies_by_order(&self, service: &str) -> bool {
+        self.engine(service).is_some_and(|e| e.copies)
+    }
+
+    fn engine(&self, service: &str) -> Option<Engine> {
+        let rules = self.rules.read();
+        rules.as_ref()?.services.get(service)?.engine
+    }
+
+    /// Tells peers where the copy of a run lies.
+    pub(crate) fn note_run(&self, source: &Source, copy: Option<&RunCopy>) {
+        let note = Note {
+            digest: source.digest,
+            engine: copy.map(|c| c.lease.name()),
+            copied: copy.map(|c| c.copied.clone()),
+        };
+        self.runs.lock().note(note, Instant::now());
+    }
+
+    /// The copy of a run of this content at this instance or another one.
+    pub(crate) fn known_copy(&self, digest: u128) -> Option<RunCopy> {
+        let now = Instant::now();
+        let (engine, copied) = self.runs.lock().take(digest, now)?;
+        let key = self.router.key_named(&engine)?;
+        let lease = self
+            .router
+            .claim(key, &self.settings.instance.region, now)?;
+        Some(RunCopy::known(lease, copied))
+    }
+
     /// Takes a retry of this instance's part of the budget.
     pub(crate) fn take_retry(&self, service: &SmolStr) -> bool {
         let members = self.peers.view().len() + 1;
@@ -153,12 +197,9 @@
 
     /// Asks after a target.
     pub(crate) fn probe(&self, lease: &Lease) {
-        self.probe_target(lease.subject());
-    }
-
-    /// Asks after a target that need not have a request.
-    pub(crate) fn probe_target(&self, subject: Subject) {
-        self.probes.probe(&self.router, &self.record, subject);
+        if let Some(subject) = lease.subject() {
+            self.probes.probe(&self.router, &self.record, subject);
+        }
     }
 
     /// Expected time until a target has read all prompts that it holds.
--- /dev/null
+++ b/src/relay/revive.rs
@@ -0,0 +1,69 @@
+//! Looks after targets that were found dead. One that answers under its own name is used again; at
+//! the address of one that started anew another name answers, and the old one is gone.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request};
+use http_body_util::Full;
+use slog::info;
+use smol_str::SmolStr;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::relay::Relay;
+use crate::routing::Subject;
+
+/// Time between two looks at one dead target: a crashed one is back within about a second.
+const PERIOD: Duration = Duration::from_millis(400);
+
+/// Longest wait for an answer: two round trips between regions and a busy target.
+const LIMIT: Duration = Duration::from_millis(350);
+
+impl Relay {
+    pub(crate) async fn revive_targets(self: Arc<Self>) {
+        let mut ticks = interval(PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            for subject in self.router.found_dead(Instant::now()) {
+                self.links.forget(subject.key);
+                tokio::spawn(Arc::clone(&self).revive(subject));
+            }
+        }
+    }
+
+    async fn revive(self: Arc<Self>, subject: Subject) {
+        let asked = Instant::now();
+        let Ok(Some(name)) = timeout(LIMIT, self.name_at(&subject)).await else {
+            return;
+        };
+        let log = &self.record.log;
+        match name == subject.name {
+            true => {
+                info!(log, "target: answers again"; "target" => name.as_str());
+                self.router.mark_alive(subject.key, asked);
+            }
+            false => {
+                info!(log, "target: gone, another has its address";
+                    "target" => subject.name.as_str(), "other" => name.as_str());
+                self.router.mark_leaving(subject.key, asked);
+            }
+        }
+    }
+
+    /// The name under which a target's address answers its health check.
+    async fn name_at(&self, subject: &Subject) -> Option<SmolStr> {
+        let rules = self.rules()?;
+        let health = &rules.services.get(&subject.service)?.health;
+        let opened = self.links.open(subject.key, subject.addr, Duration::ZERO);
+        let mut link = opened.await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = health.parse().ok()?;
+        let host = HeaderValue::from_str(&subject.addr.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        let response = link.send(request).await.ok()?;
+        (self.dialect.name)(response.headers())
+    }
+}
--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -84,11 +84,15 @@
     pub memory: u32,
     /// Whether it sends a run's memory to another engine while it runs.
     pub backups: bool,
+    /// Whether it copies a run's memory by order.
+    pub copies: bool,
 }
 
 /// A service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
+    /// Path of its targets' health check.
+    pub health: SmolStr,
     /// Its engines, when it serves models.
     pub engine: Option<Engine>,
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -18,11 +18,13 @@
 
 use super::answer::Own;
 use super::call::{Done, promises};
+use super::copies::{Keeper, RunCopy, Source};
 use super::dialect::{Attempt, Copied};
 use super::events::Splitter;
 use super::inquiry::Inquiry;
 use super::links::{Link, SendError};
 use super::pace::Pace;
+use super::progress::{Progress, progress};
 use super::record::Outcome;
 use super::relay::{READ_RATE, Relay, Wanted};
 use crate::caller::Running;
@@ -87,18 +89,25 @@
 struct Stream {
     relay: Arc<Relay>,
     inquiry: Inquiry,
+    digest: u128,
     leg: Option<Leg>,
-    /// Where the present run's memory is copied to.
-    backup: Option<Lease>,
+    /// Where the engine of the present run is to copy its memory, until it has begun to answer.
+    backup: Option<RunCopy>,
+    /// Keeps the copy of the present run.
+    keeper: Option<Keeper>,
     /// A copy of the lost run's memory, to go on from.
-    copy: Option<Lease>,
+    copy: Option<RunCopy>,
     head: Option<Parts>,
     last: Option<u64>,
     ahead: VecDeque<Bytes>,
     ended: bool,
     runs: u32,
     declined: u32,
+    /// Whether a copy of each run is kept.
+    keeps: bool,
     avoided: Vec<TargetKey>,
+    /// Domain of the last lost run: others there may be lost too.
+    shunned: Vec<SmolStr>,
     target: SmolStr,
     _running: Option<Running>,
 }
@@ -113,19 +122,28 @@
 /// Starts a stream and returns its head once the first event is there.
 pub(crate) async fn run(relay: &Arc<Relay>, inquiry: Inquiry, running: Running) -> Done {
     let last = inquiry.ask.last;
+    let digest = inquiry.digest();
+    let repeats = inquiry.route.kind.repeats();
+    let returned = last.filter(|_| repeats);
+    let service = inquiry.service.clone();
+    let copy = returned.and_then(|_| relay.known_copy(digest));
     let mut stream = Stream {
         relay: Arc::clone(relay),
         inquiry,
         leg: None,
+        digest,
         backup: None,
-        copy: None,
+        keeper: None,
+        copy,
         head: None,
         last,
         ahead: VecDeque::new(),
         ended: false,
         runs: 0,
         declined: 0,
+        keeps: repeats && relay.keeps_copies(&service),
         avoided: Vec::new(),
+        shunned: Vec::new(),
         target: SmolStr::default(),
         _running: Some(running),
     };
@@ -239,7 +257,8 @@
 
     /// The next event that the caller has not got; `None` at the end.
     async fn read(&mut self) -> Result<Option<Bytes>, Loss> {
-        let copied = self.backup.is_some();
+        let keeper = self.keeper.as_ref();
+        let copied = keeper.is_some_and(|k| k.has_copy(&self.relay));
         let leg = self.leg.as_mut().expect("a run is open");
         loop {
             if let Some(event) = leg.splitter.next() {
@@ -253,19 +272,16 @@
                 }
                 return Ok(Some(event.bytes));
             }
-            let frame = leg.body.frame();
-            let lease = &leg.lease;
-            let deadline = self.inquiry.deadline;
-            let frame = guard(
-                &self.relay,
-                lease,
-                &leg.pace,
+            let silence = Silence {
+                relay: &self.relay,
+                id: &self.inquiry.ask.id,
+                lease: &leg.lease,
+                pace: &leg.pace,
                 copied,
-                leg.heard,
-                deadline,
-                frame,
-            );
-            match frame.await? {
+                heard: leg.heard,
+                deadline: self.inquiry.deadline,
+            };
+            match silence.guard(leg.body.frame()).await? {
                 None => {
                     let rest = leg.splitter.rest();
                     return Ok((!rest.is_empty()).then_some(rest));
@@ -275,7 +291,13 @@
                     let now = Instant::now();
                     if !leg.pace.has_begun() {
                         leg.lease.prompt_read();
+                        let source = source(&self.inquiry, self.digest, leg);
+                        let keeper = source
+                            .map(|source| Keeper::start(&self.relay, source, self.backup.take()));
+                        self.keeper = keeper.filter(|_| self.keeps);
                     }
+                    let router = &self.relay.router;
+                    router.mark_alive(leg.lease.key, now.into_std());
                     leg.pace.event(now - leg.heard);
                     leg.heard = now;
                     if let Ok(data) = frame.into_data()
@@ -295,15 +317,16 @@
             let id = &self.inquiry.ask.id;
             record.attempt_lost(id, &leg.lease.name(), loss.why(), leg.heard.elapsed());
             self.avoided.push(leg.lease.key);
-            if let Loss::Broken(_) = loss {
-                self.relay.probe(&leg.lease);
-            }
-            if loss == Loss::Silent {
+            self.shunned = vec![leg.lease.domain()];
+            if loss != Loss::Dead && loss != Loss::Late {
                 let now = std::time::Instant::now();
                 self.relay.router.mark_suspect(leg.lease.key, now);
+                self.relay.probe(&leg.lease);
             }
         }
-        self.copy = self.backup.take();
+        // An engine copies memory only once it has begun to answer.
+        self.backup = None;
+        self.copy = self.keeper.take().and_then(|k| k.take());
         match loss {
             Loss::Late => Some(Stop::Own(Own::late())),
             _ if !self.inquiry.route.kind.repeats() => {
@@ -329,15 +352,18 @@
                 return Err(self.out_of("retry budget spent"));
             }
             let copy = self.copy.take();
-            let fit = |l: &Lease| self.relay.router.is_fit(l.key, now.into_std());
-            let copy = copy.filter(fit);
-            let copied = copy.is_some();
+            let fit = |c: &RunCopy| self.relay.router.is_fit(c.lease.key, now.into_std());
+            let (copy, copied) = match copy.filter(fit) {
+                Some(copy) => (Some(copy.lease), Some(copy.copied)),
+                None => (None, None),
+            };
             let Some(lease) = copy.or_else(|| self.choose()) else {
                 return Err(self.out_of("no engine can be reached"));
             };
-            self.backup = self.choose_backup(&lease);
+            let backup = self.choose_backup(&lease);
+            self.backup = backup.map(|l| RunCopy::kept(l, &self.inquiry.ask.id));
             self.target = lease.name();
-            self.note_placed(copied);
+            self.note_placed(copied.is_some());
             match self.attempt(lease, copied).await {
                 Ok(leg) => {
                     self.leg = Some(leg);
@@ -350,7 +376,8 @@
     }
 
     fn note_placed(&self, copied: bool) {
-        let backup = self.backup.as_ref().map(Lease::name).unwrap_or_default();
+        let backup = self.backup.as_ref().map(|c| c.lease.name());
+        let backup = backup.unwrap_or_default();
         let from = if copied { "copy" } else { "prompt" };
         let id = &self.inquiry.ask.id;
         let last = self.last.unwrap_or_default();
@@ -369,26 +396,15 @@
         })
     }
 
-    fn work(&self) -> Work {
-        let ask = &self.inquiry.ask;
-        let output = match ask.output {
-            0 => OUTPUT_DEFAULT,
-            output => output,
-        };
-        Work {
-            prompt: ask.prompt,
-            memory: ask.prompt + output,
-        }
-    }
-
     fn choose(&self) -> Option<Lease> {
         let wanted = Wanted {
             service: &self.inquiry.service,
-            work: Some(self.work()),
-            avoid: None,
+            work: Some(work(&self.inquiry)),
+            avoid: &self.shunned,
             excluded: &self.avoided,
         };
         let anywhere = Wanted {
+            avoid: &[],
             excluded: &[],
             ..wanted
         };
@@ -399,33 +415,37 @@
     /// An engine of another failure domain, to survive the loss of this one; if there is none,
     /// another engine of this one.
     fn choose_backup(&self, lease: &Lease) -> Option<Lease> {
-        let rules = self.relay.rules()?;
-        let service = rules.services.get(&self.inquiry.service)?;
-        let backs = service.engine.is_some_and(|e| e.backups);
-        if !backs || !self.inquiry.route.kind.repeats() {
+        if !self.keeps {
             return None;
         }
-        let domain = lease.domain();
+        let mut avoid = self.shunned.clone();
+        avoid.push(lease.domain());
         let mut excluded = self.avoided.clone();
         excluded.push(lease.key);
         let elsewhere = Wanted {
             service: &self.inquiry.service,
             work: Some(Work {
                 prompt: 0,
-                ..self.work()
+                ..work(&self.inquiry)
             }),
-            avoid: Some(&domain),
+            avoid: &avoid,
             excluded: &excluded,
         };
+        let other = Wanted {
+            avoid: &avoid[avoid.len() - 1..],
+            ..elsewhere
+        };
         let near = Wanted {
-            avoid: None,
+            avoid: &[],
             ..elsewhere
         };
-        let chosen = self.relay.choose(elsewhere);
-        chosen.or_else(|| self.relay.choose(near))
+        let choices = [elsewhere, other, near];
+        choices
+            .into_iter()
+            .find_map(|wanted| self.relay.choose(wanted))
     }
 
-    async fn attempt(&mut self, lease: Lease, copied: bool) -> Result<Leg, Missed> {
+    async fn attempt(&mut self, lease: Lease, copied: Option<Copied>) -> Result<Leg, Missed> {
         let opened = self
             .relay
             .links
@@ -443,15 +463,21 @@
             target: &name,
             account: self.inquiry.account.as_deref(),
             last: self.last,
-            backup: self.backup.as_ref().map(|l| l.addr),
-            copied: copied.then_some(Copied { at: lease.addr }),
+            backup: self.backup.as_ref().map(|c| c.lease.addr),
+            copied: copied.as_ref(),
         };
         let request = self.inquiry.attempt(&self.relay.dialect, &attempt);
-        let pace = Pace::new(self.expected(&lease, copied));
-        let deadline = self.inquiry.deadline;
-        let backed = self.backup.is_some();
-        let sent = link.send(request);
-        let sent = guard(&self.relay, &lease, &pace, backed, now, deadline, sent).await;
+        let pace = Pace::new(self.expected(&lease, copied.is_some()));
+        let silence = Silence {
+            relay: &self.relay,
+            id: &self.inquiry.ask.id,
+            lease: &lease,
+            pace: &pace,
+            copied: false,
+            heard: now,
+            deadline: self.inquiry.deadline,
+        };
+        let sent = silence.guard(link.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Unsent)) => return Err(self.declined(&lease, "connection closed")),
@@ -465,9 +491,12 @@
         let broken = match parts.status {
             _ if head.foreign => Some("answer to another request"),
             _ if head.encoded => Some("encoded answer"),
-            _ if head.not_run || head.misdirected => {
-                return Err(self.declined(&lease, "declined"));
+            _ if head.misdirected => {
+                let now = std::time::Instant::now();
+                self.relay.router.mark_leaving(lease.key, now);
+                return Err(self.declined(&lease, "another target has the address"));
             }
+            _ if head.not_run => return Err(self.declined(&lease, "declined")),
             StatusCode::OK if head.signed => None,
             status if status.is_success() => Some("unsigned answer"),
             status if promises(status) => Some("refused without a promise"),
@@ -514,11 +543,17 @@
     /// The engine may have begun to run the request.
     fn missed(&mut self, lease: &Lease, loss: Loss, since: Instant) -> Missed {
         self.runs += 1;
+        self.backup = None;
         self.avoided.push(lease.key);
+        self.shunned = vec![lease.domain()];
         let record = &self.relay.record;
         let id = &self.inquiry.ask.id;
         record.attempt_lost(id, &lease.name(), loss.why(), since.elapsed());
-        self.relay.probe(lease);
+        if loss != Loss::Dead && loss != Loss::Late {
+            let now = std::time::Instant::now();
+            self.relay.router.mark_suspect(lease.key, now);
+            self.relay.probe(lease);
+        }
         match self.lose(loss) {
             Some(stop) => Missed::Stop(stop),
             None => Missed::Again,
@@ -549,44 +584,95 @@
     }
 }
 
+fn source(inquiry: &Inquiry, digest: u128, leg: &Leg) -> Option<Source> {
+    Some(Source {
+        id: inquiry.ask.id.clone(),
+        engine: leg.lease.subject()?,
+        memory: work(inquiry).memory,
+        digest,
+    })
+}
+
+fn work(inquiry: &Inquiry) -> Work {
+    let ask = &inquiry.ask;
+    let output = match ask.output {
+        0 => OUTPUT_DEFAULT,
+        output => output,
+    };
+    Work {
+        prompt: ask.prompt,
+        memory: ask.prompt + output,
+    }
+}
+
 /// Why an attempt brought no run.
 enum Missed {
     Again,
     Stop(Stop),
 }
 
-/// Waits for `task` while its target lives and the pace explains its silence since `heard`.
-async fn guard<T>(
-    relay: &Relay,
-    lease: &Lease,
-    pace: &Pace,
+/// The silence of a run's target.
+struct Silence<'a> {
+    relay: &'a Relay,
+    id: &'a str,
+    lease: &'a Lease,
+    pace: &'a Pace,
+    /// Whether there is a copy to go on from.
     copied: bool,
+    /// When the target was last heard.
     heard: Instant,
     deadline: Instant,
-    task: impl Future<Output = T>,
-) -> Result<T, Loss> {
-    tokio::pin!(task);
-    let lost = lease.lost();
-    tokio::pin!(lost);
-    let begun = Instant::now();
-    let mut probe_at = heard.max(begun) + pace.probe_after();
-    loop {
-        let give_up = heard.max(begun) + pace.give_up_after(copied);
-        let wake = probe_at.min(give_up).min(deadline);
-        tokio::select! {
-            biased;
-            done = task.as_mut() => return Ok(done),
-            () = lost.as_mut() => return Err(Loss::Dead),
-            () = sleep_until(wake) => {}
-        }
-        if let Ok(done) = timeout(LATE_TIMER, task.as_mut()).await {
-            return Ok(done);
-        }
-        match Instant::now() {
-            now if now >= deadline => return Err(Loss::Late),
-            now if now >= give_up => return Err(Loss::Silent),
-            now => probe_at = now + pace.probe_after(),
+}
+
+impl Silence<'_> {
+    /// Waits for `task` while the target lives and its silence is explained.
+    async fn guard<T>(&self, task: impl Future<Output = T>) -> Result<T, Loss> {
+        tokio::pin!(task);
+        let lost = self.lease.lost();
+        tokio::pin!(lost);
+        let since = self.heard.max(Instant::now());
+        let pace = self.pace;
+        let mut probe_at = since + pace.probe_after();
+        let mut ask_at = (!pace.has_begun()).then(|| since + pace.ask_after());
+        let mut give_up = since + pace.give_up_after(self.copied);
+        loop {
+            let next = probe_at.min(give_up).min(self.deadline);
+            let wake = ask_at.map_or(next, |at| at.min(next));
+            tokio::select! {
+                biased;
+                done = task.as_mut() => return Ok(done),
+                () = lost.as_mut() => return Err(Loss::Dead),
+                () = sleep_until(wake) => {}
+            }
+            if let Ok(done) = timeout(LATE_TIMER, task.as_mut()).await {
+                return Ok(done);
+            }
+            let now = Instant::now();
+            if now >= self.deadline {
+                return Err(Loss::Late);
+            }
+            if ask_at.is_some_and(|at| now >= at) {
+                let asked = progress(self.relay, self.lease, self.id);
+                let progress = tokio::select! {
+                    biased;
+                    done = task.as_mut() => return Ok(done),
+                    () = lost.as_mut() => return Err(Loss::Dead),
+                    progress = asked => progress,
+                };
+                match progress {
+                    Progress::Reading => give_up = Instant::now() + 2 * pace.ask_again(),
+                    Progress::Made | Progress::Unknown => return Err(Loss::Silent),
+                    Progress::NoAnswer => {}
+                }
+                ask_at = Some(Instant::now() + pace.ask_again());
+            }
+            if now >= give_up {
+                return Err(Loss::Silent);
+            }
+            if now >= probe_at {
+                self.relay.probe(self.lease);
+                probe_at = now + pace.probe_after();
+            }
         }
-        relay.probe(lease);
     }
 }
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -128,6 +128,12 @@
         self.own_dead = false;
     }
 
+    /// When it last showed life; at the latest when it was listed.
+    pub(crate) fn seen(&self, listed: Instant) -> Instant {
+        let lives = self.alive.max(self.vouched);
+        lives.map_or(listed, |at| at.max(listed))
+    }
+
     /// Whether this instance's own evidence says that the target is dead.
     pub(crate) fn found_dead(&self, now: Instant) -> bool {
         self.own_dead && self.held(now)
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod poll;
 mod router;
 mod table;
+mod trouble;
 mod word;
 
 pub use load::{Report, Work};
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -10,6 +10,7 @@
 use super::load::Work;
 use super::router::Query;
 use super::table::{Entry, Group, Pool, Table, mix};
+use super::trouble::Troubles;
 use crate::ident::TargetKey;
 
 /// Groups up to this size are looked at whole; of larger ones a sample.
@@ -98,6 +99,7 @@
     slots: f64,
     cost: f64,
     rank: u64,
+    seen: Instant,
     well: bool,
 }
 
@@ -108,6 +110,7 @@
     pub(crate) query: &'a Query<'a>,
     pub(crate) costs: Costs,
     pub(crate) capacity: Option<Capacity>,
+    pub(crate) troubles: &'a Troubles,
     pub(crate) now: Instant,
 }
 
@@ -122,7 +125,7 @@
             }
             let avoid = self.query.avoid;
             let groups = self.pool.groups.iter();
-            let groups = groups.filter(|g| avoid != Some(g.domain.as_str()));
+            let groups = groups.filter(|g| !avoid.contains(&g.domain));
             for group in groups.filter(|g| self.distance(g) == distance) {
                 best = better(best, self.in_group(group, toll));
             }
@@ -181,6 +184,10 @@
 
     fn in_group(&self, group: &Group, toll: f64) -> Option<Candidate<'a>> {
         let mut found = self.gather(group, toll);
+        if let Some(since) = self.troubles.since(&group.domain, self.now) {
+            let lives = |c: &Candidate<'_>| c.seen > since;
+            found.iter_mut().for_each(|c| c.well &= lives(c));
+        }
         if found.iter().any(|c| c.well) {
             found.retain(|c| c.well);
         }
@@ -242,6 +249,7 @@
         let load = f64::from(state.load.estimate(self.now));
         let slots = f64::from(state.load.slots());
         let reading = self.reading(state.load.work(self.now));
+        let seen = state.health.seen(entry.listed);
         let doubt = match well {
             true => 0.0,
             false => state.health.level(self.now),
@@ -253,6 +261,7 @@
             slots,
             cost: toll + self.wait(load, slots) + reading + doubt * SUSPICION_COST,
             rank: mix(entry.hash, self.query.prefix.unwrap_or(0)),
+            seen,
             well,
         })
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -14,6 +14,7 @@
 use super::load::{Report, Work};
 use super::policy::{Capacity, Choice, Costs, Policy};
 use super::table::{Entry, Table};
+use super::trouble::Troubles;
 use super::word::{Count, Word};
 use crate::fleet::Target;
 use crate::ident::TargetKey;
@@ -35,8 +36,8 @@
     pub excluded: &'a [TargetKey],
     /// Expected bytes to and from the target.
     pub bytes: u64,
-    /// Failure domain that must not be chosen.
-    pub avoid: Option<&'a str>,
+    /// Failure domains that must not be chosen.
+    pub avoid: &'a [SmolStr],
     /// What a generation asks of an engine of known capacity.
     pub work: Option<Work>,
 }
@@ -63,6 +64,8 @@
     pub addr: SocketAddr,
     /// Its failure domain.
     pub domain: SmolStr,
+    /// Its service.
+    pub service: SmolStr,
 }
 
 impl Subject {
@@ -72,6 +75,7 @@
             name: target.name.clone(),
             addr: target.addr,
             domain: target.domain.clone(),
+            service: target.service.clone(),
         }
     }
 }
@@ -85,6 +89,7 @@
     turn: AtomicUsize,
     words: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
     capacities: RwLock<IndexMap<SmolStr, Capacity>>,
+    troubles: Mutex<Troubles>,
 }
 
 impl Router {
@@ -99,6 +104,7 @@
             turn: AtomicUsize::new(0),
             words: Mutex::default(),
             capacities: RwLock::default(),
+            troubles: Mutex::default(),
         }
     }
 
@@ -137,6 +143,25 @@
         dead.map(|e| Subject::of(&e.target)).collect()
     }
 
+    /// Targets with this instance's requests in a domain in trouble that have not shown life since.
+    #[must_use]
+    pub fn doubted(&self, domain: &str, now: Instant) -> Vec<Subject> {
+        let Some(since) = self.troubles.lock().since(domain, now) else {
+            return Vec::new();
+        };
+        let table = self.table();
+        let doubted = |e: &&Arc<Entry>| {
+            let state = e.state.lock();
+            let unseen = state.health.seen(e.listed) <= since;
+            e.target.domain == domain
+                && state.load.inflight() > 0
+                && unseen
+                && !state.health.found_dead(now)
+        };
+        let doubted = table.entries().filter(doubted);
+        doubted.map(|e| Subject::of(&e.target)).collect()
+    }
+
     /// Whether a target would get work now.
     #[must_use]
     pub fn is_fit(&self, key: TargetKey, now: Instant) -> bool {
@@ -148,12 +173,14 @@
     /// Chooses a target and counts the request as in flight until the lease is dropped.
     pub fn choose(&self, query: &Query<'_>, now: Instant) -> Option<Lease> {
         let table = self.table();
+        let troubles = self.troubles.lock();
         let choice = Choice {
             table: &table,
             pool: table.pool(query.service, query.version)?,
             query,
             costs: self.costs,
             capacity: self.capacities.read().get(query.service).copied(),
+            troubles: &troubles,
             now,
         };
         let entry = match self.policy {
@@ -191,12 +218,16 @@
 
     /// A refused connection or a silent stream: avoided for a while.
     pub fn mark_suspect(&self, key: TargetKey, now: Instant) {
-        self.with(key, |entry| entry.state.lock().health.suspect(now));
+        self.with(key, |entry| {
+            self.troubles.lock().lost(&entry.target.domain, key, now);
+            entry.state.lock().health.suspect(now);
+        });
     }
 
     /// Surely dead: gets nothing for some seconds, and peers are told.
     pub fn mark_dead(&self, key: TargetKey, now: Instant) {
         self.with(key, |entry| {
+            self.troubles.lock().lost(&entry.target.domain, key, now);
             entry.state.lock().health.dead(now);
             entry.lost.notify_waiters();
         });
@@ -273,6 +304,9 @@
         }
         drop(words);
         for entry in word.dead.iter().filter_map(|name| table.named(name)) {
+            self.troubles
+                .lock()
+                .lost(&entry.target.domain, entry.target.key, now);
             entry.state.lock().health.peer_dead(now);
         }
         for entry in word.leaving.iter().filter_map(|name| table.named(name)) {
@@ -301,6 +335,12 @@
         supply
     }
 
+    /// The target of this name.
+    #[must_use]
+    pub fn key_named(&self, name: &str) -> Option<TargetKey> {
+        self.table().named(name).map(|e| e.target.key)
+    }
+
     /// The target that takes work at `addr`.
     #[must_use]
     pub fn key_at(&self, addr: SocketAddr) -> Option<TargetKey> {
@@ -383,15 +423,10 @@
             .map_or_else(SmolStr::default, |e| e.target.name.clone())
     }
 
-    /// The target, to be asked after.
+    /// The target, to be asked after; none once the lease has ended.
     #[must_use]
-    pub fn subject(&self) -> Subject {
-        Subject {
-            key: self.key,
-            name: self.name(),
-            addr: self.addr,
-            domain: self.domain(),
-        }
+    pub fn subject(&self) -> Option<Subject> {
+        self.entry.as_ref().map(|e| Subject::of(&e.target))
     }
 
     /// Failure domain of the target.
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -23,6 +23,8 @@
     pub(crate) target: Target,
     pub(crate) hash: u64,
     pub(crate) hold: Arc<Hold>,
+    /// When it was first listed.
+    pub(crate) listed: Instant,
     pub(crate) state: Mutex<State>,
     /// Wakes the target's requests when it is found dead.
     pub(crate) lost: Notify,
@@ -43,6 +45,7 @@
             hash: xxh3_64(target.name.as_bytes()),
             target,
             hold,
+            listed: Instant::now(),
             state: Mutex::new(State {
                 load: Load::new(base),
                 health,
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -180,7 +180,7 @@
         let half = self.rng.random_range(0..2);
         let prefix = self.prefix();
         let query = Query {
-            avoid: None,
+            avoid: &[],
             work: None,
             service: "drafting",
             version: "v1",
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -43,7 +43,7 @@
 
 fn query(prefix: Option<u64>, excluded: &[TargetKey]) -> Query<'_> {
     Query {
-        avoid: None,
+        avoid: &[],
         work: None,
         service: "drafting",
         version: "v1",
--- a/tests/routing_speed.rs
+++ b/tests/routing_speed.rs
@@ -47,7 +47,7 @@
     let begun = Instant::now();
     for i in 0..CHOICES {
         let query = Query {
-            avoid: None,
+            avoid: &[],
             work: None,
             service: "drafting",
             version: "v1",
--- a/tests/routing_views.rs
+++ b/tests/routing_views.rs
@@ -209,7 +209,7 @@
 
 fn query(excluded: &[TargetKey]) -> Query<'_> {
     Query {
-        avoid: None,
+        avoid: &[],
         work: None,
         service: "drafting",
         version: "v1",
