Tell runs at once, spread them, and use engines before they register

Cause: instances that knew the same chose the same engine (32 of 280 placements met a run that another instance had begun within 200 ms); engines that restart while the platform is away are known to nobody, so two crashes leave a third of the fleet; callers of an instance that just started were refused for 20 ms; idle connections were used late in a shutdown and refused.

--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -168,16 +168,23 @@
     let service = TowerToHyperService::new(router);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
+    let quiet = async {
+        drain.begun().await;
+        if !multiplexed {
+            tokio::time::sleep(LINGER).await;
+        }
+    };
     tokio::select! {
         _ = served.as_mut() => return,
-        () = drain.begun(), if multiplexed => {}
+        () = quiet => {}
     }
     served.as_mut().graceful_shutdown();
     let _ = served.await;
 }
 
-/// Whether the caller speaks HTTP/2, which can be told to open no more streams. An HTTP/1
-/// connection is left open, since a request may be on its way; its answers say `close`.
+/// Whether the caller speaks HTTP/2, which can be told to open no more streams at once. An HTTP/1
+/// connection stays open for a while, as a request may be on its way; its answers say `close`. Then
+/// it is closed between two requests: one that comes late would be refused.
 async fn is_http2(stream: &TcpStream) -> bool {
     const PREFACE: &[u8; 3] = b"PRI";
     let mut head = [0; PREFACE.len()];
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -106,6 +106,7 @@
             let tried = timeout_at(limit, self.attempt(&lease)).await;
             let why = match tried {
                 Ok(Tried::Answer(whole)) if !self.is_worth_repeating(&whole) => {
+                    self.runs += 1;
                     self.relay.router.mark_alive(lease.key, begun.into_std());
                     return (response(whole), "answered");
                 }
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -16,6 +16,9 @@
 /// again within two seconds of its return; the rest is for the way of that news.
 const RETURN_GRACE: Duration = Duration::from_millis(2500);
 
+/// Time within which a target registers after its start, or after the platform's return.
+const REGISTERS_WITHIN: Duration = Duration::from_secs(4);
+
 /// How long the key of a target that is gone is kept from others, so that no late word of the
 /// one counts for the other.
 const KEY_REST: Duration = Duration::from_secs(600);
@@ -63,6 +66,7 @@
     rules: Option<Arc<Rules>>,
     targets: IndexMap<SmolStr, Registration>,
     lapsed: IndexMap<SmolStr, (Registration, Instant)>,
+    adopted: IndexMap<SmolStr, (Listed, Instant)>,
     keys: IndexMap<SmolStr, Vec<Key>>,
     next: u32,
     /// Platform revision up to which the targets are known.
@@ -115,6 +119,8 @@
     pub(crate) fn put(&mut self, registration: Registration) {
         let name = registration.listed.name.clone();
         self.lapsed.swap_remove(&name);
+        let addr = registration.listed.addr;
+        self.adopted.retain(|_, (listed, _)| listed.addr != addr);
         match self.targets.get(&name) {
             Some(held) if held.rev > registration.rev => {}
             _ => {
@@ -138,14 +144,40 @@
         }
     }
 
+    /// Takes a target that was found at the address of one that is gone, before it has registered.
+    /// Returns whether it is new.
+    pub(crate) fn adopt(&mut self, listed: Listed, now: Instant) -> bool {
+        let name = listed.name.clone();
+        let known = self.targets.contains_key(&name) || self.adopted.contains_key(&name);
+        if !known {
+            self.adopted.insert(name, (listed, now));
+        }
+        !known
+    }
+
+    /// The registration of a name.
+    pub(crate) fn listed(&self, name: &str) -> Option<&Listed> {
+        let registered = self.targets.get(name).map(|r| &r.listed);
+        registered.or_else(|| self.adopted.get(name).map(|(listed, _)| listed))
+    }
+
+    /// Drops adopted targets that should have registered by now.
+    fn disown(&mut self, now: Instant) {
+        let away = self.away;
+        self.adopted.retain(|_, (_, since)| {
+            let since = away.map_or(*since, |away| away.max(*since));
+            now.saturating_duration_since(since) < REGISTERS_WITHIN
+        });
+    }
+
     /// Registrations to pass on.
     pub(crate) fn registrations(&self) -> Vec<Registration> {
         self.targets.values().cloned().collect()
     }
 
-    /// Whether a lapsed registration is still used.
+    /// Whether targets are used that are not registered.
     pub(crate) fn is_unsettled(&self) -> bool {
-        !self.lapsed.is_empty()
+        !self.lapsed.is_empty() || !self.adopted.is_empty()
     }
 
     /// The targets to use, with the key of each life. `region` tells the region of a domain.
@@ -155,9 +187,11 @@
         now: Instant,
     ) -> Vec<(Target, u32)> {
         self.lapsed.retain(|_, (_, until)| *until > now);
+        self.disown(now);
+        let adopted = self.adopted.values().map(|(listed, _)| listed);
         let lapsed = self.lapsed.values().map(|(r, _)| &r.listed);
         let held = self.targets.values().map(|r| &r.listed);
-        let all: Vec<Listed> = held.chain(lapsed).cloned().collect();
+        let all: Vec<Listed> = held.chain(lapsed).chain(adopted).cloned().collect();
         for keys in self.keys.values_mut().flatten() {
             keys.gone.get_or_insert(now);
         }
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -155,6 +155,7 @@
         work: Some(Work {
             prompt: 0,
             memory: source.memory,
+            runs: 0,
         }),
         avoid: &domain,
         excluded: &excluded,
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -28,6 +28,9 @@
 use crate::http::{BodyError, read_body};
 use crate::ident::digest;
 
+/// Longest wait for the rules at the start: half of the shortest objective that deployments set.
+const START_WAIT: Duration = Duration::from_millis(100);
+
 /// When a caller may come back while this instance knows no rules yet.
 const STARTING: Duration = Duration::from_millis(500);
 
@@ -161,7 +164,9 @@
     })?;
     let id = ask.id.clone();
     let fail = |own| (own, id.clone());
-    let Some(rules) = relay.rules() else {
+    // An instance that has just started learns the rules within milliseconds.
+    let started = timeout(START_WAIT, relay.started()).await.is_ok();
+    let Some(rules) = relay.rules().filter(|_| started) else {
         return Err(fail(Own::refuse(STARTING, "no rules yet")));
     };
     let path = head.uri.path_and_query().cloned();
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use slog::info;
 use smol_str::SmolStr;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{sleep, timeout};
 
 use super::follow::{Held, Sources};
 use super::relay::Relay;
@@ -17,9 +17,13 @@
 use crate::peer::Tag;
 use crate::routing::Word;
 
-/// Time between two words to the peers: a fraction of a prompt's reading time.
+/// Longest time between two words to the peers: a fraction of a prompt's reading time.
 const PERIOD: Duration = Duration::from_millis(200);
 
+/// Least time between two words, for several runs that begin at once. Below the way between two
+/// regions.
+const TOGETHER: Duration = Duration::from_millis(15);
+
 /// Longest wait for a peer to take a word.
 const TELL_LIMIT: Duration = Duration::from_millis(400);
 
@@ -104,10 +108,10 @@
 
     /// Tells all peers, again and again.
     pub(crate) async fn tell_peers(self: Arc<Self>) {
-        let mut ticks = interval(PERIOD);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            // A run that begins is told at once: others would choose its engine too.
+            let _ = timeout(PERIOD, self.news.notified()).await;
+            sleep(TOGETHER).await;
             let told = Told {
                 word: self.router.word(Instant::now()),
                 held: self.held(),
--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -1,6 +1,7 @@
 //! Asks an engine how far a run is that has brought no event yet: a long queue explains silence, an
 //! answer that was lost on its way does not.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use tokio::time::timeout;
 
 use super::relay::Relay;
+use crate::ident::TargetKey;
 use crate::routing::Lease;
 
 /// Longest wait for an engine's report: two round trips between regions and a busy engine.
@@ -22,6 +24,10 @@
 /// What an engine reports of its runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
+    /// Drawn or taken at the engine's start.
+    pub incarnation: u64,
+    /// Whether it takes no new work.
+    pub leaving: bool,
     /// Requests that wait to be read.
     pub waiting: u32,
     /// Requests that are read or have made events.
@@ -60,16 +66,18 @@
 
 /// Asks the engine of `lease` about the run `id`.
 pub(crate) async fn progress(relay: &Relay, lease: &Lease, id: &str) -> Progress {
-    let report = timeout(LIMIT, report(relay, lease)).await.ok().flatten();
+    let report = timeout(LIMIT, report(relay, lease.key, lease.addr));
+    let report = report.await.ok().flatten();
     report.map_or(Progress::NoAnswer, |r| Progress::of(&r, id))
 }
 
-async fn report(relay: &Relay, lease: &Lease) -> Option<Report> {
-    let opened = relay.links.open(lease.key, lease.addr, Duration::ZERO);
+/// Reads an engine's report.
+pub(crate) async fn report(relay: &Relay, key: TargetKey, addr: SocketAddr) -> Option<Report> {
+    let opened = relay.links.open(key, addr, Duration::ZERO);
     let mut link = opened.await.ok()?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = relay.dialect.report.parse().ok()?;
-    let host = HeaderValue::from_str(&lease.addr.to_string()).ok()?;
+    let host = HeaderValue::from_str(&addr.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let response = link.send(request).await.ok()?;
     let body = response.into_body().collect().await.ok()?.to_bytes();
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -7,6 +7,8 @@
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 
+use crate::routing::Work;
+
 /// Lines a second that an instance writes on average: ten for each request of its usual load.
 const RATE: f64 = 150.0;
 
@@ -50,6 +52,23 @@
     pub(crate) took: Duration,
 }
 
+/// Where a run of a stream begins, and the work thought to be there, its own included.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placed<'a> {
+    /// Id of the request.
+    pub(crate) id: &'a str,
+    /// Engine that runs.
+    pub(crate) target: &'a str,
+    /// Engine that gets a copy.
+    pub(crate) backup: &'a str,
+    /// What it begins from: the prompt or a copy.
+    pub(crate) from: &'a str,
+    /// Event after which it goes on.
+    pub(crate) last: u64,
+    /// Work at the engine.
+    pub(crate) work: Work,
+}
+
 impl Record {
     pub(crate) fn new(log: Logger) -> Self {
         let bucket = Bucket {
@@ -90,11 +109,13 @@
     }
 
     /// A stream was placed.
-    pub(crate) fn placed(&self, id: &str, target: &str, backup: &str, resumed: &str, last: u64) {
+    pub(crate) fn placed(&self, placed: &Placed<'_>) {
         let Some(left_out) = self.admit() else { return };
         info!(self.log, "stream: placed";
-            "id" => id, "target" => target, "backup" => backup, "from" => resumed,
-            "last" => last, "left_out" => left_out);
+            "id" => placed.id, "target" => placed.target, "backup" => placed.backup,
+            "from" => placed.from, "last" => placed.last,
+            "queued" => placed.work.prompt, "runs" => placed.work.runs,
+            "memory" => placed.work.memory, "left_out" => left_out);
     }
 
     /// An attempt failed.
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
+use tokio::sync::{Notify, watch};
 
 use super::catalog::Catalog;
 use super::copies::{RunCopy, Source};
@@ -45,6 +46,8 @@
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) runs: Mutex<Runs>,
+    /// Wakes the word to the peers.
+    pub(crate) news: Notify,
     /// Whether a peer was asked for its runs.
     pub(crate) greeted: AtomicBool,
     /// JSON text of the rules in force, to pass on.
@@ -52,6 +55,7 @@
     /// Since when peers have had newer targets.
     pub(crate) behind: Mutex<Option<Instant>>,
     rules: RwLock<Option<Arc<Rules>>>,
+    begun: watch::Sender<bool>,
 }
 
 /// Where a target is looked for.
@@ -85,10 +89,12 @@
             probes: Arc::default(),
             retries: Mutex::new(retries),
             runs: Mutex::default(),
+            news: Notify::new(),
             greeted: AtomicBool::new(false),
             rules_text: Mutex::default(),
             behind: Mutex::default(),
             rules: RwLock::default(),
+            begun: watch::Sender::new(false),
         }
     }
 
@@ -99,7 +105,14 @@
 
     /// Whether it knows the rules and the targets.
     pub(crate) fn ready(&self) -> bool {
-        self.rules.read().is_some() && self.catalog.lock().as_of.is_some()
+        *self.begun.borrow()
+    }
+
+    /// Waits until it knows the rules and the targets.
+    pub(crate) async fn started(&self) {
+        let mut begun = self.begun.subscribe();
+        // The sender lives as long as the relay.
+        let _ = begun.wait_for(|begun| *begun).await;
     }
 
     /// Brings the router and the rules in force up to the catalog.
@@ -114,6 +127,7 @@
             self.router.slots(key, slots);
         }
         let rules = catalog.rules().cloned();
+        let ready = rules.is_some() && catalog.as_of.is_some();
         drop(catalog);
         for (name, service) in rules.iter().flat_map(|r| &r.services) {
             if let Some(engine) = service.engine {
@@ -125,6 +139,8 @@
             }
         }
         *self.rules.write() = rules;
+        self.begun
+            .send_if_modified(|begun| !std::mem::replace(begun, ready) && ready);
     }
 
     fn region(&self, domain: &str) -> SmolStr {
@@ -204,7 +220,7 @@
 
     /// Expected time until a target has read all prompts that it holds.
     pub(crate) fn reading_time(&self, key: TargetKey) -> Duration {
-        let prompt = self.router.prompt_queue(key, Instant::now());
+        let prompt = self.router.work(key, Instant::now()).prompt;
         Duration::from_secs_f64(f64::from(prompt) / READ_RATE)
     }
 }
--- a/src/relay/revive.rs
+++ b/src/relay/revive.rs
@@ -12,6 +12,8 @@
 use smol_str::SmolStr;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
+use super::catalog::Listed;
+use super::progress::report;
 use super::relay::Relay;
 use crate::routing::Subject;
 
@@ -49,10 +51,41 @@
                 info!(log, "target: gone, another has its address";
                     "target" => subject.name.as_str(), "other" => name.as_str());
                 self.router.mark_leaving(subject.key, asked);
+                self.adopt(&subject, name).await;
             }
         }
     }
 
+    /// Uses an engine that started anew before it has registered, which takes it a second or more,
+    /// and longer while the platform is away. Only where its service is beyond doubt: an address
+    /// may be given to another service, and other targets do not tell theirs.
+    async fn adopt(&self, gone: &Subject, name: SmolStr) {
+        let only = self.rules().is_some_and(|r| r.only_engines(&gone.service));
+        if !only {
+            return;
+        }
+        let report = timeout(LIMIT, report(self, gone.key, gone.addr));
+        let Ok(Some(report)) = report.await else {
+            return;
+        };
+        let mut catalog = self.catalog.lock();
+        let Some(old) = catalog.listed(&gone.name).cloned() else {
+            return;
+        };
+        let listed = Listed {
+            name: name.clone(),
+            incarnation: report.incarnation,
+            leaving: report.leaving,
+            ..old
+        };
+        let new = catalog.adopt(listed, Instant::now());
+        drop(catalog);
+        if new {
+            info!(self.record.log, "target: used before it has registered"; "target" => name.as_str());
+            self.refresh();
+        }
+    }
+
     /// The name under which a target's address answers its health check.
     async fn name_at(&self, subject: &Subject) -> Option<SmolStr> {
         let rules = self.rules()?;
--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -157,6 +157,13 @@
         routes.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Whether `service` is the only one with engines.
+    #[must_use]
+    pub fn only_engines(&self, service: &str) -> bool {
+        let mut engines = self.services.iter().filter(|(_, s)| s.engine.is_some());
+        engines.next().is_some_and(|(name, _)| name == service) && engines.next().is_none()
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.hosts.values().flatten()
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -25,7 +25,7 @@
 use super::links::{Link, SendError};
 use super::pace::Pace;
 use super::progress::{Progress, progress};
-use super::record::Outcome;
+use super::record::{Outcome, Placed};
 use super::relay::{READ_RATE, Relay, Wanted};
 use crate::caller::Running;
 use crate::ident::TargetKey;
@@ -354,7 +354,10 @@
             let copy = self.copy.take();
             let fit = |c: &RunCopy| self.relay.router.is_fit(c.lease.key, now.into_std());
             let (copy, copied) = match copy.filter(fit) {
-                Some(copy) => (Some(copy.lease), Some(copy.copied)),
+                Some(mut copy) => {
+                    copy.lease.start_run();
+                    (Some(copy.lease), Some(copy.copied))
+                }
                 None => (None, None),
             };
             let Some(lease) = copy.or_else(|| self.choose()) else {
@@ -363,7 +366,8 @@
             let backup = self.choose_backup(&lease);
             self.backup = backup.map(|l| RunCopy::kept(l, &self.inquiry.ask.id));
             self.target = lease.name();
-            self.note_placed(copied.is_some());
+            self.note_placed(&lease, copied.is_some());
+            self.relay.news.notify_one();
             match self.attempt(lease, copied).await {
                 Ok(leg) => {
                     self.leg = Some(leg);
@@ -375,15 +379,17 @@
         }
     }
 
-    fn note_placed(&self, copied: bool) {
+    fn note_placed(&self, lease: &Lease, copied: bool) {
         let backup = self.backup.as_ref().map(|c| c.lease.name());
-        let backup = backup.unwrap_or_default();
-        let from = if copied { "copy" } else { "prompt" };
-        let id = &self.inquiry.ask.id;
-        let last = self.last.unwrap_or_default();
-        self.relay
-            .record
-            .placed(id, &self.target, &backup, from, last);
+        let now = std::time::Instant::now();
+        self.relay.record.placed(&Placed {
+            id: &self.inquiry.ask.id,
+            target: &self.target,
+            backup: &backup.unwrap_or_default(),
+            from: if copied { "copy" } else { "prompt" },
+            last: self.last.unwrap_or_default(),
+            work: self.relay.router.work(lease.key, now),
+        });
     }
 
     /// The final answer when there is nowhere to go on.
@@ -426,6 +432,7 @@
             service: &self.inquiry.service,
             work: Some(Work {
                 prompt: 0,
+                runs: 0,
                 ..work(&self.inquiry)
             }),
             avoid: &avoid,
@@ -602,6 +609,7 @@
     Work {
         prompt: ask.prompt,
         memory: ask.prompt + output,
+        runs: 1,
     }
 }
 
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Width of a bucket of the in-flight history.
@@ -39,20 +40,35 @@
 }
 
 /// What a generation asks of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Prompt tokens to read before the first token.
     pub prompt: u32,
     /// Tokens of memory at its end: prompt and output.
     pub memory: u32,
+    /// Whether it makes tokens there: 1 for a run, 0 for a copy of its memory.
+    pub runs: u32,
+}
+
+impl Work {
+    fn add(&mut self, other: Self) {
+        self.prompt += other.prompt;
+        self.memory += other.memory;
+        self.runs += other.runs;
+    }
+
+    fn remove(&mut self, other: Self) {
+        self.prompt = self.prompt.saturating_sub(other.prompt);
+        self.memory = self.memory.saturating_sub(other.memory);
+        self.runs = self.runs.saturating_sub(other.runs);
+    }
 }
 
 /// All that is known of one target's load.
 #[derive(Debug)]
 pub(crate) struct Load {
     inflight: u32,
-    prompt: u32,
-    memory: u32,
+    work: Work,
     slots: u32,
     past: Past,
     report: Option<Sample>,
@@ -77,8 +93,7 @@
     pub(crate) fn new(base: Instant) -> Self {
         Self {
             inflight: 0,
-            prompt: 0,
-            memory: 0,
+            work: Work::default(),
             slots: DEFAULT_SLOTS,
             past: Past::new(base),
             report: None,
@@ -88,38 +103,37 @@
 
     pub(crate) fn start(&mut self, work: Work, now: Instant) {
         self.inflight += 1;
-        self.prompt += work.prompt;
-        self.memory += work.memory;
+        self.work.add(work);
         self.past.set(now, self.inflight);
     }
 
+    /// A run begins where its copy was.
+    pub(crate) fn start_run(&mut self) {
+        self.work.runs += 1;
+    }
+
     /// A request's prompt was read, or is no longer to be read.
     pub(crate) fn prompt_read(&mut self, tokens: u32) {
-        self.prompt = self.prompt.saturating_sub(tokens);
+        self.work.prompt = self.work.prompt.saturating_sub(tokens);
     }
 
     pub(crate) fn end(&mut self, work: Work, now: Instant) {
         self.inflight = self.inflight.saturating_sub(1);
-        self.prompt = self.prompt.saturating_sub(work.prompt);
-        self.memory = self.memory.saturating_sub(work.memory);
+        self.work.remove(work);
         self.past.set(now, self.inflight);
     }
 
     /// Work of this instance's requests.
     pub(crate) fn own_work(&self) -> Work {
-        Work {
-            prompt: self.prompt,
-            memory: self.memory,
-        }
+        self.work
     }
 
     /// Work of all instances' requests, as far as they told of it lately.
     pub(crate) fn work(&self, now: Instant) -> Work {
         let fresh = self.counts.iter().filter(|c| c.at + COUNT_LIFE > now);
-        fresh.fold(self.own_work(), |sum, c| Work {
-            prompt: sum.prompt + c.work.prompt,
-            memory: sum.memory + c.work.memory,
-        })
+        let mut sum = self.work;
+        fresh.for_each(|c| sum.add(c.work));
+        sum
     }
 
     pub(crate) fn inflight(&self) -> u32 {
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -34,6 +34,14 @@
 /// Cost in seconds of a fully used target over an idle one, for ties among free slots.
 const CROWD_COST: f64 = 0.05;
 
+/// Cost in seconds of each run beside which a prompt is read: reading one slows the others there by
+/// about a second, and theirs this one; half of that is borne by this request.
+const RUN_COST: f64 = 0.5;
+
+/// Most seconds added by chance, so that instances which know the same do not all choose the same
+/// engine: what one more copy in its memory costs, and less than one more run.
+const JITTER: f64 = 0.1;
+
 /// Cost in seconds of an engine whose memory is all used over an empty one. Half a prompt's reading
 /// at the usual rate, so that memory decides among engines that read nothing.
 const MEMORY_COST: f64 = 0.5;
@@ -287,7 +295,9 @@
             ..=1.0 => 0.0,
             _ => FULL_COST,
         };
-        queue + used * MEMORY_COST + full
+        let beside = f64::from(held.runs * work.runs);
+        let jitter = rand::rng().random::<f64>() * JITTER;
+        queue + beside * RUN_COST + used * MEMORY_COST + full + jitter
     }
 
     /// Mean time in seconds that a request holds its slot.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -126,12 +126,12 @@
         self.with(key, |entry| entry.state.lock().load.set_slots(slots));
     }
 
-    /// Prompt tokens that a target is thought to have still to read.
+    /// Work that a target is thought to have, by this instance's and its peers' requests.
     #[must_use]
-    pub fn prompt_queue(&self, key: TargetKey, now: Instant) -> u32 {
+    pub fn work(&self, key: TargetKey, now: Instant) -> Work {
         let table = self.table();
-        let held = |e: &Arc<Entry>| e.state.lock().load.work(now).prompt;
-        table.entry(key).map_or(0, held)
+        let held = |e: &Arc<Entry>| e.state.lock().load.work(now);
+        table.entry(key).map(held).unwrap_or_default()
     }
 
     /// Targets that this instance found dead and whose hold has not passed.
@@ -264,8 +264,7 @@
                 word.counts.push(Count {
                     target: name.clone(),
                     count: state.load.inflight(),
-                    prompt: state.load.own_work().prompt,
-                    memory: state.load.own_work().memory,
+                    work: state.load.own_work(),
                 });
             }
             if state.health.found_dead(now) {
@@ -295,11 +294,7 @@
                 continue;
             };
             let mut state = entry.state.lock();
-            let work = Work {
-                prompt: count.prompt,
-                memory: count.memory,
-            };
-            state.load.peer_count(origin, count.count, work, now);
+            state.load.peer_count(origin, count.count, count.work, now);
             counted.push(entry.target.key);
         }
         drop(words);
@@ -437,6 +432,14 @@
             .map_or_else(SmolStr::default, |e| e.target.domain.clone())
     }
 
+    /// A copy's place becomes that of the run.
+    pub fn start_run(&mut self) {
+        if let Some(entry) = &self.entry {
+            entry.state.lock().load.start_run();
+        }
+        self.work.runs += 1;
+    }
+
     /// The target has read the prompt, so that others no longer wait for that.
     pub fn prompt_read(&mut self) {
         if let Some(entry) = &self.entry {
--- a/src/routing/word.rs
+++ b/src/routing/word.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::load::Work;
+
 /// In-flight requests of one instance at one target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Count {
@@ -10,10 +12,8 @@
     pub target: SmolStr,
     /// Requests in flight.
     pub count: u32,
-    /// Prompt tokens that they have still to read.
-    pub prompt: u32,
-    /// Tokens of memory that they use or will use.
-    pub memory: u32,
+    /// Work of those that are generations.
+    pub work: Work,
 }
 
 /// One instance's word about targets. It replaces the earlier word of the same instance.
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -4,7 +4,7 @@
 
 use endivefork::fleet::Target;
 use endivefork::ident::TargetKey;
-use endivefork::routing::{Costs, Count, Policy, Query, Report, Router, Word};
+use endivefork::routing::{Costs, Count, Policy, Query, Report, Router, Word, Work};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -287,8 +287,7 @@
         counts: vec![Count {
             target: "engine-0".into(),
             count,
-            prompt: 0,
-            memory: 0,
+            work: Work::default(),
         }],
         ..Word::default()
     };
