Keep runs in the platform's store, for the loss of all instances

Cause: after a final fault every stream in flight was read anew, some 450,000 tokens at once, as no instance knew where the copies lay.

Change: each instance stores its runs in one object every 1.2 s while they change, and reads all at its start.

After a loss of power callers notice after 18 s, and the copies are gone by then.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -113,7 +113,12 @@
         }
         let path = (self.spelling.write)(kind, name, expect);
         let answer = self
-            .send(Op::Write, Method::PUT, &path, body.into())
+            .send(
+                Op::Write,
+                (self.spelling.method)(expect),
+                &path,
+                body.into(),
+            )
             .await?;
         self.written(&answer)
     }
--- a/src/platform/spelling.rs
+++ b/src/platform/spelling.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use http::Method;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -30,6 +31,8 @@
 pub struct Spelling {
     /// Path of an object.
     pub object: fn(kind: &str, name: &str) -> String,
+    /// Method of a conditional write.
+    pub method: fn(expect: Expect) -> Method,
     /// Path of a conditional write.
     pub write: fn(kind: &str, name: &str, expect: Expect) -> String,
     /// Body of a conditional write.
@@ -63,6 +66,7 @@
     /// The spelling of docs/interfaces.md.
     pub const OWN: Self = Self {
         object: own_object,
+        method: |_| Method::PUT,
         write: |kind, name, expect| format!("{}?if_rev={}", own_object(kind, name), expect.rev()),
         body: |_, value, _| value.clone(),
         list: |kind, part| {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod inquiry;
 mod leaving;
+mod ledger;
 mod links;
 mod pace;
 mod probe;
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -198,6 +198,7 @@
     relay.hear_peers(sources);
     tokio::spawn(Arc::clone(relay).follow_rules(sources));
     tokio::spawn(Arc::clone(relay).follow_targets(sources));
+    tokio::spawn(Arc::clone(relay).keep_ledger());
     tokio::spawn(Arc::clone(relay).tell_peers());
     tokio::spawn(Arc::clone(relay).revive_targets());
 }
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -12,6 +12,9 @@
 /// How long a run is remembered: longer than any lasts.
 const MEMORY: Duration = Duration::from_secs(60);
 
+/// How long a run stays among those that are stored: most have ended by then.
+const STORED: Duration = Duration::from_secs(20);
+
 /// Most runs remembered.
 const RUNS_MAX: usize = 20_000;
 
@@ -31,24 +34,36 @@
 pub(crate) struct Runs {
     known: IndexMap<u128, (Note, Instant)>,
     news: Vec<Note>,
+    own: IndexSet<u128>,
+    changed: bool,
 }
 
 impl Runs {
     /// Notes a run of this instance, to be told to others.
     pub(crate) fn note(&mut self, note: Note, now: Instant) {
         self.news.push(note.clone());
+        self.own.insert(note.digest);
+        self.changed = true;
         self.hear(note, now);
     }
 
     /// Takes another instance's note.
     pub(crate) fn hear(&mut self, note: Note, now: Instant) {
-        if self.known.len() >= RUNS_MAX {
-            self.known.shift_remove_index(0);
+        let full = self.known.len() >= RUNS_MAX;
+        let oldest = full.then(|| self.known.shift_remove_index(0)).flatten();
+        if let Some((digest, _)) = oldest {
+            self.own.swap_remove(&digest);
         }
         self.known.shift_remove(&note.digest);
         self.known.insert(note.digest, (note, now));
     }
 
+    /// A run of this instance has ended.
+    pub(crate) fn ended(&mut self, digest: u128) {
+        self.known.shift_remove(&digest);
+        self.changed |= self.own.swap_remove(&digest);
+    }
+
     /// Where the copy of a run of this content lies. It can be used once.
     pub(crate) fn take(&mut self, digest: u128, now: Instant) -> Option<(SmolStr, Copied)> {
         let (note, at) = self.known.shift_remove(&digest)?;
@@ -61,6 +76,19 @@
         self.known.values().map(|(note, _)| note.clone()).collect()
     }
 
+    /// Runs of this instance, to be stored. `None` when nothing has changed since the last call.
+    pub(crate) fn take_changed(&mut self, now: Instant) -> Option<Vec<Note>> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        let own = &self.own;
+        let fresh = |at: Instant| now.saturating_duration_since(at) < STORED;
+        let mine = self.known.values();
+        let mine = mine.filter(|(note, at)| own.contains(&note.digest) && fresh(*at));
+        let mine = mine.filter(|(note, _)| note.copied.is_some());
+        Some(mine.map(|(note, _)| note.clone()).collect())
+    }
+
     /// What others have not been told.
     pub(crate) fn news(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.news)
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -206,6 +206,7 @@
             Step::Event(bytes) => Some(Ok(bytes)),
             Step::End => {
                 self.ended = true;
+                self.relay.runs.lock().ended(self.digest);
                 self.close(200, "stream complete");
                 None
             }
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -47,6 +47,23 @@
     assert_eq!(runs.take(1, now + Duration::from_secs(90)), None);
 }
 
+#[test]
+fn only_own_runs_with_a_copy_that_have_not_ended_are_stored() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    runs.hear(note(1, Some("a")), now);
+    runs.note(note(2, Some("b")), now);
+    runs.note(note(3, Some("c")), now);
+    runs.note(note(4, None), now);
+    runs.ended(3);
+
+    let stored = runs.take_changed(now).unwrap();
+
+    let digests: Vec<_> = stored.iter().map(|n| n.digest).collect();
+    assert_eq!(digests, [2]);
+    assert_eq!(runs.take_changed(now), None);
+}
+
 #[test]
 fn only_own_runs_are_news_to_peers() {
     let now = Instant::now();
