--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::response::Parts;
 use http_body_util::{BodyExt as _, Limited};
+use smol_str::SmolStr;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::Own;
@@ -20,6 +21,7 @@
 use super::rules::Kind;
 use crate::ident::TargetKey;
 use crate::routing::Lease;
+use crate::telemetry::Stage;
 
 /// Largest answer that is held whole, in bytes.
 const ANSWER_MAX: usize = 8 << 20;
@@ -46,8 +48,23 @@
 pub(crate) struct Done {
     pub(crate) response: Response,
     pub(crate) why: &'static str,
-    pub(crate) target: smol_str::SmolStr,
+    pub(crate) target: SmolStr,
     pub(crate) attempts: u32,
+    /// What the time until now was spent on.
+    pub(crate) stage: Stage,
+}
+
+impl Done {
+    /// An answer of the relay itself to a request that no target was asked for.
+    pub(crate) fn refused(own: Own) -> Self {
+        Self {
+            why: own.why,
+            response: own.into(),
+            target: SmolStr::default(),
+            attempts: 0,
+            stage: Stage::Admission,
+        }
+    }
 }
 
 /// A target's whole answer.
@@ -70,7 +87,7 @@
     runs: u32,
     declined: u32,
     unreached: u32,
-    target: smol_str::SmolStr,
+    target: SmolStr,
     failure: Option<Whole>,
 }
 
@@ -83,7 +100,7 @@
         runs: 0,
         declined: 0,
         unreached: 0,
-        target: smol_str::SmolStr::default(),
+        target: SmolStr::default(),
         failure: None,
     };
     let (response, why) = call.run().await;
@@ -92,6 +109,7 @@
         why,
         target: call.target,
         attempts: call.runs + call.declined,
+        stage: Stage::EndToEnd,
     }
 }
 
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -27,6 +27,7 @@
 use crate::caller::{Drain, say_close};
 use crate::http::{BodyError, read_body};
 use crate::ident::digest;
+use crate::telemetry::Stage;
 
 /// Longest wait for the rules at the start: half of the shortest objective that deployments set.
 const START_WAIT: Duration = Duration::from_millis(100);
@@ -91,13 +92,16 @@
         let budget = inquiry.left(arrived);
         let left = relay.settings.drain.saturating_sub(since);
         if !leaving::takes(inquiry.route.kind, budget, since, left) {
-            let own = Own::refuse(ELSEWHERE, "shutting down");
-            note_rejected(relay, &own, &inquiry.ask.id, arrived);
-            return own.into();
+            let done = Done::refused(Own::refuse(ELSEWHERE, "shutting down"));
+            let about = (&*inquiry.ask.id, &*inquiry.route.name, &*inquiry.service);
+            let (id, route, service) = about;
+            note_answered(relay, &done, (id, route, service, inquiry.rules), arrived);
+            return done.response;
         }
     }
     let now = arrived.into_std();
     relay.retries.lock().request(&inquiry.service, now);
+    let account = inquiry.account.clone().unwrap_or_default();
     let noted = (
         inquiry.ask.id.clone(),
         inquiry.route.name.clone(),
@@ -109,6 +113,14 @@
         Kind::Idempotent | Kind::Once => call::run(relay, &inquiry).await,
     };
     let (id, route, service, rules) = noted;
+    let stage = match done.attempts {
+        0 => Stage::Admission,
+        _ => done.stage,
+    };
+    relay
+        .metrics
+        .span(&account)
+        .record(stage, arrived.elapsed());
     note_answered(relay, &done, (&id, &route, &service, rules), arrived);
     done.response
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -30,6 +30,7 @@
 use crate::caller::Running;
 use crate::ident::TargetKey;
 use crate::routing::{Lease, Work};
+use crate::telemetry::Stage;
 
 /// Attempts that did not run before a stream is refused.
 const DECLINED_MAX: u32 = 5;
@@ -101,6 +102,8 @@
     last: Option<u64>,
     ahead: VecDeque<Bytes>,
     ended: bool,
+    /// When the last event before a loss came.
+    paused: Option<Instant>,
     runs: u32,
     declined: u32,
     /// Whether a copy of each run is kept.
@@ -139,6 +142,7 @@
         last,
         ahead: VecDeque::new(),
         ended: false,
+        paused: None,
         runs: 0,
         declined: 0,
         keeps: repeats && relay.keeps_copies(&service),
@@ -169,6 +173,7 @@
             why,
             target: self.target.clone(),
             attempts: self.runs + self.declined,
+            stage: Stage::EndToEnd,
         }
     }
 
@@ -190,6 +195,7 @@
             why: "stream begun",
             target,
             attempts,
+            stage: Stage::FirstToken,
         }
     }
 
@@ -292,6 +298,11 @@
                     let now = Instant::now();
                     if !leg.pace.has_begun() {
                         leg.lease.prompt_read();
+                        if let Some(since) = self.paused.take() {
+                            let account = self.inquiry.account.as_deref();
+                            let span = self.relay.metrics.span(account.unwrap_or_default());
+                            span.record(Stage::ResumeGap, now - since);
+                        }
                         let source = source(&self.inquiry, self.digest, leg);
                         let keeper = source
                             .map(|source| Keeper::start(&self.relay, source, self.backup.take()));
@@ -314,6 +325,7 @@
     /// Ends the present run. Returns why there is no further one, if so.
     fn lose(&mut self, loss: Loss) -> Option<Stop> {
         if let Some(leg) = self.leg.take() {
+            self.paused = leg.pace.has_begun().then_some(leg.heard);
             let record = &self.relay.record;
             let id = &self.inquiry.ask.id;
             record.attempt_lost(id, &leg.lease.name(), loss.why(), leg.heard.elapsed());
@@ -395,10 +407,8 @@
 
     /// The final answer when there is nowhere to go on.
     fn out_of(&self, why: &'static str) -> Stop {
-        let begun = self.last != self.inquiry.ask.last;
         Stop::Own(match self.runs {
             0 => Own::refuse(COME_BACK, why),
-            _ if begun => Own::lost(why),
             _ => Own::lost(why),
         })
     }
