--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -32,6 +32,7 @@
 mod run;
 mod runs;
 mod settings;
+mod silence;
 mod stream;
 #[cfg(test)]
 mod tests;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! (their in-flight counts and the targets that they found dead) and by its own leases.
 
 mod health;
+mod lease;
 mod load;
 mod policy;
 mod poll;
@@ -12,8 +13,9 @@
 mod trouble;
 mod word;
 
+pub use lease::{Lease, Subject};
 pub use load::{Report, Work};
 pub use policy::{Capacity, Costs, Policy};
 pub use poll::{Polled, Poller, Sight, TargetLoad, Views, poll};
-pub use router::{Lease, Query, Router, Subject, Supply};
+pub use router::{Query, Router, Supply};
 pub use word::{Count, Word};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use super::health::Fitness;
+use super::lease::{Lease, Subject};
 use super::load::{Report, Work};
 use super::policy::{Capacity, Choice, Costs, Policy};
 use super::table::{Entry, Table};
@@ -53,33 +54,6 @@
     pub load: u32,
 }
 
-/// A target that is asked after.
-#[derive(Clone, Debug)]
-pub struct Subject {
-    /// Its key.
-    pub key: TargetKey,
-    /// Its name.
-    pub name: SmolStr,
-    /// Where it takes work.
-    pub addr: SocketAddr,
-    /// Its failure domain.
-    pub domain: SmolStr,
-    /// Its service.
-    pub service: SmolStr,
-}
-
-impl Subject {
-    fn of(target: &Target) -> Self {
-        Self {
-            key: target.key,
-            name: target.name.clone(),
-            addr: target.addr,
-            domain: target.domain.clone(),
-            service: target.service.clone(),
-        }
-    }
-}
-
 /// Chooses targets and counts what is in flight at each.
 pub struct Router {
     policy: Policy,
@@ -190,14 +164,15 @@
             Policy::LeastReported => choice.least_reported(),
             Policy::Cost => choice.by_cost(),
         }?;
-        Some(self.lease(entry, query.region, query.work.unwrap_or_default(), now))
+        let work = query.work.unwrap_or_default();
+        Some(Lease::new(entry, query.region, work, now))
     }
 
     /// Counts a request on a given target, as when a running attempt is taken over.
     pub fn claim(&self, key: TargetKey, region: &str, now: Instant) -> Option<Lease> {
         let table = self.table();
         let entry = table.entry(key)?;
-        Some(self.lease(entry, region, Work::default(), now))
+        Some(Lease::new(entry, region, Work::default(), now))
     }
 
     /// Takes a load report received at `now`, from the target or through a peer.
@@ -364,18 +339,6 @@
         Some(estimate)
     }
 
-    fn lease(&self, entry: &Arc<Entry>, region: &str, work: Work, now: Instant) -> Lease {
-        entry.state.lock().load.start(work, now);
-        Lease {
-            key: entry.target.key,
-            addr: entry.target.addr,
-            far: entry.target.region != region,
-            started: now,
-            work,
-            entry: Some(Arc::clone(entry)),
-        }
-    }
-
     fn table(&self) -> Arc<Table> {
         Arc::clone(&self.table.read())
     }
@@ -394,87 +357,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// A request in flight at a target. Dropping it ends the count.
-#[derive(Debug)]
-pub struct Lease {
-    /// The target.
-    pub key: TargetKey,
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Whether its traffic is billed, as it crosses regions.
-    pub far: bool,
-    started: Instant,
-    work: Work,
-    entry: Option<Arc<Entry>>,
-}
-
-impl Lease {
-    /// Name of the target.
-    #[must_use]
-    pub fn name(&self) -> SmolStr {
-        self.entry
-            .as_ref()
-            .map_or_else(SmolStr::default, |e| e.target.name.clone())
-    }
-
-    /// The target, to be asked after; none once the lease has ended.
-    #[must_use]
-    pub fn subject(&self) -> Option<Subject> {
-        self.entry.as_ref().map(|e| Subject::of(&e.target))
-    }
-
-    /// Failure domain of the target.
-    #[must_use]
-    pub fn domain(&self) -> SmolStr {
-        self.entry
-            .as_ref()
-            .map_or_else(SmolStr::default, |e| e.target.domain.clone())
-    }
-
-    /// A copy's place becomes that of the run.
-    pub fn start_run(&mut self) {
-        if let Some(entry) = &self.entry {
-            entry.state.lock().load.start_run();
-        }
-        self.work.runs += 1;
-    }
-
-    /// The target has read the prompt, so that others no longer wait for that.
-    pub fn prompt_read(&mut self) {
-        if let Some(entry) = &self.entry {
-            entry.state.lock().load.prompt_read(self.work.prompt);
-        }
-        self.work.prompt = 0;
-    }
-
-    /// Waits until this instance finds the target dead.
-    pub async fn lost(&self) {
-        match &self.entry {
-            Some(entry) => entry.lost.notified().await,
-            None => std::future::pending().await,
-        }
-    }
-
-    /// Ends the count at `now`, with the time that the slot was held.
-    pub fn finish(mut self, now: Instant) {
-        self.end(now);
-    }
-
-    fn end(&mut self, now: Instant) {
-        let Some(entry) = self.entry.take() else {
-            return;
-        };
-        entry.state.lock().load.end(self.work, now);
-        let held = now.saturating_duration_since(self.started);
-        entry.hold.learn(held);
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if self.entry.is_some() {
-            self.end(Instant::now());
-        }
-    }
-}
