Read the platform by two instances of each failure domain

Change: two instances of a failure domain, by rendezvous, watch and pass changes on; the others read only while none of these can. One stores the runs of its domain. A peer is ahead by the revision of the newest registration or removal, not by the store's, which moves with every write. Ruled out: polling by all (later news), one reader (one cut connection would cost 6 s).

--- a/src/config/feed.rs
+++ b/src/config/feed.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::store::{Entry, Held, Store, Summary};
-use crate::ident::{digest, rendezvous};
+use crate::peer::on_duty;
 
 /// Instances of a failure domain that watch the platform for the others.
 const WATCHERS: usize = 2;
@@ -64,9 +64,8 @@
     /// Whether `me` is one of its domain's watchers. `alive` are its peers in that domain.
     #[must_use]
     pub fn is_watcher<'a>(me: &'a str, domain: &str, alive: impl Iterator<Item = &'a str>) -> bool {
-        let key = digest(&["config watch", domain]);
-        let order = rendezvous(key, alive.chain([me]));
-        order.iter().take(WATCHERS).any(|name| *name == me)
+        let watchers = on_duty("config watch", domain, alive.chain([me]), WATCHERS);
+        watchers.iter().any(|name| name == me)
     }
 
     /// Whether an instance that is no watcher must read by itself.
--- /dev/null
+++ b/src/peer/duty.rs
@@ -0,0 +1,18 @@
+//! Who of a failure domain does for all of it what one can do.
+
+use smol_str::SmolStr;
+
+use crate::ident::{digest, rendezvous};
+
+/// The first `most` of `names` for a duty of a failure domain: all that see the same names choose
+/// the same, and few change when one name comes or goes.
+#[must_use]
+pub fn on_duty<'a>(
+    duty: &str,
+    domain: &str,
+    names: impl Iterator<Item = &'a str>,
+    most: usize,
+) -> Vec<SmolStr> {
+    let order = rendezvous(digest(&[duty, domain]), names);
+    order.into_iter().take(most).map(SmolStr::new).collect()
+}
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -34,11 +34,13 @@
     Leaving,
     /// Actions that may not repeat.
     Action,
+    /// News of the platform.
+    News,
 }
 
 impl Tag {
     /// All tags, by their number on the wire.
-    pub(crate) const ALL: [Self; 10] = [
+    pub(crate) const ALL: [Self; 11] = [
         Self::Heartbeat,
         Self::Journal,
         Self::Takeover,
@@ -49,6 +51,7 @@
         Self::Load,
         Self::Leaving,
         Self::Action,
+        Self::News,
     ];
 }
 
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -343,6 +343,13 @@
         self.hub.members.lock().alive().cloned().collect()
     }
 
+    /// Whether `name` is an instance of this one's failure domain.
+    #[must_use]
+    pub fn is_near(&self, name: &str) -> bool {
+        let members = self.hub.members.lock();
+        members.domain(name) == Some(&self.hub.opts.me.domain)
+    }
+
     /// Whether `name` can be reached.
     #[must_use]
     pub fn reach(&self, name: &str) -> Reach {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -194,6 +194,12 @@
         self.known.get(name).map(|k| k.member.addr)
     }
 
+    /// Failure domain of `name`.
+    #[must_use]
+    pub fn domain(&self, name: &str) -> Option<&SmolStr> {
+        self.known.get(name).map(|k| &k.member.domain)
+    }
+
     /// All instances with whether they can be reached.
     pub fn view(&self) -> impl Iterator<Item = Gossip> {
         self.known.values().map(|k| Gossip {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between instances: h2 streams of bincode over TCP, authentication and membership.
 
 mod auth;
+mod duty;
 mod frame;
 mod hub;
 mod link;
@@ -9,6 +10,7 @@
 mod serve;
 
 pub use auth::PeerKey;
+pub use duty::on_duty;
 pub use frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
 pub use hub::{CallError, Counts, Options, Peers};
 pub use member::{Evidence, Gossip, Heartbeat, Member, Members, Reach};
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -53,6 +53,17 @@
     pub listed: Listed,
 }
 
+/// A registration that was made, changed or removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Change {
+    /// Name of the target.
+    pub(crate) name: SmolStr,
+    /// Revision.
+    pub(crate) rev: u64,
+    /// The registration; none when it was removed, or names no target any more.
+    pub(crate) listed: Option<Listed>,
+}
+
 #[derive(Debug)]
 struct Key {
     incarnation: u64,
@@ -71,6 +82,9 @@
     next: u32,
     /// Platform revision up to which the targets are known.
     pub(crate) as_of: Option<u64>,
+    /// Highest platform revision of what is known of the targets: unlike [`Self::as_of`], it stays
+    /// while others write other objects.
+    newest: Option<u64>,
     away: Option<Instant>,
 }
 
@@ -85,6 +99,16 @@
         self.rules.as_ref().map_or(0, |r| r.version)
     }
 
+    /// Whether rules and targets are known.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.rules.is_some() && self.as_of.is_some()
+    }
+
+    /// Highest platform revision of what is known of the targets.
+    pub(crate) fn newest(&self) -> Option<u64> {
+        self.newest
+    }
+
     /// Takes rules unless newer ones are in force.
     pub(crate) fn take_rules(&mut self, rules: Rules) -> bool {
         let newer = rules.version > self.version();
@@ -96,7 +120,12 @@
 
     /// The platform could not be read.
     pub(crate) fn platform_away(&mut self, now: Instant) {
-        self.away = Some(now);
+        self.away = self.away.max(Some(now));
+    }
+
+    /// When the platform was last found away.
+    pub(crate) fn last_away(&self) -> Option<Instant> {
+        self.away
     }
 
     /// Takes a whole list.
@@ -113,6 +142,45 @@
             self.lapse(registration, now);
         }
         self.as_of = Some(as_of);
+        let newest = self.targets.values().map(|r| r.rev).max();
+        self.newest = self.newest.max(newest).max(Some(0));
+    }
+
+    /// Takes what a peer knows as a whole, with the revision of the newest of it.
+    pub(crate) fn take_copy(
+        &mut self,
+        (as_of, newest): (u64, u64),
+        list: Vec<Registration>,
+        now: Instant,
+    ) {
+        // A list of later than theirs lacks only what was removed since.
+        if self.as_of < Some(as_of) {
+            self.take_list(as_of, list, now);
+        }
+        self.newest = self.newest.max(Some(newest));
+    }
+
+    /// Takes changes in the order of their revisions.
+    pub(crate) fn take_changes(
+        &mut self,
+        as_of: u64,
+        changes: impl IntoIterator<Item = Change>,
+        now: Instant,
+    ) {
+        for change in changes {
+            if self.newest >= Some(change.rev) {
+                continue;
+            }
+            self.newest = Some(change.rev);
+            match change.listed {
+                Some(listed) => self.put(Registration {
+                    rev: change.rev,
+                    listed,
+                }),
+                None => self.remove(&change.name, now),
+            }
+        }
+        self.as_of = self.as_of.max(Some(as_of));
     }
 
     /// Takes one registration.
@@ -163,11 +231,9 @@
 
     /// Drops adopted targets that should have registered by now.
     fn disown(&mut self, now: Instant) {
-        let away = self.away;
-        self.adopted.retain(|_, (_, since)| {
-            let since = away.map_or(*since, |away| away.max(*since));
-            now.saturating_duration_since(since) < REGISTERS_WITHIN
-        });
+        let mut adopted = std::mem::take(&mut self.adopted);
+        adopted.retain(|_, (_, since)| self.may_wait(*since, now));
+        self.adopted = adopted;
     }
 
     /// Registrations to pass on.
@@ -175,9 +241,17 @@
         self.targets.values().cloned().collect()
     }
 
-    /// Whether targets are used that are not registered.
-    pub(crate) fn is_unsettled(&self) -> bool {
-        !self.lapsed.is_empty() || !self.adopted.is_empty()
+    /// Whether a target is used whose time without a registration is over.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        let late = |since: &Instant| !self.may_wait(*since, now);
+        self.lapsed.values().any(|(_, until)| *until <= now)
+            || self.adopted.values().any(|(_, since)| late(since))
+    }
+
+    /// Whether a target that was found at `since` may still register.
+    fn may_wait(&self, since: Instant, now: Instant) -> bool {
+        let since = self.away.map_or(since, |away| away.max(since));
+        now.saturating_duration_since(since) < REGISTERS_WITHIN
     }
 
     /// The targets to use, with the key of each life. `region` tells the region of a domain.
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt as _, Full};
 use parking_lot::Mutex;
 use slog::info;
 use smol_str::SmolStr;
@@ -185,22 +182,9 @@
 /// Asks the engine that runs for a copy at another one, or to bring that up to date.
 async fn order(relay: &Relay, source: &Source, at: std::net::SocketAddr) -> Option<SmolStr> {
     let request = (relay.dialect.copy)(&source.id, at)?;
-    timeout(LIMIT, exchange(relay, source, request))
-        .await
-        .ok()?
-}
-
-async fn exchange(
-    relay: &Relay,
-    source: &Source,
-    request: Request<Full<Bytes>>,
-) -> Option<SmolStr> {
     let engine = &source.engine;
-    let opened = relay.links.open(engine.key, engine.addr, Duration::ZERO);
-    let mut link = opened.await.ok()?;
-    let response = link.send(request).await.ok()?;
-    let status = response.status();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    let handle = (relay.dialect.copy_handle)(&body);
-    handle.filter(|_| status.is_success())
+    let answer = timeout(LIMIT, relay.links.ask(engine.key, engine.addr, request)).await;
+    let answer = answer.ok().flatten()?;
+    let handle = (relay.dialect.copy_handle)(answer.body());
+    handle.filter(|_| answer.status().is_success())
 }
--- /dev/null
+++ b/src/relay/duty.rs
@@ -0,0 +1,63 @@
+//! Which instances read the platform, and which writes the runs there. The load this answers: with
+//! hundreds of instances, each reading for itself, the platform is asked for the same again and
+//! again.
+
+use smol_str::SmolStr;
+
+use super::relay::Relay;
+use crate::peer::on_duty;
+
+/// Instances of a failure domain that read the platform for the others: when one is cut off from
+/// the platform, or dies, the other still does.
+const READERS: usize = 2;
+
+/// Whether this instance reads the platform, by kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reading {
+    pub(crate) rules: bool,
+    pub(crate) targets: bool,
+}
+
+impl Reading {
+    /// Whether others may rely on it.
+    pub(crate) fn is_whole(self) -> bool {
+        self.rules && self.targets
+    }
+}
+
+impl Relay {
+    /// Other instances of this failure domain that answer.
+    pub(crate) fn near(&self) -> Vec<SmolStr> {
+        let alive = self.peers.alive().into_iter();
+        let near = alive.filter(|m| m.domain == self.settings.instance.domain);
+        near.map(|m| m.name).collect()
+    }
+
+    /// Whether this instance is to read the platform: it is on duty, or none that is can do so.
+    pub(crate) fn is_reader(&self) -> bool {
+        let near = self.near();
+        let readers = self.readers.lock();
+        let reads = |name: &SmolStr| readers.get(name).is_some_and(|reads| *reads);
+        let duty = self.on_duty("platform", &near, READERS);
+        duty.contains(&self.settings.instance.name) || !duty.iter().any(reads)
+    }
+
+    /// Whether this instance stores the runs of its failure domain.
+    pub(crate) fn is_writer(&self) -> bool {
+        let duty = self.on_duty("runs", &self.near(), 1);
+        duty.contains(&self.settings.instance.name)
+    }
+
+    /// Near instances that are told what this one reads.
+    pub(crate) fn listeners(&self) -> Vec<SmolStr> {
+        let near = self.near();
+        let duty = self.on_duty("platform", &near, READERS);
+        near.into_iter().filter(|n| !duty.contains(n)).collect()
+    }
+
+    fn on_duty(&self, duty: &str, near: &[SmolStr], most: usize) -> Vec<SmolStr> {
+        let me = &self.settings.instance;
+        let names = near.iter().chain([&me.name]);
+        on_duty(duty, &me.domain, names.map(SmolStr::as_str), most)
+    }
+}
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -1,19 +1,22 @@
-//! Keeps the catalog up to the platform: a list, then watches; from peers while it is away.
+//! Keeps the catalog up to the platform: a list, then watches, by the instances on duty; the others
+//! get from these what changes.
 
+use std::future::ready;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use slog::{info, warn};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use super::catalog::{Listed, Registration};
+use super::catalog::{Change, Listed, Registration};
 use super::relay::Relay;
 use super::rules::Rules;
 use crate::peer::Tag;
-use crate::platform::{Error, Object};
+use crate::platform::{self, Error};
 
 /// Longest wait of a watch. One whose connection has gone silent delays news by this much, unless
 /// a peer tells them; each watch is billed.
@@ -32,6 +35,10 @@
 /// Longest pause after failed calls: the platform's return is to be noticed within a second.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
+/// Time between two looks whether this instance has come on duty: far below the seconds in which
+/// rules must be in force.
+const STAND_BY: Duration = Duration::from_millis(200);
+
 /// Longest wait for a peer's answer.
 const ASK_LIMIT: Duration = Duration::from_millis(500);
 
@@ -54,13 +61,63 @@
     }
 }
 
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Topic {
+    /// The rules.
+    Rules,
+    /// The targets.
+    Targets,
+}
+
+impl Topic {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Rules => "rules",
+            Self::Targets => "targets",
+        }
+    }
+
+    fn pause(self) -> Duration {
+        match self {
+            Self::Rules => RULES_PAUSE,
+            Self::Targets => TARGETS_PAUSE,
+        }
+    }
+}
+
 /// What one instance passes on to another that lacks it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Copy {
     /// JSON text of the rules, if the asking instance's are older.
     rules: Option<String>,
-    /// Registrations and the platform revision that they are as of.
-    targets: Option<(u64, Vec<Registration>)>,
+    /// Registrations, if the asking instance's are older.
+    targets: Option<Targets>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Targets {
+    /// Platform revision that they are as of, and that of the newest of them.
+    revs: (u64, u64),
+    list: Vec<Registration>,
+    away: Option<Duration>,
+}
+
+/// What an instance on duty has read.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum News {
+    /// JSON text of the rules.
+    Rules(String),
+    /// Changes of targets.
+    Targets {
+        /// Revision of the newest change before these.
+        since: u64,
+        /// Platform revision after these.
+        as_of: u64,
+        changes: Vec<Change>,
+        /// Time since the platform was away.
+        away: Option<Duration>,
+    },
 }
 
 /// What an instance has.
@@ -68,36 +125,62 @@
 pub(crate) struct Held {
     /// Version of the rules.
     pub(crate) rules: u64,
-    /// Platform revision of the targets.
+    /// Platform revision of the newest registration or removal.
     pub(crate) targets: Option<u64>,
+    /// Whether it reads the platform.
+    pub(crate) reads: bool,
 }
 
 impl Relay {
     pub(crate) fn held(&self) -> Held {
+        let reads = self.reading.lock().is_whole();
         let catalog = self.catalog.lock();
         Held {
             rules: catalog.version(),
-            targets: catalog.as_of,
+            targets: catalog.newest(),
+            reads,
         }
     }
 
-    pub(crate) async fn follow_rules(self: Arc<Self>, sources: Sources) {
+    /// Reads the platform while on duty.
+    pub(crate) async fn follow(self: Arc<Self>, sources: Sources, topic: Topic) {
         let mut from = None;
         let mut pause = RETRY_MIN;
         loop {
-            match self.read_rules(sources, from).await {
+            if !self.is_reader() {
+                self.set_reading(topic, false);
+                sleep(STAND_BY).await;
+                continue;
+            }
+            let read = match topic {
+                Topic::Rules => self.read_rules(sources, from).await,
+                Topic::Targets => self.read_targets(sources, from).await,
+            };
+            match read {
                 Ok(rev) => {
-                    self.regained("rules", &mut pause);
+                    self.regained(topic, &mut pause);
                     from = Some(rev);
-                    sleep(RULES_PAUSE).await;
+                    sleep(topic.pause()).await;
                 }
                 Err(Error::Gone) => from = None,
-                Err(e) => self.failed("rules", &e, &mut pause).await,
+                Err(e) => self.failed(topic, &e, &mut pause).await,
             }
         }
     }
 
-    async fn read_rules(&self, sources: Sources, from: Option<u64>) -> Result<u64, Error> {
+    fn set_reading(&self, topic: Topic, reads: bool) {
+        let mut reading = self.reading.lock();
+        match topic {
+            Topic::Rules => reading.rules = reads,
+            Topic::Targets => reading.targets = reads,
+        }
+    }
+
+    async fn read_rules(
+        self: &Arc<Self>,
+        sources: Sources,
+        from: Option<u64>,
+    ) -> Result<u64, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = from else {
             let list = self.platform.list(kind, "").await?;
@@ -109,84 +192,94 @@
         };
         let changes = self.platform.watch(kind, from, WATCH_WAIT).await?;
         let newest = changes.events.iter().filter(|e| e.name == name);
-        if let Some(value) = newest.filter_map(|e| e.value.as_ref()).next_back() {
-            self.take_rules(sources, value, "platform");
+        if let Some(value) = newest.filter_map(|e| e.value.as_ref()).next_back()
+            && self.take_rules(sources, value, "platform")
+        {
+            self.pass_on(News::Rules(value.to_string()));
         }
         Ok(changes.rev)
     }
 
-    fn take_rules(&self, sources: Sources, value: &Value, source: &str) {
-        match (sources.read_rules)(value) {
-            Ok(rules) => {
-                let version = rules.version;
-                let routes = rules.routes().count();
-                if self.catalog.lock().take_rules(rules) {
-                    *self.rules_text.lock() = Some(value.to_string().into());
-                    self.refresh();
-                    info!(self.record.log, "rules: in force";
-                        "version" => version, "routes" => routes, "from" => source);
-                }
-            }
+    fn take_rules(&self, sources: Sources, value: &Value, source: &str) -> bool {
+        let rules = match (sources.read_rules)(value) {
+            Ok(rules) => rules,
             Err(e) => {
                 warn!(self.record.log, "rules: could not be read, the former stay in force";
                     "error" => e);
+                return false;
             }
+        };
+        let version = rules.version;
+        let routes = rules.routes().count();
+        let newer = self.catalog.lock().take_rules(rules);
+        if newer {
+            *self.rules_text.lock() = Some(value.to_string().into());
+            self.refresh_rules();
+            info!(self.record.log, "rules: in force";
+                "version" => version, "routes" => routes, "from" => source);
         }
+        newer
     }
 
-    pub(crate) async fn follow_targets(self: Arc<Self>, sources: Sources) {
-        let mut from = None;
-        let mut pause = RETRY_MIN;
-        loop {
-            match self.read_targets(sources, from).await {
-                Ok(rev) => {
-                    self.regained("targets", &mut pause);
-                    from = Some(rev);
-                    sleep(TARGETS_PAUSE).await;
-                }
-                Err(Error::Gone) => from = None,
-                Err(e) => self.failed("targets", &e, &mut pause).await,
-            }
-        }
-    }
-
-    async fn read_targets(&self, sources: Sources, from: Option<u64>) -> Result<u64, Error> {
+    async fn read_targets(
+        self: &Arc<Self>,
+        sources: Sources,
+        from: Option<u64>,
+    ) -> Result<u64, Error> {
         let kind = sources.targets;
+        // Peers may have told of later changes than the last watch.
+        let from = from.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
         let Some(from) = from else {
             let list = self.platform.list(kind, "").await?;
-            let read = |o: &Object| self.registration(sources, &o.name, o.rev, &o.value);
+            let read = |o: &platform::Object| {
+                let listed = self.registration(sources, &o.name, o.rev, &o.value)?;
+                Some(Registration { rev: o.rev, listed })
+            };
             let registrations = list.items.iter().filter_map(read).collect();
             let now = Instant::now();
             self.catalog.lock().take_list(list.rev, registrations, now);
-            self.refresh();
+            self.refresh_targets();
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, WATCH_WAIT).await?;
-        let now = Instant::now();
-        let mut catalog = self.catalog.lock();
-        for event in &changes.events {
-            let read = |v| self.registration(sources, &event.name, event.rev, v);
-            match event.value.as_ref() {
-                None => {
-                    info!(self.record.log, "target: registration removed";
-                        "target" => event.name.as_str(), "rev" => event.rev);
-                    catalog.remove(&event.name, now);
-                }
-                Some(value) => match read(value) {
-                    Some(registration) => catalog.put(registration),
-                    None => catalog.remove(&event.name, now),
-                },
-            }
-        }
-        catalog.as_of = catalog.as_of.max(Some(changes.rev));
-        let unsettled = catalog.is_unsettled();
-        drop(catalog);
-        if !changes.events.is_empty() || unsettled {
-            self.refresh();
+        let change = |e: &platform::Event| Change {
+            name: e.name.clone(),
+            rev: e.rev,
+            listed: self.change(sources, e),
+        };
+        let list: Vec<_> = changes.events.iter().map(change).collect();
+        let since = self.catalog.lock().newest().unwrap_or_default();
+        self.take_changes(changes.rev, list.clone());
+        if !list.is_empty() {
+            let away = self.catalog.lock().last_away();
+            self.pass_on(News::Targets {
+                since,
+                as_of: changes.rev,
+                changes: list,
+                away: away.map(|at| at.elapsed()),
+            });
         }
         Ok(changes.rev)
     }
 
+    fn take_changes(&self, as_of: u64, changes: Vec<Change>) {
+        let any = !changes.is_empty();
+        let now = Instant::now();
+        self.catalog.lock().take_changes(as_of, changes, now);
+        if any {
+            self.refresh_targets();
+        }
+    }
+
+    fn change(&self, sources: Sources, event: &platform::Event) -> Option<Listed> {
+        let Some(value) = &event.value else {
+            info!(self.record.log, "target: registration removed";
+                "target" => event.name.as_str(), "rev" => event.rev);
+            return None;
+        };
+        self.registration(sources, &event.name, event.rev, value)
+    }
+
     /// Reads one registration; one that cannot be read names no target.
     fn registration(
         &self,
@@ -194,13 +287,13 @@
         name: &SmolStr,
         rev: u64,
         value: &Value,
-    ) -> Option<Registration> {
+    ) -> Option<Listed> {
         match (sources.read_target)(name, value) {
             Ok(listed) => {
                 info!(self.record.log, "target: registered";
                     "target" => name.as_str(), "rev" => rev, "service" => listed.service.as_str(),
                     "leaving" => listed.leaving);
-                Some(Registration { rev, listed })
+                Some(listed)
             }
             Err(e) => {
                 warn!(self.record.log, "target: registration passed over";
@@ -210,31 +303,111 @@
         }
     }
 
-    fn regained(&self, what: &str, pause: &mut Duration) {
+    fn regained(&self, topic: Topic, pause: &mut Duration) {
         if *pause != RETRY_MIN {
-            info!(self.record.log, "platform: regained"; "for" => what);
+            info!(self.record.log, "platform: regained"; "for" => topic.name());
         }
         *pause = RETRY_MIN;
+        self.set_reading(topic, true);
     }
 
-    async fn failed(&self, what: &str, error: &Error, pause: &mut Duration) {
+    async fn failed(&self, topic: Topic, error: &Error, pause: &mut Duration) {
         if *pause == RETRY_MIN {
-            warn!(self.record.log, "platform: lost"; "for" => what, "error" => %error);
+            warn!(self.record.log, "platform: lost"; "for" => topic.name(), "error" => %error);
         }
+        self.set_reading(topic, false);
         self.catalog.lock().platform_away(Instant::now());
         sleep(error.wait().unwrap_or(*pause).min(RETRY_MAX)).await;
         *pause = (*pause * 2).min(RETRY_MAX);
     }
 
+    /// Tells the instances that do not read the platform.
+    fn pass_on(self: &Arc<Self>, news: News) {
+        let listeners = self.listeners();
+        if listeners.is_empty() {
+            return;
+        }
+        let me = Arc::clone(self);
+        tokio::spawn(async move {
+            let tell = |name: &SmolStr| {
+                let (me, name, news) = (Arc::clone(&me), name.clone(), news.clone());
+                async move {
+                    let told = me.peers.call::<_, ()>(&name, Tag::News, &news, ASK_LIMIT);
+                    if let Err(e) = told.await {
+                        info!(me.record.log, "platform: could not tell a peer";
+                            "peer" => name.as_str(), "error" => %e);
+                    }
+                }
+            };
+            join_all(listeners.iter().map(tell)).await;
+        });
+    }
+
+    /// Takes what instances on duty pass on, and answers those that lack something.
+    pub(crate) fn hear_news(self: &Arc<Self>, sources: Sources) {
+        let me = Arc::clone(self);
+        self.peers.on(Tag::News, move |from, news: News| {
+            me.take_news(sources, &from, news);
+            ready(())
+        });
+        let me = Arc::clone(self);
+        self.peers
+            .on(Tag::Config, move |_, held: Held| ready(me.copy_for(held)));
+    }
+
+    fn take_news(self: &Arc<Self>, sources: Sources, from: &SmolStr, news: News) {
+        match news {
+            News::Rules(text) => self.take_rules_text(sources, &text, from),
+            News::Targets {
+                since,
+                as_of,
+                changes,
+                away,
+            } => {
+                self.note_away(away);
+                let missed = self.catalog.lock().newest() < Some(since);
+                match missed {
+                    true => {
+                        let (me, from) = (Arc::clone(self), from.clone());
+                        tokio::spawn(async move { me.take_copy(sources, &from).await });
+                    }
+                    false => self.take_changes(as_of, changes),
+                }
+            }
+        }
+    }
+
+    fn take_rules_text(&self, sources: Sources, text: &str, from: &str) {
+        match serde_json::from_str(text) {
+            Ok(value) => {
+                self.take_rules(sources, &value, from);
+            }
+            Err(e) => warn!(self.record.log, "rules: could not read a peer's";
+                "peer" => from, "error" => %e),
+        }
+    }
+
+    fn note_away(&self, away: Option<Duration>) {
+        let at = away.and_then(|away| Instant::now().checked_sub(away));
+        if let Some(at) = at {
+            self.catalog.lock().platform_away(at);
+        }
+    }
+
     /// Answers a peer that lacks something.
-    pub(crate) fn copy_for(&self, held: Held) -> Copy {
+    fn copy_for(&self, held: Held) -> Copy {
         let text = self.rules_text.lock().clone();
         let catalog = self.catalog.lock();
         let rules = (catalog.version() > held.rules).then_some(text).flatten();
-        let newer = catalog.as_of.filter(|mine| Some(*mine) > held.targets);
+        let newer = catalog.newest() > held.targets;
+        let revs = catalog.as_of.zip(catalog.newest()).filter(|_| newer);
         Copy {
             rules: rules.map(|text| text.to_string()),
-            targets: newer.map(|as_of| (as_of, catalog.registrations())),
+            targets: revs.map(|revs| Targets {
+                revs,
+                list: catalog.registrations(),
+                away: catalog.last_away().map(|at| at.elapsed()),
+            }),
         }
     }
 
@@ -252,13 +425,16 @@
                 return;
             }
         };
-        if let Some(value) = copy.rules.and_then(|t| serde_json::from_str(&t).ok()) {
-            self.take_rules(sources, &value, name);
+        if let Some(text) = copy.rules {
+            self.take_rules_text(sources, &text, name);
         }
-        if let Some((as_of, registrations)) = copy.targets {
+        if let Some(targets) = copy.targets {
+            self.note_away(targets.away);
             let now = Instant::now();
-            self.catalog.lock().take_list(as_of, registrations, now);
-            self.refresh();
+            self.catalog
+                .lock()
+                .take_copy(targets.revs, targets.list, now);
+            self.refresh_targets();
         }
     }
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -45,9 +45,12 @@
         self.peers.on(Tag::Load, move |from, told: Told| {
             let now = Instant::now();
             me.router.peer_word(&from, &told.word, now);
+            let near = me.peers.is_near(&from);
             let mut runs = me.runs.lock();
-            told.runs.into_iter().for_each(|note| runs.hear(note, now));
+            let notes = told.runs.into_iter();
+            notes.for_each(|note| runs.hear(note, near, now));
             drop(runs);
+            me.readers.lock().insert(from.clone(), told.held.reads);
             me.greet(&from);
             me.compare(sources, from, told.held, now);
             ready(())
@@ -55,9 +58,7 @@
         let me = Arc::clone(self);
         self.peers
             .on(Tag::Journal, move |_, ()| ready(me.runs.lock().all()));
-        let me = Arc::clone(self);
-        self.peers
-            .on(Tag::Config, move |_, held: Held| ready(me.copy_for(held)));
+        self.hear_news(sources);
     }
 
     /// Takes the runs that the first peer heard of knows: their callers may come here.
@@ -75,7 +76,8 @@
                     info!(me.record.log, "runs: taken from a peer"; "peer" => peer.as_str(), "runs" => runs.len());
                     let now = Instant::now();
                     let mut known = me.runs.lock();
-                    runs.into_iter().for_each(|note| known.hear(note, now));
+                    runs.into_iter()
+                        .for_each(|note| known.hear(note, false, now));
                 }
                 Err(e) => {
                     info!(me.record.log, "runs: could not ask a peer"; "peer" => peer.as_str(), "error" => %e);
--- a/src/relay/ledger.rs
+++ b/src/relay/ledger.rs
@@ -1,4 +1,4 @@
-//! Keeps this instance's runs in the platform's store, so that callers go on from copies even when
+//! Keeps the runs of each failure domain in the platform's store, so that callers go on from copies even when
 //! every instance was lost at once. A stale entry costs one refusal by an engine.
 
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use super::runs::Note;
 use crate::platform::{Error, Expect};
 
-/// Kind of the objects, one for each instance.
+/// Kind of the objects, one for each instance that has written.
 const KIND: &str = "endivefork-runs";
 
 /// Time between two writes, which are billed. Runs that began since the last one are read again
@@ -54,11 +54,15 @@
 }
 
 impl Relay {
-    /// Takes the runs that all instances had, and then stores its own, again and again.
+    /// Takes the runs that all instances had, and then stores those of its failure domain while that
+    /// is its duty.
     pub(crate) async fn keep_ledger(self: Arc<Self>) {
         let mut expect = self.read_ledger().await;
         loop {
             sleep(PERIOD).await;
+            if !self.is_writer() {
+                continue;
+            }
             let notes = self.runs.lock().take_changed(Instant::now());
             let Some(notes) = notes else { continue };
             expect = self.write_ledger(&Stored::of(notes), expect).await;
@@ -85,7 +89,7 @@
                     let mut runs = self.runs.lock();
                     stored.notes().for_each(|note| {
                         count += 1;
-                        runs.hear(note, now);
+                        runs.hear(note, false, now);
                     });
                 }
                 Err(e) => warn!(self.record.log, "runs: could not read a ledger";
--- a/src/relay/links.rs
+++ b/src/relay/links.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -31,6 +32,9 @@
 /// Taken off the time that a target names, for the way there and a late timer.
 const KEEP_MARGIN: Duration = Duration::from_secs(1);
 
+/// Largest answer to a question of the relay's own, in bytes: a report with hundreds of runs.
+const OWN_MAX: usize = 256 * 1024;
+
 /// Bytes buffered for one connection; a head fits into it.
 const BUFFER: usize = 32 * 1024;
 
@@ -145,6 +149,34 @@
         Some(last.link)
     }
 
+    /// Sends a request of the relay's own over a new connection and reads the whole answer; none
+    /// when it could not be had.
+    pub(crate) async fn ask(
+        &self,
+        key: TargetKey,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Option<Response<Bytes>> {
+        let mut link = self.open(key, addr, Duration::ZERO).await.ok()?;
+        let (parts, body) = link.send(request).await.ok()?.into_parts();
+        let body = Limited::new(body, OWN_MAX).collect().await.ok()?;
+        Some(Response::from_parts(parts, body.to_bytes()))
+    }
+
+    /// Reads `path` of a target.
+    pub(crate) async fn get(
+        &self,
+        key: TargetKey,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Option<Response<Bytes>> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().ok()?;
+        let host = HeaderValue::from_str(&addr.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        self.ask(key, addr, request).await
+    }
+
     /// Keeps a connection whose exchange ended whole. `keep` is the time that the target named.
     pub(crate) fn keep(&self, key: TargetKey, mut link: Link, keep: Option<Duration>) {
         let now = Instant::now();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod copies;
 mod dialect;
+mod duty;
 mod events;
 mod follow;
 mod front;
--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -4,10 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderValue, Request};
-use http_body_util::{BodyExt as _, Full};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -73,13 +69,6 @@
 
 /// Reads an engine's report.
 pub(crate) async fn report(relay: &Relay, key: TargetKey, addr: SocketAddr) -> Option<Report> {
-    let opened = relay.links.open(key, addr, Duration::ZERO);
-    let mut link = opened.await.ok()?;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = relay.dialect.report.parse().ok()?;
-    let host = HeaderValue::from_str(&addr.to_string()).ok()?;
-    request.headers_mut().insert(HOST, host);
-    let response = link.send(request).await.ok()?;
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    (relay.dialect.read_report)(&body)
+    let answer = relay.links.get(key, addr, relay.dialect.report).await?;
+    (relay.dialect.read_report)(answer.body())
 }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
@@ -11,6 +12,7 @@
 use super::catalog::Catalog;
 use super::copies::{RunCopy, Source};
 use super::dialect::Dialect;
+use super::duty::Reading;
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
@@ -52,6 +54,10 @@
     pub(crate) greeted: AtomicBool,
     /// JSON text of the rules in force, to pass on.
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
+    /// Whether this instance reads the platform for others.
+    pub(crate) reading: Mutex<Reading>,
+    /// What peers have last said of that.
+    pub(crate) readers: Mutex<IndexMap<SmolStr, bool>>,
     /// Since when peers have had newer targets.
     pub(crate) behind: Mutex<Option<Instant>>,
     rules: RwLock<Option<Arc<Rules>>>,
@@ -92,6 +98,8 @@
             news: Notify::new(),
             greeted: AtomicBool::new(false),
             rules_text: Mutex::default(),
+            reading: Mutex::default(),
+            readers: Mutex::default(),
             behind: Mutex::default(),
             rules: RwLock::default(),
             begun: watch::Sender::new(false),
@@ -115,10 +123,17 @@
         let _ = begun.wait_for(|begun| *begun).await;
     }
 
-    /// Brings the router and the rules in force up to the catalog.
-    pub(crate) fn refresh(&self) {
-        let now = Instant::now();
+    /// Drops targets from the router whose time without a registration is over.
+    pub(crate) fn settle_targets(&self, now: Instant) {
+        if self.catalog.lock().is_due(now) {
+            self.refresh_targets();
+        }
+    }
+
+    /// Brings the router up to the catalog.
+    pub(crate) fn refresh_targets(&self) {
         let mut catalog = self.catalog.lock();
+        let now = Instant::now();
         let targets = catalog.targets(|domain| self.region(domain), now);
         let slots: Vec<_> = targets.iter().map(|(t, slots)| (t.key, *slots)).collect();
         self.router
@@ -126,8 +141,16 @@
         for (key, slots) in slots {
             self.router.slots(key, slots);
         }
+        let ready = catalog.is_complete();
+        drop(catalog);
+        self.begin(ready);
+    }
+
+    /// Brings the rules in force up to the catalog.
+    pub(crate) fn refresh_rules(&self) {
+        let catalog = self.catalog.lock();
         let rules = catalog.rules().cloned();
-        let ready = rules.is_some() && catalog.as_of.is_some();
+        let ready = catalog.is_complete();
         drop(catalog);
         for (name, service) in rules.iter().flat_map(|r| &r.services) {
             if let Some(engine) = service.engine {
@@ -139,6 +162,10 @@
             }
         }
         *self.rules.write() = rules;
+        self.begin(ready);
+    }
+
+    fn begin(&self, ready: bool) {
         self.begun
             .send_if_modified(|begun| !std::mem::replace(begun, ready) && ready);
     }
--- a/src/relay/revive.rs
+++ b/src/relay/revive.rs
@@ -4,10 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderValue, Request};
-use http_body_util::Full;
 use slog::info;
 use smol_str::SmolStr;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -29,6 +25,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            self.settle_targets(Instant::now());
             for subject in self.router.found_dead(Instant::now()) {
                 self.links.forget(subject.key);
                 tokio::spawn(Arc::clone(&self).revive(subject));
@@ -82,7 +79,7 @@
         drop(catalog);
         if new {
             info!(self.record.log, "target: used before it has registered"; "target" => name.as_str());
-            self.refresh();
+            self.refresh_targets();
         }
     }
 
@@ -90,13 +87,7 @@
     async fn name_at(&self, subject: &Subject) -> Option<SmolStr> {
         let rules = self.rules()?;
         let health = &rules.services.get(&subject.service)?.health;
-        let opened = self.links.open(subject.key, subject.addr, Duration::ZERO);
-        let mut link = opened.await.ok()?;
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = health.parse().ok()?;
-        let host = HeaderValue::from_str(&subject.addr.to_string()).ok()?;
-        request.headers_mut().insert(HOST, host);
-        let response = link.send(request).await.ok()?;
-        (self.dialect.name)(response.headers())
+        let answer = self.links.get(subject.key, subject.addr, health).await?;
+        (self.dialect.name)(answer.headers())
     }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::dialect::Dialect;
-use super::follow::Sources;
+use super::follow::{Sources, Topic};
 use super::front::{self, Front};
 use super::record::Record;
 use super::relay::Relay;
@@ -196,8 +196,8 @@
 
 fn start(relay: &Arc<Relay>, sources: Sources) {
     relay.hear_peers(sources);
-    tokio::spawn(Arc::clone(relay).follow_rules(sources));
-    tokio::spawn(Arc::clone(relay).follow_targets(sources));
+    tokio::spawn(Arc::clone(relay).follow(sources, Topic::Rules));
+    tokio::spawn(Arc::clone(relay).follow(sources, Topic::Targets));
     tokio::spawn(Arc::clone(relay).keep_ledger());
     tokio::spawn(Arc::clone(relay).tell_peers());
     tokio::spawn(Arc::clone(relay).revive_targets());
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -34,7 +34,8 @@
 pub(crate) struct Runs {
     known: IndexMap<u128, (Note, Instant)>,
     news: Vec<Note>,
-    own: IndexSet<u128>,
+    /// Runs of this failure domain.
+    near: IndexSet<u128>,
     changed: bool,
 }
 
@@ -42,17 +43,19 @@
     /// Notes a run of this instance, to be told to others.
     pub(crate) fn note(&mut self, note: Note, now: Instant) {
         self.news.push(note.clone());
-        self.own.insert(note.digest);
-        self.changed = true;
-        self.hear(note, now);
+        self.hear(note, true, now);
     }
 
-    /// Takes another instance's note.
-    pub(crate) fn hear(&mut self, note: Note, now: Instant) {
+    /// Takes another instance's note; `near` when that is of this failure domain.
+    pub(crate) fn hear(&mut self, note: Note, near: bool, now: Instant) {
+        if near {
+            self.near.insert(note.digest);
+            self.changed = true;
+        }
         let full = self.known.len() >= RUNS_MAX;
         let oldest = full.then(|| self.known.shift_remove_index(0)).flatten();
         if let Some((digest, _)) = oldest {
-            self.own.swap_remove(&digest);
+            self.near.swap_remove(&digest);
         }
         self.known.shift_remove(&note.digest);
         self.known.insert(note.digest, (note, now));
@@ -61,7 +64,7 @@
     /// A run of this instance has ended.
     pub(crate) fn ended(&mut self, digest: u128) {
         self.known.shift_remove(&digest);
-        self.changed |= self.own.swap_remove(&digest);
+        self.changed |= self.near.swap_remove(&digest);
     }
 
     /// Where the copy of a run of this content lies. It can be used once.
@@ -76,15 +79,16 @@
         self.known.values().map(|(note, _)| note.clone()).collect()
     }
 
-    /// Runs of this instance, to be stored. `None` when nothing has changed since the last call.
+    /// Runs of this failure domain, to be stored. `None` when nothing has changed since the last
+    /// call.
     pub(crate) fn take_changed(&mut self, now: Instant) -> Option<Vec<Note>> {
         if !std::mem::take(&mut self.changed) {
             return None;
         }
-        let own = &self.own;
+        let near = &self.near;
         let fresh = |at: Instant| now.saturating_duration_since(at) < STORED;
         let mine = self.known.values();
-        let mine = mine.filter(|(note, at)| own.contains(&note.digest) && fresh(*at));
+        let mine = mine.filter(|(note, at)| near.contains(&note.digest) && fresh(*at));
         let mine = mine.filter(|(note, _)| note.copied.is_some());
         Some(mine.map(|(note, _)| note.clone()).collect())
     }
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 use crate::fleet::Target;
-use crate::relay::catalog::{Catalog, Listed, Registration};
+use crate::relay::catalog::{Catalog, Change, Listed, Registration};
 use crate::relay::rules::{Limits, Rules};
 
 fn listed(name: &str, incarnation: u64) -> Listed {
@@ -154,3 +154,53 @@
 
     assert_eq!(names(&mut catalog, later), ["found"]);
 }
+
+fn change(name: &str, rev: u64, listed: Option<Listed>) -> Change {
+    Change {
+        name: name.into(),
+        rev,
+        listed,
+    }
+}
+
+#[test]
+fn changes_that_come_again_are_taken_once() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.take_list(5, vec![registration("a", 1, 5)], now);
+    let put = change("b", 6, Some(listed("b", 1)));
+    let removed = change("b", 7, None);
+
+    catalog.take_changes(7, [put.clone(), removed], now);
+    catalog.take_changes(6, [put], now);
+
+    assert_eq!(names(&mut catalog, now), ["a"]);
+    assert_eq!((catalog.newest(), catalog.as_of), (Some(7), Some(7)));
+}
+
+#[test]
+fn an_older_copy_brings_no_removed_target_back() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.take_list(9, vec![registration("a", 1, 3)], now);
+
+    let theirs = vec![registration("a", 1, 3), registration("b", 1, 5)];
+    catalog.take_copy((6, 5), theirs, now);
+
+    assert_eq!(names(&mut catalog, now), ["a"]);
+    assert_eq!(catalog.newest(), Some(5), "it is not asked for again");
+}
+
+#[test]
+fn a_lapsed_target_is_due_when_its_time_is_over() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.take_list(5, vec![registration("a", 1, 5)], now);
+    catalog.platform_away(now);
+    catalog.take_list(6, Vec::new(), now);
+
+    let early = catalog.is_due(now + Duration::from_secs(2));
+    let late = catalog.is_due(now + Duration::from_secs(3));
+
+    assert_eq!((early, late), (false, true));
+}
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -20,7 +20,7 @@
 fn a_copy_is_handed_out_once() {
     let now = Instant::now();
     let mut runs = Runs::default();
-    runs.hear(note(1, Some("a")), now);
+    runs.hear(note(1, Some("a")), false, now);
 
     let first = runs.take(1, now);
 
@@ -32,8 +32,8 @@
 fn the_newest_note_of_a_run_holds() {
     let now = Instant::now();
     let mut runs = Runs::default();
-    runs.hear(note(1, Some("a")), now);
-    runs.hear(note(1, None), now);
+    runs.hear(note(1, Some("a")), false, now);
+    runs.hear(note(1, None), false, now);
 
     assert_eq!(runs.take(1, now), None);
 }
@@ -42,7 +42,7 @@
 fn an_old_note_is_not_believed() {
     let now = Instant::now();
     let mut runs = Runs::default();
-    runs.hear(note(1, Some("a")), now);
+    runs.hear(note(1, Some("a")), false, now);
 
     assert_eq!(runs.take(1, now + Duration::from_secs(90)), None);
 }
@@ -51,7 +51,7 @@
 fn only_own_runs_with_a_copy_that_have_not_ended_are_stored() {
     let now = Instant::now();
     let mut runs = Runs::default();
-    runs.hear(note(1, Some("a")), now);
+    runs.hear(note(1, Some("a")), false, now);
     runs.note(note(2, Some("b")), now);
     runs.note(note(3, Some("c")), now);
     runs.note(note(4, None), now);
@@ -68,7 +68,7 @@
 fn only_own_runs_are_news_to_peers() {
     let now = Instant::now();
     let mut runs = Runs::default();
-    runs.hear(note(1, Some("a")), now);
+    runs.hear(note(1, Some("a")), false, now);
     runs.note(note(2, Some("b")), now);
 
     let told: Vec<_> = runs.news().iter().map(|n| n.digest).collect();
@@ -76,3 +76,15 @@
     assert_eq!(told, [2]);
     assert!(runs.news().is_empty());
 }
+
+#[test]
+fn runs_of_the_failure_domain_are_stored_and_others_are_not() {
+    let now = Instant::now();
+    let mut runs = Runs::default();
+    runs.hear(note(1, Some("a")), true, now);
+    runs.hear(note(2, Some("b")), false, now);
+
+    let stored = runs.take_changed(now).unwrap_or_default();
+
+    assert_eq!(stored, [note(1, Some("a"))]);
+}
