--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -51,10 +51,6 @@
     pub timeout: Duration,
     /// Time to the answer, or to a stream's first event, within which it is on time.
     pub objective: Duration,
-    /// Longest pause in a stream that is on time.
-    pub gap: Option<Duration>,
-    /// Rank; 0 is the most urgent.
-    pub priority: u8,
     /// Targets on which one request may run.
     pub attempts: u32,
     /// Services that take its requests.
@@ -104,8 +100,6 @@
     pub headers: usize,
     /// Bytes of a request's body.
     pub body: usize,
-    /// Time in which the headers must arrive.
-    pub receive: Duration,
     /// Idle time that callers may rely on.
     pub idle: Duration,
 }
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -32,7 +32,6 @@
     let limits = Limits {
         headers: 1,
         body: 1,
-        receive: Duration::ZERO,
         idle: Duration::ZERO,
     };
     Rules::new(version, Vec::new(), IndexMap::new(), limits, None)
--- a/src/relay/tests/rules.rs
+++ b/src/relay/tests/rules.rs
@@ -16,8 +16,6 @@
         kind: Kind::Idempotent,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(200),
-        gap: None,
-        priority: 1,
         attempts: 2,
         shares: shares.iter().map(share).collect(),
         open: false,
@@ -28,7 +26,6 @@
     let limits = Limits {
         headers: 1,
         body: 1,
-        receive: Duration::ZERO,
         idle: Duration::ZERO,
     };
     let engine = Service {
