--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -15,7 +15,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::answer::Own;
 use super::call::Done;
@@ -48,6 +48,16 @@
     pub(crate) drain: Arc<Drain>,
 }
 
+impl Front {
+    /// Waits until this process is about to end.
+    async fn nearly_over(&self) {
+        self.drain.begun().await;
+        let since = self.drain.since().unwrap_or_default();
+        let left = self.relay.settings.drain.saturating_sub(since);
+        sleep(left.saturating_sub(leaving::LAST_WORD)).await;
+    }
+}
+
 /// What takes all requests of callers.
 pub(crate) fn router(front: Front) -> Router {
     Router::new()
@@ -109,7 +119,12 @@
         inquiry.rules,
     );
     let done = match inquiry.route.kind {
-        Kind::Stream { .. } => stream::run(relay, inquiry, running).await,
+        Kind::Stream { .. } => {
+            tokio::select! {
+                done = stream::run(relay, inquiry, running) => done,
+                () = front.nearly_over() => Done::refused(Own::lost("shutting down")),
+            }
+        }
         Kind::Idempotent | Kind::Once => call::run(relay, &inquiry).await,
     };
     let (id, route, service, rules) = noted;
