--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -119,7 +119,7 @@
             from: self.opts.me.clone(),
             incarnation: self.incarnation,
             leaving: self.leaving.load(Ordering::Relaxed),
-            others: self.members.lock().introduce(INTRODUCED),
+            others: self.members.lock().introduce(INTRODUCED, Instant::now()),
         }
     }
 
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -9,9 +9,17 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use crate::ident::digest;
+
 /// Missed heartbeats after which a peer counts as silent.
 const MISSED: u32 = 3;
 
+/// Heartbeats for which a newcomer, or one who has met a newcomer, introduces others.
+const SETTLED: u32 = 5;
+
+/// Bound of the place from which introductions begin: more than there are instances.
+const START: usize = 1 << 20;
+
 /// How long an instance that nobody lists or hears is remembered.
 const FORGET: Duration = Duration::from_secs(60);
 
@@ -100,17 +108,22 @@
     known: IndexMap<SmolStr, Known>,
     /// Place from which the next heartbeat tells of others.
     told: usize,
+    /// When an instance was last added.
+    met: Option<Instant>,
 }
 
 impl Members {
     /// Knows nobody. `period` is the time between heartbeats.
     #[must_use]
     pub fn new(me: SmolStr, period: Duration) -> Self {
+        // Instances begin at different places, so that a newcomer hears of different ones.
+        let told = digest(&[&me]) as usize % START;
         Self {
             me,
             period,
             known: IndexMap::new(),
-            told: 0,
+            told,
+            met: None,
         }
     }
 
@@ -208,8 +221,13 @@
         })
     }
 
-    /// Up to `most` instances that answer, by turns, so that after some heartbeats all were told.
-    pub fn introduce(&mut self, most: usize) -> Vec<Gossip> {
+    /// Up to `most` instances that answer, by turns, so that after some heartbeats all were told;
+    /// none once nobody has come for a while.
+    pub fn introduce(&mut self, most: usize, now: Instant) -> Vec<Gossip> {
+        let settled = |met: Instant| now - met > self.period * SETTLED;
+        if self.met.is_none_or(settled) {
+            return Vec::new();
+        }
         let all = self.known.len();
         let from = self.told % all.max(1);
         self.told = from + most;
@@ -232,6 +250,9 @@
     }
 
     fn learn(&mut self, member: &Member, now: Instant) -> &mut Known {
+        if !self.known.contains_key(&member.name) {
+            self.met = Some(now);
+        }
         let known = self
             .known
             .entry(member.name.clone())
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -327,10 +327,50 @@
         members.hear(&beat, now);
     }
 
-    let turns: Vec<_> = (0..13).map(|_| members.introduce(8)).collect();
+    let turns: Vec<_> = (0..13).map(|_| members.introduce(8, now)).collect();
 
     assert!(turns.iter().all(|t| t.len() <= 8));
     let told: std::collections::HashSet<_> =
         turns.iter().flatten().map(|g| &g.member.name).collect();
     assert_eq!(told.len(), 100);
+    let later = members.introduce(8, now + 6 * PERIOD);
+    assert!(later.is_empty(), "nobody has come since");
+}
+
+#[test]
+fn a_newcomer_to_a_settled_fleet_knows_all_within_five_heartbeats() {
+    let begin = Instant::now();
+    let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let all: Vec<_> = (0..80).map(|n| member(&format!("i{n}"), at(n))).collect();
+    let beat = |from: &Member, others| Heartbeat {
+        from: from.clone(),
+        incarnation: 1,
+        leaving: false,
+        others,
+    };
+    let settled = |me: &Member| {
+        let mut members = Members::new(me.name.clone(), PERIOD);
+        let others = all[..79].iter().filter(|m| m.name != me.name);
+        others.for_each(|m| members.hear(&beat(m, vec![]), begin));
+        members
+    };
+    let mut fleet: Vec<_> = all[..79].iter().map(settled).collect();
+    let new = &all[79];
+    let mut newcomer = Members::new(new.name.clone(), PERIOD);
+    newcomer.list(&all[..1], begin);
+
+    let begin = begin + 100 * PERIOD;
+    for round in 0..5 {
+        let now = begin + PERIOD * round;
+        let known: Vec<_> = newcomer.all().cloned().collect();
+        for peer in known {
+            let n = all.iter().position(|m| m.name == peer.name).unwrap();
+            let told = newcomer.introduce(8, now);
+            fleet[n].hear(&beat(new, told), now);
+            let answered = fleet[n].introduce(8, now);
+            newcomer.hear(&beat(&peer, answered), now);
+        }
+    }
+
+    assert_eq!(newcomer.alive().count(), 79);
 }
