Adopt no target whose registration was removed

Change: a life that was once registered is not adopted. Test: catalog.rs, failed first. Changes also apply by the span of revisions they cover, not each by its own.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -160,18 +160,19 @@
         self.newest = self.newest.max(Some(newest));
     }
 
-    /// Takes changes in the order of their revisions.
+    /// Takes the changes up to revision `as_of`, in their order, from one at which this is known.
+    /// Some of them may be known already: that the last ones hold is what counts.
     pub(crate) fn take_changes(
         &mut self,
         as_of: u64,
         changes: impl IntoIterator<Item = Change>,
         now: Instant,
     ) {
+        if self.as_of >= Some(as_of) {
+            return;
+        }
         for change in changes {
-            if self.newest >= Some(change.rev) {
-                continue;
-            }
-            self.newest = Some(change.rev);
+            self.newest = self.newest.max(Some(change.rev));
             match change.listed {
                 Some(listed) => self.put(Registration {
                     rev: change.rev,
@@ -180,7 +181,7 @@
                 None => self.remove(&change.name, now),
             }
         }
-        self.as_of = self.as_of.max(Some(as_of));
+        self.as_of = Some(as_of);
     }
 
     /// Takes one registration.
@@ -213,10 +214,13 @@
     }
 
     /// Takes a target that was found at the address of one that is gone, before it has registered.
-    /// Returns whether it is new.
+    /// Returns whether it is new: one whose registration was removed leaves, though it answers.
     pub(crate) fn adopt(&mut self, listed: Listed, now: Instant) -> bool {
         let name = listed.name.clone();
-        let known = self.targets.contains_key(&name) || self.adopted.contains_key(&name);
+        let life = |k: &Key| k.incarnation == listed.incarnation;
+        let known = self.keys.get(&name).is_some_and(|k| k.iter().any(life))
+            || self.targets.contains_key(&name)
+            || self.adopted.contains_key(&name);
         if !known {
             self.adopted.insert(name, (listed, now));
         }
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -203,3 +203,19 @@
 
     assert_eq!((early, late), (false, true));
 }
+
+#[test]
+fn a_target_whose_registration_was_removed_is_not_adopted() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.take_list(5, vec![registration("a", 1, 5)], now);
+    names(&mut catalog, now);
+    catalog.take_changes(6, [change("a", 6, None)], now);
+    names(&mut catalog, now);
+
+    let same = catalog.adopt(listed("a", 1), now);
+    let anew = catalog.adopt(listed("a", 2), now);
+
+    assert!(!same, "it leaves without saying so");
+    assert!(anew, "it started again under its name");
+}
