Tell a moved copy at once, and keep who is ahead apart by peer

Cause, seen on reading: since words go out only on change, a copy made anew was told up to a second late; and a word of any peer that lacks the same ended the wait after which targets are asked for. Change: pending notes are urgent; only the peer that was ahead can take that back.

--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -93,13 +93,15 @@
         let mut behind = self.behind.lock();
         match theirs.targets > mine.targets {
             true => {
-                behind.get_or_insert(now);
+                behind.get_or_insert((from.clone(), now));
             }
-            false => *behind = None,
+            // Another one that lacks the same says nothing.
+            false => *behind = behind.take().filter(|(ahead, _)| *ahead != from),
         }
-        let lagging = behind.is_some_and(|at| now.saturating_duration_since(at) > BEHIND_MAX);
+        let late = |at: &Instant| now.saturating_duration_since(*at) > BEHIND_MAX;
+        let lagging = behind.as_ref().is_some_and(|(_, at)| late(at));
         if lagging {
-            *behind = Some(now);
+            *behind = None;
         }
         drop(behind);
         if theirs.rules > mine.rules || lagging || mine.targets.is_none() {
@@ -125,7 +127,8 @@
                 peers: alive.collect(),
             };
             self.links.sweep();
-            let wait = match pacing.tell(&state, urgent, now) {
+            let noted = self.runs.lock().has_news();
+            let wait = match pacing.tell(&state, urgent || noted, now) {
                 Tell::Nothing => continue,
                 Tell::In(wait) => wait,
             };
--- a/src/relay/pacing.rs
+++ b/src/relay/pacing.rs
@@ -48,7 +48,8 @@
         }
     }
 
-    /// Whether and when to tell `state`. `urgent` when a run has begun.
+    /// Whether and when to tell `state`. `urgent` when a run has begun or
+    /// its copy is elsewhere.
     pub(crate) fn tell(&mut self, state: &State, urgent: bool, now: Instant) -> Tell {
         let since = now.saturating_duration_since(self.at);
         let new = self.last.held != state.held
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -58,8 +58,8 @@
     pub(crate) reading: Mutex<Reading>,
     /// What peers have last said of that.
     pub(crate) readers: Mutex<IndexMap<SmolStr, bool>>,
-    /// Since when peers have had newer targets.
-    pub(crate) behind: Mutex<Option<Instant>>,
+    /// A peer that has newer targets, and since when.
+    pub(crate) behind: Mutex<Option<(SmolStr, Instant)>>,
     rules: RwLock<Option<Arc<Rules>>>,
     begun: watch::Sender<bool>,
 }
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -93,6 +93,11 @@
         Some(mine.map(|(note, _)| note.clone()).collect())
     }
 
+    /// Whether there is anything that others have not been told.
+    pub(crate) fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     /// What others have not been told.
     pub(crate) fn news(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.news)
