--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -1,4 +1,4 @@
-//! Who of a failure domain does for all of it what one can do.
+//! Which instances of a failure domain take on a duty for all of it.
 
 use smol_str::SmolStr;
 
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -29,8 +29,8 @@
 /// Longest wait for an answer to a heartbeat.
 const BEAT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Others that one heartbeat tells of: its size does not grow with the fleet, and a fleet of
-/// hundreds is known after a second, as each instance gets a heartbeat from all it knows.
+/// Others that one heartbeat tells of, so that its size does not grow with the fleet. A newcomer
+/// hears of eight more from each instance that it knows, and so of hundreds in a few heartbeats.
 const INTRODUCED: usize = 8;
 
 /// Who this instance is to others.
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -14,7 +14,8 @@
 /// Missed heartbeats after which a peer counts as silent.
 const MISSED: u32 = 3;
 
-/// Heartbeats for which a newcomer, or one who has met a newcomer, introduces others.
+/// Periods for which others are introduced after a newcomer was met: the five heartbeats in which
+/// a newcomer learns of 80, with its turns beginning anew for each that it meets.
 const SETTLED: u32 = 5;
 
 /// Bound of the place from which introductions begin: more than there are instances.
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -153,7 +153,7 @@
         list: Vec<Registration>,
         now: Instant,
     ) {
-        // A list of later than theirs lacks only what was removed since.
+        // What is known here up to a later revision includes theirs.
         if self.as_of < Some(as_of) {
             self.take_list(as_of, list, now);
         }
