--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -206,6 +206,8 @@
     }
 
     fn lapse(&mut self, registration: Registration, now: Instant) {
+        // Its life is remembered, also when it came and went in one batch.
+        self.key(&registration.listed, now);
         let returned = |away: Instant| now.saturating_duration_since(away) < RETURN_GRACE;
         if self.away.is_some_and(returned) {
             let name = registration.listed.name.clone();
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -219,3 +219,17 @@
     assert!(!same, "it leaves without saying so");
     assert!(anew, "it started again under its name");
 }
+
+#[test]
+fn a_registration_that_comes_and_goes_in_one_batch_is_remembered() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.take_list(5, Vec::new(), now);
+    let put = change("a", 6, Some(listed("a", 1)));
+    catalog.take_changes(7, [put, change("a", 7, None)], now);
+    names(&mut catalog, now);
+
+    let adopted = catalog.adopt(listed("a", 1), now);
+
+    assert!(!adopted, "it leaves without saying so");
+}
