--- a/src/config/feed.rs
+++ b/src/config/feed.rs
@@ -64,8 +64,7 @@
     /// Whether `me` is one of its domain's watchers. `alive` are its peers in that domain.
     #[must_use]
     pub fn is_watcher<'a>(me: &'a str, domain: &str, alive: impl Iterator<Item = &'a str>) -> bool {
-        let watchers = on_duty("config watch", domain, alive.chain([me]), WATCHERS);
-        watchers.iter().any(|name| name == me)
+        on_duty("config watch", domain, alive.chain([me]), WATCHERS).contains(&me)
     }
 
     /// Whether an instance that is no watcher must read by itself.
--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -1,7 +1,5 @@
 //! Which instances of a failure domain take on a duty for all of it.
 
-use smol_str::SmolStr;
-
 use crate::ident::{digest, rendezvous};
 
 /// The first `most` of `names` for a duty of a failure domain: all that see the same names choose
@@ -12,7 +10,8 @@
     domain: &str,
     names: impl Iterator<Item = &'a str>,
     most: usize,
-) -> Vec<SmolStr> {
-    let order = rendezvous(digest(&[duty, domain]), names);
-    order.into_iter().take(most).map(SmolStr::new).collect()
+) -> Vec<&'a str> {
+    let mut order = rendezvous(digest(&[duty, domain]), names);
+    order.truncate(most);
+    order
 }
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -362,6 +362,12 @@
         self.hub.members.lock().view().collect()
     }
 
+    /// How many other instances are known.
+    #[must_use]
+    pub fn others(&self) -> usize {
+        self.hub.members.lock().all().count()
+    }
+
     /// Whether a failure domain is cut off from here.
     #[must_use]
     pub fn cut_off(&self, domain: &str) -> bool {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -101,6 +101,15 @@
     heard: Instant,
 }
 
+impl Known {
+    fn gossip(&self) -> Gossip {
+        Gossip {
+            member: self.member.clone(),
+            reach: self.reach,
+        }
+    }
+}
+
 /// The instances that one instance knows.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -216,10 +225,7 @@
 
     /// All instances with whether they can be reached.
     pub fn view(&self) -> impl Iterator<Item = Gossip> {
-        self.known.values().map(|k| Gossip {
-            member: k.member.clone(),
-            reach: k.reach,
-        })
+        self.known.values().map(Known::gossip)
     }
 
     /// Up to `most` instances that answer, by turns, so that after some heartbeats all were told;
@@ -234,11 +240,7 @@
         self.told = from + most;
         let turn = self.known.values().cycle().skip(from).take(all);
         let alive = turn.filter(|k| k.reach == Reach::Alive).take(most);
-        let told = alive.map(|k| Gossip {
-            member: k.member.clone(),
-            reach: k.reach,
-        });
-        told.collect()
+        alive.map(Known::gossip).collect()
     }
 
     /// Whether a failure domain has instances and none of them answers, though none is known to
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -162,21 +162,16 @@
 
     /// Takes the changes up to revision `as_of`, in their order, from one at which this is known.
     /// Some of them may be known already: that the last ones hold is what counts.
-    pub(crate) fn take_changes(
-        &mut self,
-        as_of: u64,
-        changes: impl IntoIterator<Item = Change>,
-        now: Instant,
-    ) {
+    pub(crate) fn take_changes(&mut self, as_of: u64, changes: &[Change], now: Instant) {
         if self.as_of >= Some(as_of) {
             return;
         }
         for change in changes {
             self.newest = self.newest.max(Some(change.rev));
-            match change.listed {
+            match &change.listed {
                 Some(listed) => self.put(Registration {
                     rev: change.rev,
-                    listed,
+                    listed: listed.clone(),
                 }),
                 None => self.remove(&change.name, now),
             }
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -42,15 +42,11 @@
             at: lease.addr,
             handle: id.clone(),
         };
-        Self {
-            lease,
-            copied,
-            made: None,
-        }
+        Self::new(lease, copied)
     }
 
-    /// A copy that a peer knows of.
-    pub(crate) fn known(lease: Lease, copied: Copied) -> Self {
+    /// A copy that was made by order, here or at a peer.
+    pub(crate) fn new(lease: Lease, copied: Copied) -> Self {
         Self {
             lease,
             copied,
@@ -172,11 +168,7 @@
         at: source.engine.addr,
         handle,
     };
-    Some(RunCopy {
-        lease,
-        copied,
-        made: None,
-    })
+    Some(RunCopy::new(lease, copied))
 }
 
 /// Asks the engine that runs for a copy at another one, or to bring that up to date.
--- a/src/relay/duty.rs
+++ b/src/relay/duty.rs
@@ -37,27 +37,30 @@
     pub(crate) fn is_reader(&self) -> bool {
         let near = self.near();
         let readers = self.readers.lock();
-        let reads = |name: &SmolStr| readers.get(name).is_some_and(|reads| *reads);
+        let reads = |name: &&str| readers.get(*name).is_some_and(|reads| *reads);
         let duty = self.on_duty("platform", &near, READERS);
-        duty.contains(&self.settings.instance.name) || !duty.iter().any(reads)
+        duty.contains(&self.me()) || !duty.iter().any(reads)
     }
 
     /// Whether this instance stores the runs of its failure domain.
     pub(crate) fn is_writer(&self) -> bool {
-        let duty = self.on_duty("runs", &self.near(), 1);
-        duty.contains(&self.settings.instance.name)
+        self.on_duty("runs", &self.near(), 1).contains(&self.me())
     }
 
     /// Near instances that are told what this one reads.
     pub(crate) fn listeners(&self) -> Vec<SmolStr> {
         let near = self.near();
         let duty = self.on_duty("platform", &near, READERS);
-        near.into_iter().filter(|n| !duty.contains(n)).collect()
+        let listens = |name: &&SmolStr| !duty.contains(&name.as_str());
+        near.iter().filter(listens).cloned().collect()
     }
 
-    fn on_duty(&self, duty: &str, near: &[SmolStr], most: usize) -> Vec<SmolStr> {
-        let me = &self.settings.instance;
-        let names = near.iter().chain([&me.name]);
-        on_duty(duty, &me.domain, names.map(SmolStr::as_str), most)
+    fn me(&self) -> &str {
+        &self.settings.instance.name
+    }
+
+    fn on_duty<'a>(&'a self, duty: &str, near: &'a [SmolStr], most: usize) -> Vec<&'a str> {
+        let names = near.iter().map(SmolStr::as_str).chain([self.me()]);
+        on_duty(duty, &self.settings.instance.domain, names, most)
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod leaving;
 mod ledger;
 mod links;
+mod news;
 mod pace;
 mod pacing;
 mod probe;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use parking_lot::{Mutex, RwLock};
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
@@ -60,7 +60,6 @@
     pub(crate) readers: Mutex<IndexMap<SmolStr, bool>>,
     /// A peer that has newer targets, and since when.
     pub(crate) behind: Mutex<Option<(SmolStr, Instant)>>,
-    rules: RwLock<Option<Arc<Rules>>>,
     begun: watch::Sender<bool>,
 }
 
@@ -101,14 +100,13 @@
             reading: Mutex::default(),
             readers: Mutex::default(),
             behind: Mutex::default(),
-            rules: RwLock::default(),
             begun: watch::Sender::new(false),
         }
     }
 
     /// The rules in force.
     pub(crate) fn rules(&self) -> Option<Arc<Rules>> {
-        self.rules.read().clone()
+        self.catalog.lock().rules().cloned()
     }
 
     /// Whether it knows the rules and the targets.
@@ -141,18 +139,13 @@
         for (key, slots) in slots {
             self.router.slots(key, slots);
         }
-        let ready = catalog.is_complete();
         drop(catalog);
-        self.begin(ready);
+        self.begin();
     }
 
-    /// Brings the rules in force up to the catalog.
+    /// Brings the router up to the rules in force.
     pub(crate) fn refresh_rules(&self) {
-        let catalog = self.catalog.lock();
-        let rules = catalog.rules().cloned();
-        let ready = catalog.is_complete();
-        drop(catalog);
-        for (name, service) in rules.iter().flat_map(|r| &r.services) {
+        for (name, service) in self.rules().iter().flat_map(|r| &r.services) {
             if let Some(engine) = service.engine {
                 let capacity = Capacity {
                     memory: engine.memory,
@@ -161,11 +154,12 @@
                 self.router.size(name, capacity);
             }
         }
-        *self.rules.write() = rules;
-        self.begin(ready);
+        self.begin();
     }
 
-    fn begin(&self, ready: bool) {
+    /// Wakes who waits for rules and targets, once both are known.
+    fn begin(&self) {
+        let ready = self.catalog.lock().is_complete();
         self.begun
             .send_if_modified(|begun| !std::mem::replace(begun, ready) && ready);
     }
@@ -203,8 +197,7 @@
     }
 
     fn engine(&self, service: &str) -> Option<Engine> {
-        let rules = self.rules.read();
-        rules.as_ref()?.services.get(service)?.engine
+        self.rules()?.services.get(service)?.engine
     }
 
     /// Tells peers where the copy of a run lies.
@@ -225,12 +218,12 @@
         let lease = self
             .router
             .claim(key, &self.settings.instance.region, now)?;
-        Some(RunCopy::known(lease, copied))
+        Some(RunCopy::new(lease, copied))
     }
 
     /// Takes a retry of this instance's part of the budget.
     pub(crate) fn take_retry(&self, service: &SmolStr) -> bool {
-        let members = self.peers.view().len() + 1;
+        let members = self.peers.others() + 1;
         let taken = self.retries.lock().take(service, members, Instant::now());
         if !taken {
             metrics::counter!("endivefork_retries_denied_total").increment(1);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -290,20 +290,25 @@
         }
     }
 
+    /// Leaves an engine alone that was last heard at `heard`, and its domain for the next run.
+    fn shun(&mut self, lease: &Lease, loss: Loss, heard: Instant) {
+        let record = &self.relay.record;
+        let id = &self.inquiry.ask.id;
+        record.attempt_lost(id, &lease.name(), loss.why(), heard.elapsed());
+        self.avoided.push(lease.key);
+        self.shunned = vec![lease.domain()];
+        if loss != Loss::Dead && loss != Loss::Late {
+            let now = std::time::Instant::now();
+            self.relay.router.mark_suspect(lease.key, now);
+            self.relay.probe(lease);
+        }
+    }
+
     /// Ends the present run. Returns why there is no further one, if so.
     fn lose(&mut self, loss: Loss) -> Option<Stop> {
         if let Some(leg) = self.leg.take() {
             self.paused = leg.pace.has_begun().then_some(leg.heard);
-            let record = &self.relay.record;
-            let id = &self.inquiry.ask.id;
-            record.attempt_lost(id, &leg.lease.name(), loss.why(), leg.heard.elapsed());
-            self.avoided.push(leg.lease.key);
-            self.shunned = vec![leg.lease.domain()];
-            if loss != Loss::Dead && loss != Loss::Late {
-                let now = std::time::Instant::now();
-                self.relay.router.mark_suspect(leg.lease.key, now);
-                self.relay.probe(&leg.lease);
-            }
+            self.shun(&leg.lease, loss, leg.heard);
         }
         // An engine copies memory only once it has begun to answer.
         self.backup = None;
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -249,17 +249,7 @@
     /// The engine may have begun to run the request.
     fn missed(&mut self, lease: &Lease, loss: Loss, since: Instant) -> Missed {
         self.runs += 1;
-        self.backup = None;
-        self.avoided.push(lease.key);
-        self.shunned = vec![lease.domain()];
-        let record = &self.relay.record;
-        let id = &self.inquiry.ask.id;
-        record.attempt_lost(id, &lease.name(), loss.why(), since.elapsed());
-        if loss != Loss::Dead && loss != Loss::Late {
-            let now = std::time::Instant::now();
-            self.relay.router.mark_suspect(lease.key, now);
-            self.relay.probe(lease);
-        }
+        self.shun(lease, loss, since);
         match self.lose(loss) {
             Some(stop) => Missed::Stop(stop),
             None => Missed::Again,
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -170,8 +170,8 @@
     let put = change("b", 6, Some(listed("b", 1)));
     let removed = change("b", 7, None);
 
-    catalog.take_changes(7, [put.clone(), removed], now);
-    catalog.take_changes(6, [put], now);
+    catalog.take_changes(7, &[put.clone(), removed], now);
+    catalog.take_changes(6, &[put], now);
 
     assert_eq!(names(&mut catalog, now), ["a"]);
     assert_eq!((catalog.newest(), catalog.as_of), (Some(7), Some(7)));
@@ -210,7 +210,7 @@
     let mut catalog = Catalog::default();
     catalog.take_list(5, vec![registration("a", 1, 5)], now);
     names(&mut catalog, now);
-    catalog.take_changes(6, [change("a", 6, None)], now);
+    catalog.take_changes(6, &[change("a", 6, None)], now);
     names(&mut catalog, now);
 
     let same = catalog.adopt(listed("a", 1), now);
@@ -226,7 +226,7 @@
     let mut catalog = Catalog::default();
     catalog.take_list(5, Vec::new(), now);
     let put = change("a", 6, Some(listed("a", 1)));
-    catalog.take_changes(7, [put, change("a", 7, None)], now);
+    catalog.take_changes(7, &[put, change("a", 7, None)], now);
     names(&mut catalog, now);
 
     let adopted = catalog.adopt(listed("a", 1), now);
--- a/src/rollout/detector.rs
+++ b/src/rollout/detector.rs
@@ -30,8 +30,8 @@
     }
 
     /// Adds `bad` out of `all` observations under a null rate. An observation may be bad in part;
-    /// the likelihood ratio is convex in that part, so its mean stays below one. `time` is the fraction of the
-    /// move's whole time that has passed.
+    /// the likelihood ratio is convex in that part, so its mean stays below one. `time` is the
+    /// fraction of the move's whole time that has passed.
     pub(crate) fn update(&mut self, time: f64, all: u64, bad: f64, null: f64) {
         let weight = (1.0 - AT_ONCE) * (time - self.last).clamp(0.0, 1.0);
         self.last = self.last.max(time);
--- a/src/rollout/histogram.rs
+++ b/src/rollout/histogram.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Buckets for each doubling of the duration.
-const PER_OCTAVE: f64 = 4.0;
+pub(crate) const PER_OCTAVE: f64 = 4.0;
 
 /// Number of buckets: 1 ms to about 17 minutes.
 pub(crate) const BUCKETS: usize = 80;
--- a/src/rollout/reference.rs
+++ b/src/rollout/reference.rs
@@ -15,8 +15,7 @@
 /// Fraction of the old version's durations above which a duration counts as slow.
 const TAIL: f64 = 0.05;
 
-/// Buckets between the old version's tail and what counts as slow: a factor of 1.3, twice the
-/// width of a bucket's rounding.
+/// Buckets between the old version's tail and what counts as slow: a factor of 1.3.
 const MARGIN: f64 = 1.5;
 
 /// Weight and rate of failures assumed before anything is known.
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -7,7 +7,7 @@
 
 use super::detector::Detector;
 use super::evidence::{Band, Cell, CellKey, Own, Peer, Sample, Side, Snapshot};
-use super::histogram::Histogram;
+use super::histogram::{Histogram, PER_OCTAVE};
 use super::model::{Move, Phase};
 use super::reference::{Reference, SlowLimit};
 use super::schedule::{self, Next};
@@ -35,9 +35,6 @@
 /// How much later each further instance in the order of drivers acts.
 const TURN: Duration = Duration::from_secs(2);
 
-/// Buckets by which a duration doubles.
-const DOUBLED: f64 = 4.0;
-
 /// A test is kept for each of these.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Measure {
@@ -316,7 +313,7 @@
                 self.update(scope, measure, at, all, bad, limit.null);
                 // A route that is slightly slow at every load shows sooner over all loads; each
                 // load is still held against its own limit.
-                if let (Some(_), Some(_)) = scope {
+                if scope.0.is_some() {
                     let route = (scope.0.clone(), None);
                     self.update(&route, measure, at, all, bad, limit.null);
                 }
@@ -368,7 +365,7 @@
     ) -> Option<SlowLimit> {
         let at = |s: &Scope| self.references.get(s).and_then(&limit);
         let doubled = |l: SlowLimit| SlowLimit {
-            edge: l.edge + DOUBLED,
+            edge: l.edge + PER_OCTAVE,
             ..l
         };
         at(scope).or_else(|| at(&(scope.0.clone(), None)).map(doubled))
