Tell a slower version by its slowest quarter as well

Ruled out: evidence held back between instances (it stopped as soon as the pooled evidence showed it). Change: a second test counts answers beyond the slowest quarter.

--- a/src/rollout/reference.rs
+++ b/src/rollout/reference.rs
@@ -12,10 +12,7 @@
 /// Observations below which a window says nothing.
 const ENOUGH: f64 = 40.0;
 
-/// Fraction of the old version's durations above which a duration counts as slow.
-const TAIL: f64 = 0.05;
-
-/// Buckets between the old version's tail and what counts as slow: a factor of 1.3.
+/// Buckets between the old version's quantile and what counts as slow: a factor of 1.3.
 const MARGIN: f64 = 1.5;
 
 /// Weight and rate of failures assumed before anything is known.
@@ -33,6 +30,28 @@
 /// Added to the tolerated rate of deaths for each request.
 const DEATH_FLOOR: f64 = 0.01;
 
+/// Which of the old version's durations the slowness of a new one is told by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Cut {
+    /// The slowest twentieth: shows answers of which a few are very slow.
+    Tail,
+    /// The slowest quarter: shows a version that is slower throughout in about half as many
+    /// answers as the tail, which nearly half of its answers stay below.
+    Quarter,
+}
+
+impl Cut {
+    pub(crate) const ALL: [Self; 2] = [Self::Tail, Self::Quarter];
+
+    /// Fraction of the old version's durations that lie above.
+    fn above(self) -> f64 {
+        match self {
+            Self::Tail => 0.05,
+            Self::Quarter => 0.25,
+        }
+    }
+}
+
 /// The old version's recent and whole behaviour in one scope.
 #[derive(Clone, Debug)]
 pub(crate) struct Reference {
@@ -87,21 +106,21 @@
     }
 
     /// Limit for the time to the first token; `None` while too little is known.
-    pub(crate) fn first_limit(&self, now: f64) -> Option<SlowLimit> {
-        self.limit(now, |w| &w.first)
+    pub(crate) fn first_limit(&self, now: f64, cut: Cut) -> Option<SlowLimit> {
+        self.limit(now, cut, |w| &w.first)
     }
 
     /// Limit for the time between tokens; `None` while too little is known.
-    pub(crate) fn gap_limit(&self, now: f64) -> Option<SlowLimit> {
-        self.limit(now, |w| &w.gap)
+    pub(crate) fn gap_limit(&self, now: f64, cut: Cut) -> Option<SlowLimit> {
+        self.limit(now, cut, |w| &w.gap)
     }
 
-    fn limit(&self, now: f64, part: impl Fn(&Window) -> &Tally) -> Option<SlowLimit> {
+    fn limit(&self, now: f64, cut: Cut, part: impl Fn(&Window) -> &Tally) -> Option<SlowLimit> {
         let (long, short, whole) = (part(&self.long), part(&self.short), part(&self.whole));
         let base = [long, whole]
             .into_iter()
             .find(|t| t.weight(now) >= ENOUGH)?;
-        let edge = base.tail_edge() + MARGIN;
+        let edge = base.edge(cut.above()) + MARGIN;
         let mut rate = base.above(edge);
         if short.weight(now) >= ENOUGH / 4.0 {
             rate = rate.max(short.above(edge));
@@ -201,10 +220,10 @@
         self.total * self.decay.pending(now)
     }
 
-    /// The bucket, with its part, above which [`TAIL`] of the durations are.
-    fn tail_edge(&self) -> f64 {
+    /// The bucket, with its part, above which `part` of the durations are.
+    fn edge(&self, part: f64) -> f64 {
         let mut above = self.total;
-        let tail = TAIL * self.total;
+        let tail = part * self.total;
         let crossed = |(i, n): (usize, &f64)| {
             let before = above;
             above -= n;
--- a/src/rollout/trial.rs
+++ b/src/rollout/trial.rs
@@ -9,7 +9,7 @@
 use super::evidence::{Band, Cell, CellKey, Own, Peer, Sample, Side, Snapshot};
 use super::histogram::{Histogram, PER_OCTAVE};
 use super::model::{Move, Phase};
-use super::reference::{Reference, SlowLimit};
+use super::reference::{Cut, Reference, SlowLimit};
 use super::schedule::{self, Next};
 use crate::ident::{RequestKey, rendezvous};
 
@@ -40,8 +40,8 @@
 enum Measure {
     Failure,
     Death,
-    First,
-    Gap,
+    First(Cut),
+    Gap(Cut),
 }
 
 /// A route and load, or all of them.
@@ -292,10 +292,12 @@
         if scope.1.is_none() {
             return;
         }
-        let limit = self.slow_limit(scope, |r| r.first_limit(at));
-        self.test_slow(scope, Measure::First, at, &cell.first, limit);
-        let limit = self.slow_limit(scope, |r| r.gap_limit(at));
-        self.test_slow(scope, Measure::Gap, at, &cell.gap, limit);
+        for cut in Cut::ALL {
+            let limit = self.slow_limit(scope, |r| r.first_limit(at, cut));
+            self.test_slow(scope, Measure::First(cut), at, &cell.first, limit);
+            let limit = self.slow_limit(scope, |r| r.gap_limit(at, cut));
+            self.test_slow(scope, Measure::Gap(cut), at, &cell.gap, limit);
+        }
     }
 
     fn test_slow(
@@ -318,17 +320,20 @@
                     self.update(&route, measure, at, all, bad, limit.null);
                 }
             }
-            None if all > 0 => {
-                let waiting = self.unmatched.entry(scope.clone()).or_default();
-                match measure {
-                    Measure::First => waiting.first.add(durations),
-                    _ => waiting.gap.add(durations),
-                }
-            }
+            // Every cut lacks its limit at the same time, so the durations are kept with one.
+            None if all > 0 => match measure {
+                Measure::First(Cut::Tail) => self.waiting(scope).first.add(durations),
+                Measure::Gap(Cut::Tail) => self.waiting(scope).gap.add(durations),
+                _ => {}
+            },
             None => {}
         }
     }
 
+    fn waiting(&mut self, scope: &Scope) -> &mut Cell {
+        self.unmatched.entry(scope.clone()).or_default()
+    }
+
     fn update(&mut self, scope: &Scope, measure: Measure, at: f64, all: u64, bad: f64, null: f64) {
         if all == 0 {
             return;
@@ -467,8 +472,8 @@
     let what = match measure {
         Measure::Failure => "fails",
         Measure::Death => "kills targets",
-        Measure::First => "slow first token",
-        Measure::Gap => "slow tokens",
+        Measure::First(_) => "slow first token",
+        Measure::Gap(_) => "slow tokens",
     };
     let route = route.as_ref().map(|r| format!(" on route {r}"));
     let band = band.map(|b| format!(" at {} load", format!("{b:?}").to_lowercase()));
--- a/tests/rollout_policy.rs
+++ b/tests/rollout_policy.rs
@@ -250,6 +250,32 @@
     assert_taken_back(&setups, &outcomes);
 }
 
+/// Seeds of trials with 372 bad versions that exceeded a bound and still do.
+#[test]
+fn bad_versions_that_fail_too_seldom_to_be_told_in_time() {
+    // Arrange
+    let weak = Fault {
+        onset: Onset::Later,
+        harm: Harm::Fail(0.1),
+        one_route: false,
+    };
+    let strong = Fault {
+        onset: Onset::AtOnce,
+        harm: Harm::Fail(0.3),
+        one_route: true,
+    };
+    let setups = [
+        busy(700_096, Some(weak), Trouble::None),
+        busy(702_100, Some(strong), Trouble::Crashes),
+    ];
+
+    // Act
+    let outcomes = run_all(&setups);
+
+    // Assert
+    assert_taken_back(&setups, &outcomes);
+}
+
 #[test]
 fn good_versions_finish_in_time() {
     // Arrange
