Tell other failure domains through one of their instances

Ruled out: the size of heartbeats, which introduce nobody once all know each other. Change: from 16 instances on, an instance tells its own domain itself and one instance of each other domain, which collects words for 100 ms and passes them on; a speaker that takes no word is passed over for 4 s. Heartbeats to other domains every fourth round. Smaller fleets are as before.

--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -2,6 +2,10 @@
 
 use crate::ident::{digest, rendezvous};
 
+/// Instances below which each speaks with all others itself: what it costs them all is then less
+/// than 2,000 messages for a round of one to each.
+pub const SMALL_FLEET: usize = 16;
+
 /// The first `most` of `names` for a duty of a failure domain: all that see the same names choose
 /// the same, and few change when one name comes or goes.
 #[must_use]
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -88,6 +88,8 @@
     members: Mutex<Members>,
     links: Mutex<IndexMap<SocketAddr, Arc<tokio::sync::Mutex<Option<Link>>>>>,
     beating: Mutex<IndexSet<SocketAddr>>,
+    /// Rounds of heartbeats so far.
+    round: AtomicUsize,
     handlers: RwLock<IndexMap<Tag, Handler>>,
     malformed: AtomicU64,
     foreign: AtomicU64,
@@ -189,11 +191,16 @@
     }
 
     fn beat_all(self: &Arc<Self>) {
-        let members: Vec<_> = self.members.lock().all().cloned().collect();
-        let mut targets: IndexMap<_, _> = self.opts.seeds.iter().map(|a| (*a, None)).collect();
-        targets.extend(members.into_iter().map(|m| (m.addr, Some(m.name))));
+        let round = self.round.fetch_add(1, Ordering::Relaxed);
+        let members = self.members.lock();
+        let known: IndexSet<_> = members.all().map(|m| m.addr).collect();
+        let seeds = self.opts.seeds.iter().filter(|a| !known.contains(*a));
+        let mut targets: IndexMap<_, _> = seeds.map(|a| (*a, None)).collect();
+        let due = members.due(&self.opts.me.domain, round);
+        targets.extend(due.map(|m| (m.addr, Some(m.name.clone()))));
+        drop(members);
         targets.swap_remove(&self.opts.me.addr);
-        let used = |addr: &SocketAddr| targets.contains_key(addr);
+        let used = |addr: &SocketAddr| known.contains(addr) || targets.contains_key(addr);
         self.links.lock().retain(|addr, _| used(addr));
         for (addr, name) in targets {
             let beat = Arc::clone(self).beat_once(addr, name);
@@ -226,6 +233,7 @@
             members: Mutex::new(Members::new(opts.me.name.clone(), opts.period)),
             links: Mutex::default(),
             beating: Mutex::default(),
+            round: AtomicUsize::new(0),
             handlers: RwLock::default(),
             malformed: AtomicU64::new(0),
             foreign: AtomicU64::new(0),
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -9,11 +9,16 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use super::duty::SMALL_FLEET;
 use crate::ident::digest;
 
 /// Missed heartbeats after which a peer counts as silent.
 const MISSED: u32 = 3;
 
+/// Rounds of heartbeats after which an instance of another failure domain gets the next one, in a
+/// large fleet: with its own, a pair still speaks twice in that time.
+const FAR_ROUNDS: usize = 4;
+
 /// Periods for which others are introduced after a newcomer was met: the five heartbeats in which
 /// a newcomer learns of 80, with its turns beginning anew for each that it meets.
 const SETTLED: u32 = 5;
@@ -190,6 +195,19 @@
         self.known.values().map(|k| &k.member)
     }
 
+    /// Instances to send a heartbeat to at the round `round`. In a large fleet those of other
+    /// failure domains that answer are asked by turns: each of them asks as well, and most of
+    /// what is told does not go to them directly.
+    pub fn due(&self, domain: &str, round: usize) -> impl Iterator<Item = &Member> {
+        let small = self.known.len() < SMALL_FLEET;
+        let known = self.known.values().enumerate();
+        let due = known.filter(move |(at, k)| {
+            let far = k.reach == Reach::Alive && k.member.domain != domain;
+            small || !far || (at + round).is_multiple_of(FAR_ROUNDS)
+        });
+        due.map(|(_, k)| &k.member)
+    }
+
     /// Instances that answer and stay.
     pub fn alive(&self) -> impl Iterator<Item = &Member> {
         self.known
--- a/src/relay/duty.rs
+++ b/src/relay/duty.rs
@@ -5,12 +5,16 @@
 use smol_str::SmolStr;
 
 use super::relay::Relay;
-use crate::peer::on_duty;
+use crate::peer::{SMALL_FLEET, on_duty};
 
-/// Instances of a failure domain that read the platform for the others: when one is cut off from
-/// the platform, or dies, the other still does.
+/// Instances of a failure domain that read the platform for the others, in a small fleet: when one
+/// is cut off from the platform, or dies, the other still does.
 const READERS: usize = 2;
 
+/// The same in a large fleet, where the words of the other domains, which come within 200 ms, show
+/// that they know more.
+const READERS_LARGE: usize = 1;
+
 /// Whether this instance reads the platform, by kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reading {
@@ -38,7 +42,7 @@
         let near = self.near();
         let readers = self.readers.lock();
         let reads = |name: &&str| readers.get(*name).is_some_and(|reads| *reads);
-        let duty = self.on_duty("platform", &near, READERS);
+        let duty = self.on_duty("platform", &near, self.readers_wanted());
         duty.contains(&self.me()) || !duty.iter().any(reads)
     }
 
@@ -50,11 +54,18 @@
     /// Near instances that are told what this one reads.
     pub(crate) fn listeners(&self) -> Vec<SmolStr> {
         let near = self.near();
-        let duty = self.on_duty("platform", &near, READERS);
+        let duty = self.on_duty("platform", &near, self.readers_wanted());
         let listens = |name: &&SmolStr| !duty.contains(&name.as_str());
         near.iter().filter(listens).cloned().collect()
     }
 
+    fn readers_wanted(&self) -> usize {
+        match self.peers.others() < SMALL_FLEET {
+            true => READERS,
+            false => READERS_LARGE,
+        }
+    }
+
     fn me(&self) -> &str {
         &self.settings.instance.name
     }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
+use super::audience::{Audience, COLLECT};
 use super::follow::{Held, Sources};
 use super::pacing::{Pacing, State, Tell};
 use super::relay::Relay;
@@ -31,28 +32,33 @@
 /// platform tells this instance itself.
 const BEHIND_MAX: Duration = Duration::from_secs(1);
 
+/// What one instance tells the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Told {
+pub(crate) struct Told {
     word: Word,
     held: Held,
     runs: Vec<Note>,
 }
 
+/// What instances have told, with their names.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Words {
+    list: Vec<(SmolStr, Told)>,
+    /// Whether the one that gets it passes it on in its failure domain.
+    pass_on: bool,
+}
+
 impl Relay {
     /// Answers what peers tell and ask.
     pub(crate) fn hear_peers(self: &Arc<Self>, sources: Sources) {
         let me = Arc::clone(self);
-        self.peers.on(Tag::Load, move |from, told: Told| {
-            let now = Instant::now();
-            me.router.peer_word(&from, &told.word, now);
-            let near = me.peers.is_near(&from);
-            let mut runs = me.runs.lock();
-            let notes = told.runs.into_iter();
-            notes.for_each(|note| runs.hear(note, near, now));
-            drop(runs);
-            me.readers.lock().insert(from.clone(), told.held.reads);
-            me.greet(&from);
-            me.compare(sources, from, told.held, now);
+        self.peers.on(Tag::Load, move |_, words: Words| {
+            if words.pass_on {
+                me.collect(&words.list);
+            }
+            for (from, told) in words.list {
+                me.take_word(sources, from, told);
+            }
             ready(())
         });
         let me = Arc::clone(self);
@@ -61,6 +67,48 @@
         self.hear_news(sources);
     }
 
+    fn take_word(self: &Arc<Self>, sources: Sources, from: SmolStr, told: Told) {
+        let now = Instant::now();
+        self.router.peer_word(&from, &told.word, now);
+        let near = self.peers.is_near(&from);
+        let mut runs = self.runs.lock();
+        let notes = told.runs.into_iter();
+        notes.for_each(|note| runs.hear(note, near, now));
+        drop(runs);
+        self.readers.lock().insert(from.clone(), told.held.reads);
+        self.greet(&from);
+        self.compare(sources, from, told.held, now);
+    }
+
+    /// Keeps words to pass on, of each instance its newest and all runs that it noted.
+    fn collect(&self, list: &[(SmolStr, Told)]) {
+        let mut collected = self.collected.lock();
+        for (from, told) in list {
+            let earlier = collected.swap_remove(from).map_or(Vec::new(), |t| t.runs);
+            let mut newest = told.clone();
+            newest.runs.splice(0..0, earlier);
+            collected.insert(from.clone(), newest);
+        }
+        drop(collected);
+        self.passing.notify_one();
+    }
+
+    /// Passes words of other failure domains on in this one, again and again.
+    pub(crate) async fn pass_words_on(self: Arc<Self>) {
+        loop {
+            self.passing.notified().await;
+            sleep(COLLECT).await;
+            let collected = std::mem::take(&mut *self.collected.lock());
+            let words = Words {
+                list: collected.into_iter().collect(),
+                pass_on: false,
+            };
+            for name in self.near() {
+                tokio::spawn(Arc::clone(&self).tell_one(name, words.clone()));
+            }
+        }
+    }
+
     /// Takes the runs that the first peer heard of knows: their callers may come here.
     fn greet(self: &Arc<Self>, peer: &SmolStr) {
         if self.greeted.swap(true, Ordering::Relaxed) {
@@ -120,11 +168,12 @@
                 sleep(TOGETHER).await;
             }
             let now = Instant::now();
-            let alive = self.peers.alive().into_iter().map(|m| m.name);
+            let alive = self.peers.alive();
+            let domain = &self.settings.instance.domain;
             let state = State {
                 word: self.router.word(now),
                 held: self.held(),
-                peers: alive.collect(),
+                audience: Audience::of(domain, &alive, &self.untold.lock(), now),
             };
             self.links.sweep();
             let noted = self.runs.lock().has_news();
@@ -138,10 +187,45 @@
                 held: state.held,
                 runs: self.runs.lock().news(),
             };
-            let peers = self.peers.clone();
-            tokio::spawn(async move {
-                peers.ask_all::<_, ()>(Tag::Load, &told, TELL_LIMIT).await;
-            });
+            self.spread(state.audience, told);
+        }
+    }
+
+    fn spread(self: &Arc<Self>, audience: Audience, told: Told) {
+        let mut words = Words {
+            list: vec![(self.settings.instance.name.clone(), told)],
+            pass_on: false,
+        };
+        for name in audience.direct {
+            tokio::spawn(Arc::clone(self).tell_one(name, words.clone()));
+        }
+        words.pass_on = true;
+        for speakers in audience.speakers {
+            tokio::spawn(Arc::clone(self).tell_domain(speakers, words.clone()));
+        }
+    }
+
+    async fn tell_one(self: Arc<Self>, name: SmolStr, words: Words) -> bool {
+        let told = self
+            .peers
+            .call::<_, ()>(&name, Tag::Load, &words, TELL_LIMIT);
+        let taken = told.await.is_ok();
+        if !taken {
+            metrics::counter!("endivefork_words_untold_total").increment(1);
+        }
+        taken
+    }
+
+    /// Tells one of the instances that pass words on in a failure domain.
+    async fn tell_domain(self: Arc<Self>, speakers: Vec<SmolStr>, words: Words) {
+        for name in speakers {
+            if Arc::clone(&self)
+                .tell_one(name.clone(), words.clone())
+                .await
+            {
+                return;
+            }
+            self.untold.lock().note(&name, Instant::now());
         }
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! plain functions. Decisions are here: routes, targets, retries, copies of runs, refusals.
 
 mod answer;
+mod audience;
 mod call;
 mod catalog;
 mod copies;
--- a/src/relay/pacing.rs
+++ b/src/relay/pacing.rs
@@ -3,16 +3,14 @@
 
 use std::time::{Duration, Instant};
 
-use smol_str::SmolStr;
-
+use super::audience::Audience;
 use super::follow::Held;
 use crate::routing::Word;
 
 /// Time after which the same word is told again: a third of the time for which peers go by it.
 const KEPT: Duration = Duration::from_secs(1);
 
-/// Least time between two words for each peer: bounds what one instance sends to 400 messages a
-/// second, and spaces the words of seven instances by the 15 ms in which runs are told together.
+/// Least time between two words for each message: bounds what one instance sends to 400 a second, and spaces the words of seven instances by the 15 ms in which runs are told together.
 const SPACING: Duration = Duration::from_micros(2_500);
 
 /// What there is to tell, and to whom.
@@ -20,7 +18,7 @@
 pub(crate) struct State {
     pub(crate) word: Word,
     pub(crate) held: Held,
-    pub(crate) peers: Vec<SmolStr>,
+    pub(crate) audience: Audience,
 }
 
 /// Whether to tell it.
@@ -53,12 +51,12 @@
     pub(crate) fn tell(&mut self, state: &State, urgent: bool, now: Instant) -> Tell {
         let since = now.saturating_duration_since(self.at);
         let new = self.last.held != state.held
-            || self.last.peers != state.peers
+            || self.last.audience != state.audience
             || state.word.differs(&self.last.word);
         if !urgent && !new && since < KEPT {
             return Tell::Nothing;
         }
-        let spacing = SPACING * state.peers.len() as u32;
+        let spacing = SPACING * state.audience.messages() as u32;
         let wait = spacing.saturating_sub(since);
         self.last = state.clone();
         self.at = now + wait;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -9,10 +9,12 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
+use super::audience::Failed;
 use super::catalog::Catalog;
 use super::copies::{RunCopy, Source};
 use super::dialect::Dialect;
 use super::duty::Reading;
+use super::gossip::Told;
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
@@ -48,6 +50,12 @@
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) runs: Mutex<Runs>,
+    /// Peers that have not taken a word.
+    pub(crate) untold: Mutex<Failed>,
+    /// Words of other failure domains, to be passed on in this one.
+    pub(crate) collected: Mutex<IndexMap<SmolStr, Told>>,
+    /// Wakes who passes them on.
+    pub(crate) passing: Notify,
     /// Wakes the word to the peers.
     pub(crate) news: Notify,
     /// Whether a peer was asked for its runs.
@@ -94,6 +102,9 @@
             probes: Arc::default(),
             retries: Mutex::new(retries),
             runs: Mutex::default(),
+            untold: Mutex::default(),
+            collected: Mutex::default(),
+            passing: Notify::new(),
             news: Notify::new(),
             greeted: AtomicBool::new(false),
             rules_text: Mutex::default(),
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -200,5 +200,6 @@
     tokio::spawn(Arc::clone(relay).follow(sources, Topic::Targets));
     tokio::spawn(Arc::clone(relay).keep_ledger());
     tokio::spawn(Arc::clone(relay).tell_peers());
+    tokio::spawn(Arc::clone(relay).pass_words_on());
     tokio::spawn(Arc::clone(relay).revive_targets());
 }
--- a/src/relay/tests/pacing.rs
+++ b/src/relay/tests/pacing.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::relay::audience::Audience;
 use crate::relay::pacing::{Pacing, State, Tell};
 use crate::routing::{Count, Word, Work};
 
@@ -22,7 +23,10 @@
             counts: (0..runs).map(count).collect(),
             ..Word::default()
         },
-        peers: (0..peers).map(|n| format!("i{n}").into()).collect(),
+        audience: Audience {
+            direct: (0..peers).map(|n| format!("i{n}").into()).collect(),
+            ..Audience::default()
+        },
         ..State::default()
     }
 }
