Look at a few engines for each prompt in a large fleet

The logs of 22 s show two or three instances that chose one engine within 100 ms, where the prompts then waited for each other (64 of 907 streams over 4 s): all looked at all engines and went by the same word, which is up to 150 ms old. Ruled out: lost engines, for most of them (one attempt only); memory and slots, which were far from full. Change: with more than eight instances each looks at that part of the engines, by chance, at least two in a group. Seven instances as before.

--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -169,6 +169,7 @@
             }
             let now = Instant::now();
             let alive = self.peers.alive();
+            self.router.crowd(alive.len() + 1);
             let domain = &self.settings.instance.domain;
             let state = State {
                 word: self.router.word(now),
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -7,6 +7,7 @@
 
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom as _;
 
 use super::health::Fitness;
 use super::load::Work;
@@ -51,6 +52,13 @@
 /// Cost in seconds of an engine whose memory would not hold the request: more than any queue.
 const FULL_COST: f64 = 60.0;
 
+/// Instances of which each looks at every target for a prompt. When seven place 9 prompts a second
+/// and learn of each other's within 45 ms, two meet at the best engine once in three seconds.
+const LOOKERS: usize = 8;
+
+/// Least targets looked at in a group.
+const LOOKS_MIN: usize = 2;
+
 /// Draws before a baseline falls back to scanning.
 const DRAWS: usize = 8;
 
@@ -102,6 +110,12 @@
     pub rate: f64,
 }
 
+/// Part of the targets that each of so many instances looks at for a prompt, so that those which
+/// know the same do not all choose the same.
+pub(crate) fn looks(instances: usize) -> f64 {
+    (LOOKERS as f64 / instances as f64).min(1.0)
+}
+
 /// A target that may be chosen.
 struct Candidate<'a> {
     entry: &'a Arc<Entry>,
@@ -121,6 +135,8 @@
     pub(crate) costs: Costs,
     pub(crate) capacity: Option<Capacity>,
     pub(crate) troubles: &'a Troubles,
+    /// Part of the targets that are looked at for a prompt.
+    pub(crate) looks: f64,
     pub(crate) now: Instant,
     pub(crate) rng: RefCell<SmallRng>,
 }
@@ -210,6 +226,13 @@
 
     fn gather(&self, group: &Group, toll: f64) -> Vec<Candidate<'a>> {
         let members = &group.members;
+        let reads = self.query.work.is_some_and(|work| work.prompt > 0);
+        if reads && self.looks < 1.0 {
+            let found = self.glance(members, toll);
+            if !found.is_empty() {
+                return found;
+            }
+        }
         if members.len() <= SCAN_MAX {
             return members
                 .iter()
@@ -244,6 +267,19 @@
             .collect()
     }
 
+    /// A few members by chance.
+    fn glance(&self, members: &[TargetKey], toll: f64) -> Vec<Candidate<'a>> {
+        let count = (members.len() as f64 * self.looks).ceil() as usize;
+        let mut rng = self.rng.borrow_mut();
+        let drawn: Vec<_> = members
+            .sample(&mut *rng, count.max(LOOKS_MIN))
+            .copied()
+            .collect();
+        drop(rng);
+        let found = drawn.into_iter();
+        found.filter_map(|key| self.candidate(key, toll)).collect()
+    }
+
     fn candidate(&self, key: TargetKey, toll: f64) -> Option<Candidate<'a>> {
         if self.query.excluded.contains(&key) {
             return None;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use indexmap::IndexMap;
@@ -16,7 +16,7 @@
 use super::health::Fitness;
 use super::lease::{Lease, Subject};
 use super::load::{Report, Work};
-use super::policy::{Capacity, Choice, Costs, Policy};
+use super::policy::{Capacity, Choice, Costs, Policy, looks};
 use super::table::{Entry, Table};
 use super::trouble::Troubles;
 use super::word::{Count, Word};
@@ -67,6 +67,8 @@
     words: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
     capacities: RwLock<IndexMap<SmolStr, Capacity>>,
     troubles: Mutex<Troubles>,
+    /// Instances that place requests, this one included.
+    placers: AtomicUsize,
     rng: Mutex<SmallRng>,
 }
 
@@ -89,6 +91,7 @@
             words: Mutex::default(),
             capacities: RwLock::default(),
             troubles: Mutex::default(),
+            placers: AtomicUsize::new(1),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -106,6 +109,12 @@
         self.capacities.write().insert(service.into(), capacity);
     }
 
+    /// Takes how many instances place requests, this one included: the more there are, the fewer
+    /// targets each looks at for a prompt, as they learn of each other's choices late.
+    pub fn crowd(&self, instances: usize) {
+        self.placers.store(instances.max(1), Ordering::Relaxed);
+    }
+
     /// Takes how many requests a target runs at once.
     pub fn slots(&self, key: TargetKey, slots: u32) {
         self.with(key, |entry| entry.state.lock().load.set_slots(slots));
@@ -166,6 +175,7 @@
             costs: self.costs,
             capacity: self.capacities.read().get(query.service).copied(),
             troubles: &troubles,
+            looks: looks(self.placers.load(Ordering::Relaxed)),
             now,
             rng: RefCell::new(SmallRng::from_rng(&mut *self.rng.lock())),
         };
