--- a/src/ident.rs
+++ b/src/ident.rs
@@ -55,6 +55,11 @@
     xxh3_128(&buf)
 }
 
+/// A stable point of the request `id` in `0.0..1.0`.
+pub(crate) fn fraction(id: &str) -> f64 {
+    RequestKey(digest(&[id])).fraction()
+}
+
 /// Orders `candidates` by rendezvous hashing of `key`, best first.
 #[must_use]
 pub fn rendezvous<'a>(key: u128, candidates: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -2,8 +2,8 @@
 
 use crate::ident::{digest, rendezvous};
 
-/// Instances below which each speaks with all others itself: what it costs them all is then less
-/// than 2,000 messages for a round of one to each.
+/// Instances below which each speaks with all others itself: a word from each to all others is then
+/// 240 messages at most.
 pub const SMALL_FLEET: usize = 16;
 
 /// The first `most` of `names` for a duty of a failure domain: all that see the same names choose
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -7,6 +7,18 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, StatusCode};
 
+use crate::ident::fraction;
+
+/// Multiple of the least time after which the last of those refused together come back: three
+/// full queues of targets are then worked off.
+const LAST_BACK: f64 = 3.0;
+
+/// When the refused request `id` may come back: some time from `least` on, so that those which were
+/// refused together do not find full queues again together.
+pub(crate) fn come_back(least: Duration, id: &str) -> Duration {
+    least.mul_f64(1.0 + (LAST_BACK - 1.0) * fraction(id))
+}
+
 /// An answer of the relay itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Own {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::Own;
+use super::answer::{Own, come_back};
 use super::dialect::Attempt;
 use super::inquiry::Inquiry;
 use super::links::{Link, SendError};
@@ -40,7 +40,7 @@
 /// Multiple of the objective after which an idempotent call is tried elsewhere.
 const STALLED_FACTOR: u32 = 2;
 
-/// When a refused call may come back: the time in which a target works off its queue.
+/// When a refused call may come back at the earliest: the time in which a target works off its queue.
 const COME_BACK: Duration = Duration::from_millis(250);
 
 /// The final answer to a request.
@@ -290,12 +290,13 @@
 
     /// The answer when no attempt is left.
     fn give_up(&mut self) -> (Response, &'static str) {
+        let back = come_back(COME_BACK, &self.inquiry.ask.id);
         let late = Instant::now() >= self.inquiry.deadline;
         let own = match (self.failure.take(), self.runs) {
             (Some(whole), _) => return (response(whole), "target failed"),
-            (None, 0) if late => Own::refuse(COME_BACK, "no target answered in time"),
-            (None, 0) if self.declined > 0 => Own::refuse(COME_BACK, "targets are full"),
-            (None, 0) => Own::refuse(COME_BACK, "no target can be reached"),
+            (None, 0) if late => Own::refuse(back, "no target answered in time"),
+            (None, 0) if self.declined > 0 => Own::refuse(back, "targets are full"),
+            (None, 0) => Own::refuse(back, "no target can be reached"),
             (None, _) if late => Own::late(),
             (None, _) => Own::lost("the target's answer was lost"),
         };
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -26,11 +26,12 @@
 use super::{call, leaving, stream};
 use crate::caller::{Drain, say_close};
 use crate::http::{BodyError, read_body};
-use crate::ident::digest;
+use crate::ident::fraction;
 use crate::telemetry::Stage;
 
-/// Longest wait for the rules at the start: half of the shortest objective that deployments set.
-const START_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait for the rules at the start. With the platform in another region they come 120 to
+/// 180 ms after it, on a slow processor later; a caller that is refused comes back later still.
+const START_WAIT: Duration = Duration::from_millis(400);
 
 /// When a caller may come back while this instance knows no rules yet.
 const STARTING: Duration = Duration::from_millis(500);
@@ -191,7 +192,6 @@
     })?;
     let id = ask.id.clone();
     let fail = |own| (own, id.clone());
-    // An instance that has just started learns the rules within milliseconds.
     let started = timeout(START_WAIT, relay.started()).await.is_ok();
     let Some(rules) = relay.rules().filter(|_| started) else {
         return Err(fail(Own::refuse(STARTING, "no rules yet")));
@@ -267,8 +267,3 @@
         }
     }
 }
-
-/// A stable point of a request in `0.0..1.0`.
-fn fraction(id: &str) -> f64 {
-    crate::ident::RequestKey(digest(&[id])).fraction()
-}
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -226,6 +226,8 @@
             {
                 return;
             }
+            info!(self.record.log, "words: not taken, another instance is asked to pass them on";
+                "peer" => name.as_str(), "limit_ms" => TELL_LIMIT.as_millis() as u64);
             self.untold.lock().note(&name, Instant::now());
         }
     }
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{Leg, Stop, Stream, work};
-use crate::relay::answer::Own;
+use crate::relay::answer::{Own, come_back};
 use crate::relay::call::promises;
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{Attempt, Copied};
@@ -26,7 +26,7 @@
 /// Attempts that did not run before a stream is refused.
 const DECLINED_MAX: u32 = 5;
 
-/// When a refused stream may come back: less than a prompt's reading, as engines are lost and come
+/// When a refused stream may come back at the earliest: less than a prompt's reading, as engines are lost and come
 /// back within about a second.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -96,7 +96,7 @@
     /// The final answer when there is nowhere to go on.
     fn out_of(&self, why: &'static str) -> Stop {
         Stop::Own(match self.runs {
-            0 => Own::refuse(COME_BACK, why),
+            0 => Own::refuse(come_back(COME_BACK, &self.inquiry.ask.id), why),
             _ => Own::lost(why),
         })
     }
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Rules and decisions of the relay, without a network.
 
+mod answer;
 mod audience;
 mod catalog;
 mod events;
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -374,3 +374,45 @@
 
     assert_eq!(newcomer.alive().count(), 79);
 }
+
+#[tokio::test]
+async fn far_instances_of_a_large_fleet_get_a_heartbeat_by_turns() {
+    // Arrange
+    let now = Instant::now();
+    let mut members = Members::new("me".into(), Duration::from_secs(1));
+    let member = |n: u16| Member {
+        name: format!("i{n}").into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], n + 1)),
+        domain: if n < 10 { "near".into() } else { "far".into() },
+        region: "r".into(),
+    };
+    for n in 0..50 {
+        let beat = Heartbeat {
+            from: member(n),
+            incarnation: 1,
+            leaving: false,
+            others: Vec::new(),
+        };
+        members.hear(&beat, now);
+    }
+    members.witness("i20", Evidence::Refused, now);
+
+    // Act
+    let rounds = (0..4).map(|round| {
+        let due = members.due("near", round);
+        due.map(|m| m.name.clone()).collect::<Vec<_>>()
+    });
+    let rounds: Vec<_> = rounds.collect();
+
+    // Assert
+    for due in &rounds {
+        let near = due.iter().filter(|name| name.len() == 2).count();
+        assert_eq!(near, 10);
+        assert!(due.contains(&"i20".into()), "one that does not answer");
+        assert!(due.len() <= 10 + 1 + 10, "{due:?}");
+    }
+    for n in 0..50 {
+        let name = member(n).name;
+        assert!(rounds.iter().any(|due| due.contains(&name)), "{name}");
+    }
+}
