--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -40,7 +40,8 @@
 /// Multiple of the objective after which an idempotent call is tried elsewhere.
 const STALLED_FACTOR: u32 = 2;
 
-/// When a refused call may come back at the earliest: the time in which a target works off its queue.
+/// When a refused call may come back at the earliest: the time in which a target works off its
+/// queue.
 const COME_BACK: Duration = Duration::from_millis(250);
 
 /// The final answer to a request.
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -52,8 +52,8 @@
 /// Cost in seconds of an engine whose memory would not hold the request: more than any queue.
 const FULL_COST: f64 = 60.0;
 
-/// Instances of which each looks at every target for a prompt. When seven place 9 prompts a second
-/// and learn of each other's within 45 ms, two meet at the best engine once in three seconds.
+/// Instances of which each looks at every target for a prompt: seven that learn of each other's
+/// choices within 45 ms place a burst on time so (`tests/relay_placing.rs`).
 const LOOKERS: usize = 8;
 
 /// Least targets looked at in a group.
