Let one aggregator of each failure domain carry the load views of a large fleet

Cause: what an instance did for others grew with the fleet. At 295 instances each sent 110 heartbeats a second, told 49 neighbours and five speakers of every change, and held connections to all.

Ruled out: reports of engines alone at the time of placing (no failure evidence, and a probe each); subsets (deaths and rules still need a way to all); a speaker for each sender (four times the messages).

Change, from 16 instances on: - an instance reports to the candidate of its domain with the most processor and is answered with the sums of all others as far as they have changed; one report in flight, the newest state next, so a slow aggregator gets less work. Aggregators exchange summaries. - heartbeats go to three candidates; those to the candidates of other domains. Membership is introduced on request of a new instance. - aggregators hold the directory of runs; a caller that returns is looked up there. Only they read the platform and the runs stored there; a new instance asks first who there is. - what is left of the fleet's retries by its sums is shared equally, half of it lent by need.

Tests: membership of 24 to 240 instances in simulated time, aggregates, slow aggregators, the retry sum over fleets of 1 to 1,000 (property) and the loss of a domain's engines (equal parts grant under 90%, by need all); 18 real processes whose candidates are killed and paused. The tests of the former audience went with it: their claims (all are reached, messages do not grow with the instances, one that does not answer is passed over) stand in tests/peer_tiers.rs and relay/tests/aggregate.rs.

--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -151,6 +151,7 @@
         addr: entry.peer,
         domain: entry.domain.clone(),
         region: entry.region.clone(),
+        capacity: 0,
     }
 }
 
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -24,7 +24,7 @@
 use crate::generation::Generations;
 use crate::http::Client;
 use crate::ident::RequestKey;
-use crate::peer::{Member, Options, PeerKey, Peers};
+use crate::peer::{Layout, Member, Options, PeerKey, Peers};
 use crate::platform;
 use crate::rollout::Book;
 use crate::routing::{Costs, Policy, Router, Views};
@@ -176,12 +176,14 @@
         addr,
         domain: settings.instance.domain.clone(),
         region: settings.instance.region.clone(),
+        capacity: 0,
     };
     let options = Options {
         me,
         key: PeerKey::new(&settings.peers.key.0),
         period: settings.peers.heartbeat,
         seeds: settings.peers.seeds.clone(),
+        layout: Layout::Mesh,
     };
     Peers::start(listener, options)
 }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between instances.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 
 /// Largest message, in bytes.
 pub const MAX_FRAME: usize = 4 << 20;
@@ -36,11 +36,17 @@
     Action,
     /// News of the platform.
     News,
+    /// What an instance reports to the aggregator of its failure domain.
+    Report,
+    /// What aggregators tell each other.
+    Summary,
+    /// Where a run's copy lies.
+    Run,
 }
 
 impl Tag {
     /// All tags, by their number on the wire.
-    pub(crate) const ALL: [Self; 11] = [
+    pub(crate) const ALL: [Self; 14] = [
         Self::Heartbeat,
         Self::Journal,
         Self::Takeover,
@@ -52,6 +58,9 @@
         Self::Leaving,
         Self::Action,
         Self::News,
+        Self::Report,
+        Self::Summary,
+        Self::Run,
     ];
 }
 
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -20,7 +20,7 @@
 use super::auth::PeerKey;
 use super::frame::{Tag, decode, encode};
 use super::link::{Link, LinkError};
-use super::member::{Evidence, Gossip, Heartbeat, Member, Members, Reach};
+use super::member::{Evidence, Gossip, Heartbeat, Layout, Member, Members, Reach};
 use super::serve;
 
 /// Longest wait for a connection to be open and authenticated.
@@ -33,6 +33,19 @@
 /// hears of eight more from each instance that it knows, and so of hundreds in a few heartbeats.
 const INTRODUCED: usize = 8;
 
+/// The same in the answer to an instance of a large fleet that has just come, which asks few.
+const INTRODUCED_NEW: usize = 24;
+
+/// Rounds of heartbeats in which an instance is new: it asks who there is.
+const NEW_ROUNDS: usize = 10;
+
+/// Rounds of heartbeats after which one of the seeds is asked again, in a large fleet: it may know
+/// better candidates for a duty.
+const SEED_ROUNDS: usize = 16;
+
+/// Time after which an unused connection is closed, in a large fleet.
+const UNUSED_MAX: Duration = Duration::from_secs(5);
+
 /// Who this instance is to others.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -44,6 +57,8 @@
     pub period: Duration,
     /// Addresses to try before any list is known.
     pub seeds: Vec<SocketAddr>,
+    /// Who sends heartbeats to whom.
+    pub layout: Layout,
 }
 
 /// Why a call to another instance failed.
@@ -79,6 +94,12 @@
 
 type Handler = Arc<dyn Fn(SmolStr, Bytes) -> BoxFuture<'static, Option<Bytes>> + Send + Sync>;
 
+/// The connection to one address, and when it was last used.
+struct Slot {
+    link: Arc<tokio::sync::Mutex<Option<Link>>>,
+    used: Instant,
+}
+
 /// State shared by all connections.
 pub(crate) struct Hub {
     pub(crate) opts: Options,
@@ -86,7 +107,7 @@
     incarnation: u64,
     leaving: AtomicBool,
     members: Mutex<Members>,
-    links: Mutex<IndexMap<SocketAddr, Arc<tokio::sync::Mutex<Option<Link>>>>>,
+    links: Mutex<IndexMap<SocketAddr, Slot>>,
     beating: Mutex<IndexSet<SocketAddr>>,
     /// Rounds of heartbeats so far.
     round: AtomicUsize,
@@ -116,12 +137,26 @@
         metrics::counter!("endivefork_peer_strangers_total").increment(1);
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    /// A heartbeat, or the answer to one of an instance that `asks` who there is.
+    fn heartbeat(&self, asks: bool) -> Heartbeat {
+        let now = Instant::now();
+        let mut members = self.members.lock();
+        let others = match members.is_tiered() {
+            false => members.introduce(INTRODUCED, now),
+            true if asks => {
+                let mut others = members.introduce_candidates();
+                others.extend(members.turn(INTRODUCED_NEW));
+                others
+            }
+            true if members.is_settled(now) => Vec::new(),
+            true => members.introduce_candidates(),
+        };
         Heartbeat {
             from: self.opts.me.clone(),
             incarnation: self.incarnation,
             leaving: self.leaving.load(Ordering::Relaxed),
-            others: self.members.lock().introduce(INTRODUCED, Instant::now()),
+            asks: self.round.load(Ordering::Relaxed) <= NEW_ROUNDS,
+            others,
         }
     }
 
@@ -133,7 +168,7 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, LinkError> {
-        let slot = Arc::clone(self.links.lock().entry(addr).or_default());
+        let slot = self.slot(addr);
         let deadline = Instant::now() + limit;
         let link = tokio::time::timeout_at(deadline, self.link(&slot, addr)).await;
         let link = link.unwrap_or(Err(LinkError::TimedOut))?;
@@ -148,6 +183,17 @@
         answer
     }
 
+    fn slot(&self, addr: SocketAddr) -> Arc<tokio::sync::Mutex<Option<Link>>> {
+        let now = Instant::now();
+        let mut links = self.links.lock();
+        let slot = links.entry(addr).or_insert_with(|| Slot {
+            link: Arc::default(),
+            used: now,
+        });
+        slot.used = now;
+        Arc::clone(&slot.link)
+    }
+
     async fn link(
         &self,
         slot: &tokio::sync::Mutex<Option<Link>>,
@@ -164,7 +210,7 @@
 
     /// Sends one heartbeat, twice if the first connection was lost.
     async fn beat(&self, addr: SocketAddr) -> Result<Heartbeat, LinkError> {
-        let body = encode(&self.heartbeat());
+        let body = encode(&self.heartbeat(false));
         let mut answer = self
             .exchange(addr, Tag::Heartbeat, body.clone(), BEAT_LIMIT)
             .await;
@@ -192,16 +238,36 @@
 
     fn beat_all(self: &Arc<Self>) {
         let round = self.round.fetch_add(1, Ordering::Relaxed);
-        let members = self.members.lock();
+        let mut members = self.members.lock();
         let known: IndexSet<_> = members.all().map(|m| m.addr).collect();
-        let seeds = self.opts.seeds.iter().filter(|a| !known.contains(*a));
-        let mut targets: IndexMap<_, _> = seeds.map(|a| (*a, None)).collect();
-        let due = members.due(&self.opts.me.domain, round);
-        targets.extend(due.map(|m| (m.addr, Some(m.name.clone()))));
+        let tiered = members.is_tiered();
+        let alone = members.alive().next().is_none();
+        let seeds = self.opts.seeds.iter().enumerate();
+        let seeds = seeds.filter(|(n, addr)| match tiered {
+            false => !known.contains(*addr),
+            true => {
+                let turn = round % (SEED_ROUNDS * self.opts.seeds.len()) == n * SEED_ROUNDS;
+                alone || turn || round < NEW_ROUNDS
+            }
+        });
+        let mut targets: IndexMap<_, _> = seeds.map(|(_, addr)| (*addr, None)).collect();
+        let named = |m: &Member| (m.addr, Some(m.name.clone()));
+        match tiered {
+            false => targets.extend(members.due(&self.opts.me.domain, round).map(named)),
+            true => {
+                members.expire(Instant::now());
+                targets.extend(members.due_tiered(&self.opts.me).into_iter().map(named));
+            }
+        }
         drop(members);
         targets.swap_remove(&self.opts.me.addr);
-        let used = |addr: &SocketAddr| known.contains(addr) || targets.contains_key(addr);
-        self.links.lock().retain(|addr, _| used(addr));
+        let kept = |addr: &SocketAddr, slot: &Slot| match tiered {
+            false => known.contains(addr),
+            true => slot.used.elapsed() < UNUSED_MAX,
+        };
+        self.links
+            .lock()
+            .retain(|addr, slot| targets.contains_key(addr) || kept(addr, slot));
         for (addr, name) in targets {
             let beat = Arc::clone(self).beat_once(addr, name);
             tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
@@ -230,7 +296,9 @@
             closed: CancellationToken::new(),
             incarnation: rand::random(),
             leaving: AtomicBool::new(false),
-            members: Mutex::new(Members::new(opts.me.name.clone(), opts.period)),
+            members: Mutex::new(
+                Members::new(opts.me.name.clone(), opts.period).laid_out(opts.layout),
+            ),
             links: Mutex::default(),
             beating: Mutex::default(),
             round: AtomicUsize::new(0),
@@ -244,7 +312,7 @@
         let listening = Arc::clone(&peers.hub);
         peers.on(Tag::Heartbeat, move |_, beat: Heartbeat| {
             listening.members.lock().hear(&beat, Instant::now());
-            std::future::ready(listening.heartbeat())
+            std::future::ready(listening.heartbeat(beat.asks))
         });
         tokio::spawn(serve::accept(Arc::clone(&peers.hub), listener));
         tokio::spawn(beats(Arc::clone(&peers.hub)));
@@ -351,6 +419,20 @@
         self.hub.members.lock().alive().cloned().collect()
     }
 
+    /// Whether duties are left to few instances, as the fleet is large.
+    #[must_use]
+    pub fn is_tiered(&self) -> bool {
+        self.hub.members.lock().is_tiered()
+    }
+
+    /// Instances of a failure domain that may take on its duties in a large fleet, best first, this
+    /// one left out.
+    #[must_use]
+    pub fn candidates(&self, domain: &str) -> Vec<Member> {
+        let members = self.hub.members.lock();
+        members.candidates(domain).into_iter().cloned().collect()
+    }
+
     /// Whether `name` is an instance of this one's failure domain.
     #[must_use]
     pub fn is_near(&self, name: &str) -> bool {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -4,12 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::duty::SMALL_FLEET;
+use super::duty::{CANDIDATES, SMALL_FLEET, ranked};
 use crate::ident::digest;
 
 /// Missed heartbeats after which a peer counts as silent.
@@ -19,6 +19,13 @@
 /// large fleet: with its own, a pair still speaks twice in that time.
 const FAR_ROUNDS: usize = 4;
 
+/// Candidates of a failure domain that are tried until enough of them answer.
+const TRIED_MAX: usize = 8;
+
+/// Periods without a sign of life after which an instance that is not asked itself counts as
+/// silent.
+const EXPIRED: u32 = 4;
+
 /// Periods for which others are introduced after a newcomer was met: the five heartbeats in which
 /// a newcomer learns of 80, with its turns beginning anew for each that it meets.
 const SETTLED: u32 = 5;
@@ -40,6 +47,20 @@
     pub domain: SmolStr,
     /// Region.
     pub region: SmolStr,
+    /// Processor that it may use, in thousandths of a core; 0 when it does not say.
+    pub capacity: u32,
+}
+
+/// Who sends heartbeats to whom.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Layout {
+    /// Each instance to all others.
+    #[default]
+    Mesh,
+    /// The same in a small fleet. In a large one each instance to the candidates for its failure
+    /// domain's duties, and these to the candidates of other domains, so that what an instance
+    /// sends does not grow with the fleet.
+    Tiered,
 }
 
 /// What a heartbeat tells, and its answer.
@@ -51,6 +72,8 @@
     pub incarnation: u64,
     /// Whether the sender is draining.
     pub leaving: bool,
+    /// Whether the sender is new and wants to know who there is.
+    pub asks: bool,
     /// Some of the others that answer the sender.
     pub others: Vec<Gossip>,
 }
@@ -119,6 +142,7 @@
 #[derive(Clone, Debug)]
 pub struct Members {
     me: SmolStr,
+    layout: Layout,
     period: Duration,
     known: IndexMap<SmolStr, Known>,
     /// Place from which the next heartbeat tells of others.
@@ -135,6 +159,7 @@
         let told = digest(&[&me]) as usize % START;
         Self {
             me,
+            layout: Layout::Mesh,
             period,
             known: IndexMap::new(),
             told,
@@ -142,6 +167,18 @@
         }
     }
 
+    /// The same with another layout of heartbeats.
+    #[must_use]
+    pub fn laid_out(self, layout: Layout) -> Self {
+        Self { layout, ..self }
+    }
+
+    /// Whether duties are left to few instances, as the fleet is large.
+    #[must_use]
+    pub fn is_tiered(&self) -> bool {
+        self.layout == Layout::Tiered && self.known.len() >= SMALL_FLEET
+    }
+
     /// Takes the platform's list. It adds instances, and drops those neither listed nor heard.
     pub fn list(&mut self, members: &[Member], now: Instant) {
         for known in self.known.values_mut() {
@@ -208,6 +245,69 @@
         due.map(|(_, k)| &k.member)
     }
 
+    /// Instances that `me` sends a heartbeat to in a large fleet: the first candidates of its
+    /// failure domain, and those of other domains if it is one itself. Candidates that do not
+    /// answer are asked as well, and as many after them.
+    #[must_use]
+    pub fn due_tiered<'a>(&'a self, me: &'a Member) -> Vec<&'a Member> {
+        let near = self.first(&me.domain, Some(me));
+        let ready = near.iter().filter(|m| self.answers(m, me));
+        let candidate = ready.take(CANDIDATES).any(|m| m.name == me.name);
+        let mut due = near;
+        if candidate {
+            let far = self.domains().into_iter().filter(|d| *d != &me.domain);
+            due.extend(far.flat_map(|domain| self.first(domain, None)));
+        }
+        due.retain(|m| m.name != me.name);
+        due
+    }
+
+    /// The first candidates of a domain, until enough of them answer.
+    fn first<'a>(&'a self, domain: &str, me: Option<&'a Member>) -> Vec<&'a Member> {
+        let staying = self.known.values().filter(|k| !k.leaving);
+        let mut order = ranked(domain, staying.map(|k| &k.member).chain(me));
+        let mut answering = 0;
+        let mut tried = 0;
+        order.retain(|m| {
+            let wanted = answering < CANDIDATES && tried < TRIED_MAX;
+            tried += 1;
+            let answers =
+                me.is_some_and(|me| me.name == m.name) || self.reach(&m.name) == Reach::Alive;
+            answering += usize::from(answers);
+            wanted
+        });
+        order
+    }
+
+    fn answers(&self, member: &Member, me: &Member) -> bool {
+        member.name == me.name || self.reach(&member.name) == Reach::Alive
+    }
+
+    fn domains(&self) -> IndexSet<&SmolStr> {
+        self.known.values().map(|k| &k.member.domain).collect()
+    }
+
+    /// Instances of each failure domain that may take on its duties, best first; those that are
+    /// not known to be gone.
+    #[must_use]
+    pub fn candidates(&self, domain: &str) -> Vec<&Member> {
+        let open = self.known.values();
+        let open = open.filter(|k| !k.leaving && matches!(k.reach, Reach::Alive | Reach::Unknown));
+        let mut order = ranked(domain, open.map(|k| &k.member));
+        order.truncate(CANDIDATES);
+        order
+    }
+
+    /// Takes instances that are not asked themselves and were not heard for a while as silent.
+    pub fn expire(&mut self, now: Instant) {
+        let silence = self.period * EXPIRED;
+        for known in self.known.values_mut() {
+            if known.reach == Reach::Alive && now - known.heard >= silence {
+                known.reach = Reach::Silent;
+            }
+        }
+    }
+
     /// Instances that answer and stay.
     pub fn alive(&self) -> impl Iterator<Item = &Member> {
         self.known
@@ -249,10 +349,31 @@
     /// Up to `most` instances that answer, by turns, so that after some heartbeats all were told;
     /// none once nobody has come for a while.
     pub fn introduce(&mut self, most: usize, now: Instant) -> Vec<Gossip> {
-        let settled = |met: Instant| now - met > self.period * SETTLED;
-        if self.met.is_none_or(settled) {
-            return Vec::new();
+        match self.is_settled(now) {
+            true => Vec::new(),
+            false => self.turn(most),
         }
+    }
+
+    /// Whether nobody has come for a while.
+    #[must_use]
+    pub fn is_settled(&self, now: Instant) -> bool {
+        let settled = |met: Instant| now - met > self.period * SETTLED;
+        self.met.is_none_or(settled)
+    }
+
+    /// The first candidates of each failure domain, for one that has to know who they are.
+    #[must_use]
+    pub fn introduce_candidates(&self) -> Vec<Gossip> {
+        let domains = self.domains().into_iter();
+        let first = domains.flat_map(|domain| self.candidates(domain));
+        let known = first.filter_map(|m| self.known.get(&m.name));
+        let alive = known.filter(|k| k.reach == Reach::Alive);
+        alive.map(Known::gossip).collect()
+    }
+
+    /// Up to `most` instances that answer, by turns.
+    pub fn turn(&mut self, most: usize) -> Vec<Gossip> {
         let all = self.known.len();
         let from = self.told % all.max(1);
         self.told = from + most;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,7 +10,7 @@
 mod serve;
 
 pub use auth::PeerKey;
-pub use duty::{SMALL_FLEET, on_duty};
+pub use duty::{CANDIDATES, SMALL_FLEET, on_duty, ranked};
 pub use frame::{MAX_FRAME, PROTOCOL, Tag, decode, encode};
 pub use hub::{CallError, Counts, Options, Peers};
-pub use member::{Evidence, Gossip, Heartbeat, Member, Members, Reach};
+pub use member::{Evidence, Gossip, Heartbeat, Layout, Member, Members, Reach};
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -117,7 +117,7 @@
 impl Call<'_> {
     async fn run(&mut self) -> (Response, &'static str) {
         let deadline = self.inquiry.deadline;
-        while self.may_go_on() {
+        while self.may_go_on().await {
             let Some(lease) = self.choose() else { break };
             self.target = lease.name();
             let begun = Instant::now();
@@ -170,7 +170,7 @@
         self.give_up()
     }
 
-    fn may_go_on(&self) -> bool {
+    async fn may_go_on(&self) -> bool {
         let first = self.tried.is_empty();
         let within = match self.inquiry.route.kind {
             Kind::Idempotent => self.runs < self.inquiry.route.attempts,
@@ -178,7 +178,10 @@
         };
         let asked = self.runs + self.declined;
         let reachable = self.declined < DECLINED_MAX && self.unreached < UNREACHED_MAX;
-        first || within && reachable && (asked == 0 || self.relay.take_retry(&self.inquiry.service))
+        if first || !within || !reachable || asked == 0 {
+            return first || within && reachable;
+        }
+        self.relay.take_retry(&self.inquiry.service).await
     }
 
     /// A target that was not tried; an idempotent call may go to the only one again.
--- a/src/relay/duty.rs
+++ b/src/relay/duty.rs
@@ -2,18 +2,25 @@
 //! hundreds of instances, each reading for itself, the platform is asked for the same again and
 //! again.
 
+use std::time::Duration;
+
 use smol_str::SmolStr;
 
 use super::relay::Relay;
-use crate::peer::{SMALL_FLEET, on_duty};
+use crate::ident::fraction;
+use crate::peer::{CANDIDATES, on_duty};
 
-/// Instances of a failure domain that read the platform for the others, in a small fleet: when one
+/// Instances of a failure domain that read the platform for the others in a small fleet: when one
 /// is cut off from the platform, or dies, the other still does.
 const READERS: usize = 2;
 
-/// The same in a large fleet, where the words of the other domains, which come within 200 ms, show
-/// that they know more.
-const READERS_LARGE: usize = 1;
+/// Time without a reader after which an instance of a large fleet reads the platform itself, if
+/// none of the candidates can.
+const UNREAD_MAX: Duration = Duration::from_secs(2);
+
+/// Time over which instances begin to do so, one after the other, so that the first that succeeds
+/// spares the others.
+const UNREAD_SPREAD: Duration = Duration::from_secs(4);
 
 /// Whether this instance reads the platform, by kind.
 #[derive(Clone, Copy, Debug, Default)]
@@ -39,33 +46,78 @@
 
     /// Whether this instance is to read the platform: it is on duty, or none that is can do so.
     pub(crate) fn is_reader(&self) -> bool {
+        if self.peers.is_tiered() {
+            return self.is_reader_of_many();
+        }
         let near = self.near();
         let readers = self.readers.lock();
         let reads = |name: &&str| readers.get(*name).is_some_and(|reads| *reads);
-        let duty = self.on_duty("platform", &near, self.readers_wanted());
+        let duty = self.on_duty("platform", &near, READERS);
         duty.contains(&self.me()) || !duty.iter().any(reads)
     }
 
+    /// The same in a large fleet: the first candidate that can, or another instance once the
+    /// domain was without a reader for a while.
+    fn is_reader_of_many(&self) -> bool {
+        let candidates = self.aggregators();
+        let rank = candidates.iter().position(|m| m.name == self.me());
+        let readers = self.readers.lock();
+        let fails = |name: &SmolStr| readers.get(name).is_some_and(|reads| !reads);
+        match rank {
+            Some(0) => true,
+            Some(n) if n < CANDIDATES => candidates[..n].iter().all(|m| fails(&m.name)),
+            _ => {
+                drop(readers);
+                let wait = UNREAD_MAX + UNREAD_SPREAD.mul_f64(fraction(self.me()));
+                self.unread_for().is_some_and(|unread| unread >= wait)
+            }
+        }
+    }
+
+    /// Time for which no instance of this failure domain is known to read the platform.
+    fn unread_for(&self) -> Option<Duration> {
+        let mut unread = self.unread.lock();
+        match self.domain_is_read() {
+            true => {
+                *unread = None;
+                None
+            }
+            false => {
+                let since = unread.get_or_insert_with(std::time::Instant::now);
+                Some(since.elapsed())
+            }
+        }
+    }
+
+    /// Whether an instance of this failure domain, this one included, reads the platform.
+    pub(crate) fn domain_is_read(&self) -> bool {
+        if self.reading.lock().is_whole() {
+            return true;
+        }
+        let readers = self.readers.lock();
+        let near = self.near();
+        near.iter().any(|name| readers.get(name) == Some(&true))
+    }
+
     /// Whether this instance stores the runs of its failure domain.
     pub(crate) fn is_writer(&self) -> bool {
-        self.on_duty("runs", &self.near(), 1).contains(&self.me())
+        match self.peers.is_tiered() {
+            true => self.is_aggregator(),
+            false => self.on_duty("runs", &self.near(), 1).contains(&self.me()),
+        }
     }
 
     /// Near instances that are told what this one reads.
     pub(crate) fn listeners(&self) -> Vec<SmolStr> {
         let near = self.near();
-        let duty = self.on_duty("platform", &near, self.readers_wanted());
+        if self.peers.is_tiered() {
+            return near;
+        }
+        let duty = self.on_duty("platform", &near, READERS);
         let listens = |name: &&SmolStr| !duty.contains(&name.as_str());
         near.iter().filter(listens).cloned().collect()
     }
 
-    fn readers_wanted(&self) -> usize {
-        match self.peers.others() < SMALL_FLEET {
-            true => READERS,
-            false => READERS_LARGE,
-        }
-    }
-
     fn me(&self) -> &str {
         &self.settings.instance.name
     }
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -36,6 +36,16 @@
 /// rules must be in force.
 const STAND_BY: Duration = Duration::from_millis(200);
 
+/// Longest wait at the start for other instances, before the platform is read: the way to a seed of
+/// the own region and back.
+const MEET_MAX: Duration = Duration::from_millis(100);
+
+/// The same when the whole system starts, and callers come seconds later.
+const MEET_FIRST: Duration = Duration::from_secs(2);
+
+/// Time between two looks for other instances at the start.
+const MEET_LOOK: Duration = Duration::from_millis(10);
+
 /// How the platform's objects are read.
 #[derive(Clone, Copy)]
 pub struct Sources {
@@ -104,6 +114,7 @@
 
     /// Reads the platform while on duty.
     pub(crate) async fn follow(self: Arc<Self>, sources: Sources, topic: Topic) {
+        self.meet().await;
         let mut from = None;
         let mut pause = RETRY_MIN;
         loop {
@@ -128,6 +139,18 @@
         }
     }
 
+    /// Waits until it shows whether the fleet is large, where others may read for this instance.
+    pub(crate) async fn meet(&self) {
+        let longest = match self.settings.first_start {
+            true => MEET_FIRST,
+            false => MEET_MAX,
+        };
+        let until = Instant::now() + longest;
+        while Instant::now() < until && !self.peers.is_tiered() {
+            sleep(MEET_LOOK).await;
+        }
+    }
+
     fn set_reading(&self, topic: Topic, reads: bool) {
         let mut reading = self.reading.lock();
         match topic {
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -11,12 +11,12 @@
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
-use super::audience::{Audience, COLLECT};
+use super::exchange::Reports;
 use super::follow::{Held, Sources};
 use super::pacing::{Pacing, State, Tell};
 use super::relay::Relay;
 use super::runs::Note;
-use crate::peer::Tag;
+use crate::peer::{Tag, encode};
 use crate::routing::Word;
 
 /// Time between two looks at what could be told: a fraction of a prompt's reading time.
@@ -40,31 +40,19 @@
     runs: Vec<Note>,
 }
 
-/// What instances have told, with their names.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Words {
-    list: Vec<(SmolStr, Told)>,
-    /// Whether the one that gets it passes it on in its failure domain.
-    pass_on: bool,
-}
-
 impl Relay {
     /// Answers what peers tell and ask.
     pub(crate) fn hear_peers(self: &Arc<Self>, sources: Sources) {
         let me = Arc::clone(self);
-        self.peers.on(Tag::Load, move |_, words: Words| {
-            if words.pass_on {
-                me.collect(&words.list);
-            }
-            for (from, told) in words.list {
-                me.take_word(sources, from, told);
-            }
+        self.peers.on(Tag::Load, move |from, told: Told| {
+            me.take_word(sources, from, told);
             ready(())
         });
         let me = Arc::clone(self);
         self.peers
             .on(Tag::Journal, move |_, ()| ready(me.runs.lock().all()));
         self.hear_news(sources);
+        self.hear_exchange(sources);
     }
 
     fn take_word(self: &Arc<Self>, sources: Sources, from: SmolStr, told: Told) {
@@ -80,37 +68,8 @@
         self.compare(sources, from, told.held, now);
     }
 
-    /// Keeps words to pass on, of each instance its newest and all runs that it noted.
-    fn collect(&self, list: &[(SmolStr, Told)]) {
-        let mut collected = self.collected.lock();
-        for (from, told) in list {
-            let earlier = collected.swap_remove(from).map_or(Vec::new(), |t| t.runs);
-            let mut newest = told.clone();
-            newest.runs.splice(0..0, earlier);
-            collected.insert(from.clone(), newest);
-        }
-        drop(collected);
-        self.passing.notify_one();
-    }
-
-    /// Passes words of other failure domains on in this one, again and again.
-    pub(crate) async fn pass_words_on(self: Arc<Self>) {
-        loop {
-            self.passing.notified().await;
-            sleep(COLLECT).await;
-            let collected = std::mem::take(&mut *self.collected.lock());
-            let words = Words {
-                list: collected.into_iter().collect(),
-                pass_on: false,
-            };
-            for name in self.near() {
-                tokio::spawn(Arc::clone(&self).tell_one(name, words.clone()));
-            }
-        }
-    }
-
     /// Takes the runs that the first peer heard of knows: their callers may come here.
-    fn greet(self: &Arc<Self>, peer: &SmolStr) {
+    pub(crate) fn greet(self: &Arc<Self>, peer: &SmolStr) {
         if self.greeted.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -136,7 +95,13 @@
     }
 
     /// Asks a peer that has newer rules, or targets that this instance has lacked for a while.
-    fn compare(self: &Arc<Self>, sources: Sources, from: SmolStr, theirs: Held, now: Instant) {
+    pub(crate) fn compare(
+        self: &Arc<Self>,
+        sources: Sources,
+        from: SmolStr,
+        theirs: Held,
+        now: Instant,
+    ) {
         let mine = self.held();
         let mut behind = self.behind.lock();
         match theirs.targets > mine.targets {
@@ -158,8 +123,9 @@
         }
     }
 
-    /// Tells all peers what has changed, again and again.
-    pub(crate) async fn tell_peers(self: Arc<Self>) {
+    /// Tells all peers what has changed, again and again; in a large fleet the aggregator.
+    pub(crate) async fn tell_peers(self: Arc<Self>, sources: Sources) {
+        let mut reports = Reports::default();
         let mut pacing = Pacing::new(Instant::now());
         loop {
             // A run that begins is told at once: others would choose its engine too.
@@ -167,16 +133,19 @@
             if urgent {
                 sleep(TOGETHER).await;
             }
+            self.links.sweep();
+            if self.peers.is_tiered() {
+                self.report(sources, &mut reports).await;
+                continue;
+            }
             let now = Instant::now();
             let alive = self.peers.alive();
             self.router.crowd(alive.len() + 1);
-            let domain = &self.settings.instance.domain;
             let state = State {
                 word: self.router.word(now),
                 held: self.held(),
-                audience: Audience::of(domain, &alive, &self.untold.lock(), now),
+                audience: alive.into_iter().map(|m| m.name).collect(),
             };
-            self.links.sweep();
             let noted = self.runs.lock().has_news();
             let wait = match pacing.tell(&state, urgent || noted, now) {
                 Tell::Nothing => continue,
@@ -188,47 +157,20 @@
                 held: state.held,
                 runs: self.runs.lock().news(),
             };
-            self.spread(state.audience, told);
+            self.spread(state.audience, &told);
         }
     }
 
-    fn spread(self: &Arc<Self>, audience: Audience, told: Told) {
-        let mut words = Words {
-            list: vec![(self.settings.instance.name.clone(), told)],
-            pass_on: false,
-        };
-        for name in audience.direct {
-            tokio::spawn(Arc::clone(self).tell_one(name, words.clone()));
-        }
-        words.pass_on = true;
-        for speakers in audience.speakers {
-            tokio::spawn(Arc::clone(self).tell_domain(speakers, words.clone()));
-        }
-    }
-
-    async fn tell_one(self: Arc<Self>, name: SmolStr, words: Words) -> bool {
-        let told = self
-            .peers
-            .call::<_, ()>(&name, Tag::Load, &words, TELL_LIMIT);
-        let taken = told.await.is_ok();
-        if !taken {
-            metrics::counter!("endivefork_words_untold_total").increment(1);
-        }
-        taken
-    }
-
-    /// Tells one of the instances that pass words on in a failure domain.
-    async fn tell_domain(self: Arc<Self>, speakers: Vec<SmolStr>, words: Words) {
-        for name in speakers {
-            if Arc::clone(&self)
-                .tell_one(name.clone(), words.clone())
-                .await
-            {
-                return;
-            }
-            info!(self.record.log, "words: not taken, another instance is asked to pass them on";
-                "peer" => name.as_str(), "limit_ms" => TELL_LIMIT.as_millis() as u64);
-            self.untold.lock().note(&name, Instant::now());
+    fn spread(self: &Arc<Self>, audience: Vec<SmolStr>, told: &Told) {
+        let body = encode(told);
+        for name in audience {
+            let (me, body) = (Arc::clone(self), body.clone());
+            tokio::spawn(async move {
+                let sent = me.peers.send(&name, Tag::Load, body, TELL_LIMIT);
+                if sent.await.is_err() {
+                    metrics::counter!("endivefork_words_untold_total").increment(1);
+                }
+            });
         }
     }
 }
--- a/src/relay/ledger.rs
+++ b/src/relay/ledger.rs
@@ -57,7 +57,12 @@
     /// Takes the runs that all instances had, and then stores those of its failure domain while that
     /// is its duty.
     pub(crate) async fn keep_ledger(self: Arc<Self>) {
-        let mut expect = self.read_ledger().await;
+        self.meet().await;
+        // In a large fleet only those that may come on duty need the runs of before.
+        let mut expect = match self.peers.is_tiered() && !self.is_candidate() {
+            true => Expect::Absent,
+            false => self.read_ledger().await,
+        };
         loop {
             sleep(PERIOD).await;
             if !self.is_writer() {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,14 +4,15 @@
 //! What callers, targets and the platform spell in their own way comes in as a [`Platform`] of
 //! plain functions. Decisions are here: routes, targets, retries, copies of runs, refusals.
 
+mod aggregate;
 mod answer;
-mod audience;
 mod call;
 mod catalog;
 mod copies;
 mod dialect;
 mod duty;
 mod events;
+mod exchange;
 mod follow;
 mod front;
 mod gossip;
--- a/src/relay/news.rs
+++ b/src/relay/news.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -13,7 +14,7 @@
 use super::catalog::{Change, Registration};
 use super::follow::{Held, Sources};
 use super::relay::Relay;
-use crate::peer::Tag;
+use crate::peer::{Tag, encode};
 
 /// Longest wait for a peer's answer.
 const ASK_LIMIT: Duration = Duration::from_millis(500);
@@ -60,13 +61,14 @@
             return;
         }
         let me = Arc::clone(self);
+        let body = encode(&news);
         tokio::spawn(async move {
-            join_all(listeners.iter().map(|name| me.tell(name, &news))).await;
+            join_all(listeners.iter().map(|name| me.tell(name, body.clone()))).await;
         });
     }
 
-    async fn tell(&self, name: &SmolStr, news: &News) {
-        let told = self.peers.call::<_, ()>(name, Tag::News, news, ASK_LIMIT);
+    async fn tell(&self, name: &SmolStr, news: Bytes) {
+        let told = self.peers.send(name, Tag::News, news, ASK_LIMIT);
         if let Err(e) = told.await {
             info!(self.record.log, "platform: could not tell a peer";
                 "peer" => name.as_str(), "error" => %e);
--- a/src/relay/pacing.rs
+++ b/src/relay/pacing.rs
@@ -3,7 +3,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::audience::Audience;
+use smol_str::SmolStr;
+
 use super::follow::Held;
 use crate::routing::Word;
 
@@ -18,7 +19,7 @@
 pub(crate) struct State {
     pub(crate) word: Word,
     pub(crate) held: Held,
-    pub(crate) audience: Audience,
+    pub(crate) audience: Vec<SmolStr>,
 }
 
 /// Whether to tell it.
@@ -56,7 +57,7 @@
         if !urgent && !new && since < KEPT {
             return Tell::Nothing;
         }
-        let spacing = SPACING * state.audience.messages() as u32;
+        let spacing = SPACING * state.audience.len() as u32;
         let wait = spacing.saturating_sub(since);
         self.last = state.clone();
         self.at = now + wait;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -9,12 +9,12 @@
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
 
-use super::audience::Failed;
+use super::aggregate::Aggregate;
 use super::catalog::Catalog;
 use super::copies::{RunCopy, Source};
 use super::dialect::Dialect;
 use super::duty::Reading;
-use super::gossip::Told;
+use super::exchange::{Failed, Outbox};
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
@@ -50,12 +50,12 @@
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) runs: Mutex<Runs>,
-    /// Peers that have not taken a word.
+    /// Peers that have not taken a report or a summary.
     pub(crate) untold: Mutex<Failed>,
-    /// Words of other failure domains, to be passed on in this one.
-    pub(crate) collected: Mutex<IndexMap<SmolStr, Told>>,
-    /// Wakes who passes them on.
-    pub(crate) passing: Notify,
+    /// Load of the fleet, while this instance is an aggregator.
+    pub(crate) aggregate: Mutex<Aggregate>,
+    /// Runs to tell other aggregators.
+    pub(crate) outbox: Mutex<Outbox>,
     /// Wakes the word to the peers.
     pub(crate) news: Notify,
     /// Whether a peer was asked for its runs.
@@ -66,6 +66,8 @@
     pub(crate) reading: Mutex<Reading>,
     /// What peers have last said of that.
     pub(crate) readers: Mutex<IndexMap<SmolStr, bool>>,
+    /// Since when no instance of this failure domain reads the platform.
+    pub(crate) unread: Mutex<Option<Instant>>,
     /// A peer that has newer targets, and since when.
     pub(crate) behind: Mutex<Option<(SmolStr, Instant)>>,
     begun: watch::Sender<bool>,
@@ -88,7 +90,7 @@
         platform: platform::Client,
         peers: Peers,
     ) -> Self {
-        let retries = Retries::new(settings.retries, Instant::now());
+        let retries = Retries::new(settings.retries, Instant::now()).salted(rand::random());
         Self {
             settings,
             dialect,
@@ -103,13 +105,14 @@
             retries: Mutex::new(retries),
             runs: Mutex::default(),
             untold: Mutex::default(),
-            collected: Mutex::default(),
-            passing: Notify::new(),
+            aggregate: Mutex::new(Aggregate::new(rand::random())),
+            outbox: Mutex::default(),
             news: Notify::new(),
             greeted: AtomicBool::new(false),
             rules_text: Mutex::default(),
             reading: Mutex::default(),
             readers: Mutex::default(),
+            unread: Mutex::default(),
             behind: Mutex::default(),
             begun: watch::Sender::new(false),
         }
@@ -222,9 +225,13 @@
     }
 
     /// The copy of a run of this content at this instance or another one.
-    pub(crate) fn known_copy(&self, digest: u128) -> Option<RunCopy> {
+    pub(crate) async fn known_copy(&self, digest: u128) -> Option<RunCopy> {
+        let own = self.runs.lock().take(digest, Instant::now());
+        let (engine, copied) = match own {
+            Some(known) => known,
+            None => self.find_run(digest).await?,
+        };
         let now = Instant::now();
-        let (engine, copied) = self.runs.lock().take(digest, now)?;
         let key = self.router.key_named(&engine)?;
         let lease = self
             .router
@@ -232,10 +239,11 @@
         Some(RunCopy::new(lease, copied))
     }
 
-    /// Takes a retry of this instance's part of the budget.
-    pub(crate) fn take_retry(&self, service: &SmolStr) -> bool {
+    /// Takes a retry of this instance's part of the budget, or one that its aggregator lends.
+    pub(crate) async fn take_retry(&self, service: &SmolStr) -> bool {
         let members = self.peers.others() + 1;
-        let taken = self.retries.lock().take(service, members, Instant::now());
+        let own = self.retries.lock().take(service, members, Instant::now());
+        let taken = own || self.borrow_retry(service).await;
         if !taken {
             metrics::counter!("endivefork_retries_denied_total").increment(1);
         }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -17,7 +17,7 @@
 use super::settings::Settings;
 use crate::caller::{self, Drain};
 use crate::listen::listen;
-use crate::peer::{Member, Options, PeerKey, Peers};
+use crate::peer::{Layout, Member, Options, PeerKey, Peers};
 use crate::platform::{self, Spelling};
 use crate::settings::Limits;
 use crate::telemetry;
@@ -141,10 +141,12 @@
                 addr: settings.peer,
                 domain: me.domain.clone(),
                 region: me.region.clone(),
+                capacity: settings.capacity,
             },
             key: PeerKey::new(&settings.key.0),
             period: HEARTBEAT,
             seeds: settings.seeds.clone(),
+            layout: Layout::Tiered,
         },
     );
     let client = platform::Client::spelling(settings.platform, PLATFORM_LIMIT, platform.spelling);
@@ -199,7 +201,7 @@
     tokio::spawn(Arc::clone(relay).follow(sources, Topic::Rules));
     tokio::spawn(Arc::clone(relay).follow(sources, Topic::Targets));
     tokio::spawn(Arc::clone(relay).keep_ledger());
-    tokio::spawn(Arc::clone(relay).tell_peers());
-    tokio::spawn(Arc::clone(relay).pass_words_on());
+    tokio::spawn(Arc::clone(relay).tell_peers(sources));
+    tokio::spawn(Arc::clone(relay).exchange());
     tokio::spawn(Arc::clone(relay).revive_targets());
 }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -28,6 +28,10 @@
     pub domains: IndexMap<SmolStr, SmolStr>,
     /// The platform's object API.
     pub platform: SocketAddr,
+    /// Processor that this instance may use, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Longest wait for running requests at a graceful stop.
     pub drain: Duration,
     /// Retries that all instances may make together.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -97,7 +97,10 @@
     let repeats = inquiry.route.kind.repeats();
     let returned = last.filter(|_| repeats);
     let service = inquiry.service.clone();
-    let copy = returned.and_then(|_| relay.known_copy(digest));
+    let copy = match returned {
+        Some(_) => relay.known_copy(digest).await,
+        None => None,
+    };
     let mut stream = Stream {
         relay: Arc::clone(relay),
         inquiry,
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -49,7 +49,7 @@
             if !runs_left || self.declined > DECLINED_MAX {
                 return Err(self.out_of("no attempt left"));
             }
-            if asked > 0 && !self.relay.take_retry(&self.inquiry.service) {
+            if asked > 0 && !self.relay.take_retry(&self.inquiry.service).await {
                 return Err(self.out_of("retry budget spent"));
             }
             let copy = self.copy.take();
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -1,7 +1,7 @@
 //! Rules and decisions of the relay, without a network.
 
+mod aggregate;
 mod answer;
-mod audience;
 mod catalog;
 mod events;
 mod pace;
--- a/src/relay/tests/pacing.rs
+++ b/src/relay/tests/pacing.rs
@@ -3,7 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::relay::audience::Audience;
 use crate::relay::pacing::{Pacing, State, Tell};
 use crate::routing::{Count, Word, Work};
 
@@ -23,10 +22,7 @@
             counts: (0..runs).map(count).collect(),
             ..Word::default()
         },
-        audience: Audience {
-            direct: (0..peers).map(|n| format!("i{n}").into()).collect(),
-            ..Audience::default()
-        },
+        audience: (0..peers).map(|n| format!("i{n}").into()).collect(),
         ..State::default()
     }
 }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -51,13 +51,13 @@
 }
 
 impl Work {
-    fn add(&mut self, other: Self) {
+    pub(crate) fn add(&mut self, other: Self) {
         self.prompt += other.prompt;
         self.memory += other.memory;
         self.runs += other.runs;
     }
 
-    fn remove(&mut self, other: Self) {
+    pub(crate) fn remove(&mut self, other: Self) {
         self.prompt = self.prompt.saturating_sub(other.prompt);
         self.memory = self.memory.saturating_sub(other.memory);
         self.runs = self.runs.saturating_sub(other.runs);
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use endivefork::peer::{
-    CallError, Evidence, Gossip, Heartbeat, MAX_FRAME, Member, Members, Options, PeerKey, Peers,
-    Reach, Tag,
+    CallError, Evidence, Gossip, Heartbeat, Layout, MAX_FRAME, Member, Members, Options, PeerKey,
+    Peers, Reach, Tag,
 };
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,7 @@
         addr,
         domain: "a".into(),
         region: "r".into(),
+        capacity: 0,
     }
 }
 
@@ -60,6 +61,7 @@
         key: PeerKey::new(key),
         period: PERIOD,
         seeds,
+        layout: Layout::Mesh,
     };
     let peers = Peers::start(listener, opts);
     peers.on(Tag::Config, |from, ask: Ask| async move {
@@ -270,6 +272,7 @@
         from,
         incarnation: 1,
         leaving: false,
+        asks: false,
         others: vec![],
     };
     members.hear(&beat(b), now);
@@ -302,6 +305,7 @@
             from: other,
             incarnation: 1,
             leaving: false,
+            asks: false,
             others: vec![told],
         },
         now,
@@ -322,6 +326,7 @@
             from,
             incarnation: 1,
             leaving: false,
+            asks: false,
             others: vec![],
         };
         members.hear(&beat, now);
@@ -346,6 +351,7 @@
         from: from.clone(),
         incarnation: 1,
         leaving: false,
+        asks: false,
         others,
     };
     let settled = |me: &Member| {
@@ -385,12 +391,14 @@
         addr: SocketAddr::from(([127, 0, 0, 1], n + 1)),
         domain: if n < 10 { "near".into() } else { "far".into() },
         region: "r".into(),
+        capacity: 0,
     };
     for n in 0..50 {
         let beat = Heartbeat {
             from: member(n),
             incarnation: 1,
             leaving: false,
+            asks: false,
             others: Vec::new(),
         };
         members.hear(&beat, now);
--- a/tests/support/entries.rs
+++ b/tests/support/entries.rs
@@ -10,7 +10,7 @@
 use endivefork::failure::Failure;
 use endivefork::generation::{Generations, Reader, Start};
 use endivefork::http::Client;
-use endivefork::peer::{Member, Options, PeerKey, Peers};
+use endivefork::peer::{Layout, Member, Options, PeerKey, Peers};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::Instant;
@@ -53,12 +53,14 @@
                 addr: listener.local_addr().unwrap(),
                 domain,
                 region: "r".into(),
+                capacity: 0,
             };
             let opts = Options {
                 me,
                 key: PeerKey::new("key"),
                 period: PERIOD,
                 seeds,
+                layout: Layout::Mesh,
             };
             let peers = Peers::start(listener, opts);
             let generations = Generations::with_quarantine(hooks, Client::new(), QUARANTINE);
