End what a target sends without end, and streams that stall in pieces

Cause: a byte, a comment or half an event counted as a sign of progress, so a stalled stream that sent one now and then was kept until the caller's deadline. The body of an engine's failure was collected without a bound, an answer of a call up to 8 MiB each, an unfinished event up to 1 MiB each and an answer of the store without any: 100 targets in trouble at once took more than an instance has.

Change: progress is a whole event, with a number where the stream has numbers; what came before is no excuse for the wait after it. Each bound ends the attempt with its own reason in the log.

Stalled streams that trickle go on elsewhere; slow ones in pieces are left alone.

--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +18,9 @@
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Largest answer that is read whole, in bytes.
+const ANSWER_MAX: usize = 8 << 20;
+
 /// How many times its limit a body is read before its connection is given up.
 const DISCARD_FACTOR: usize = 16;
 
@@ -137,7 +140,7 @@
         let exchange = async {
             let response = self.open(via, request, timeout).await?;
             let (head, body) = response.into_parts();
-            let body = body
+            let body = Limited::new(body, ANSWER_MAX)
                 .collect()
                 .await
                 .map_err(|e| Error::Lost(e.to_string()))?
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -155,7 +155,7 @@
             from: self.opts.me.clone(),
             incarnation: self.incarnation,
             leaving: self.leaving.load(Ordering::Relaxed),
-            asks: self.round.load(Ordering::Relaxed) <= NEW_ROUNDS,
+            asks: self.is_new(),
             others,
         }
     }
@@ -234,6 +234,36 @@
             (Err(error), Some(name)) => members.witness(&name, evidence(error), now),
             (Err(_), None) => {}
         }
+        drop(members);
+        if self.is_new() {
+            self.beat_untried();
+        }
+    }
+
+    /// Whether this instance has just started.
+    fn is_new(&self) -> bool {
+        self.round.load(Ordering::Relaxed) <= NEW_ROUNDS
+    }
+
+    /// Sends heartbeats to candidates that this instance was told of and has not tried: a new one
+    /// does not wait for the next round.
+    fn beat_untried(self: &Arc<Self>) {
+        let members = self.members.lock();
+        if !members.is_tiered() {
+            return;
+        }
+        let due = members.due_tiered(&self.opts.me).into_iter();
+        let untried = due.filter(|m| members.reach(&m.name) == Reach::Unknown);
+        let untried: Vec<_> = untried.map(|m| (m.addr, m.name.clone())).collect();
+        drop(members);
+        for (addr, name) in untried {
+            self.spawn_beat(addr, Some(name));
+        }
+    }
+
+    fn spawn_beat(self: &Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
+        let beat = Arc::clone(self).beat_once(addr, name).boxed();
+        tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
     }
 
     fn beat_all(self: &Arc<Self>) {
@@ -269,8 +299,7 @@
             .lock()
             .retain(|addr, slot| targets.contains_key(addr) || kept(addr, slot));
         for (addr, name) in targets {
-            let beat = Arc::clone(self).beat_once(addr, name);
-            tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
+            self.spawn_beat(addr, name);
         }
     }
 }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::{BodyExt as _, Limited};
 use smol_str::SmolStr;
 use tokio::time::{Instant, timeout_at};
 
@@ -23,9 +22,6 @@
 use crate::routing::Lease;
 use crate::telemetry::Stage;
 
-/// Largest answer that is held whole, in bytes.
-const ANSWER_MAX: usize = 8 << 20;
-
 /// Longest rest of a connection that an idempotent call may use again. Calls that run once always
 /// take a new one: an answer that came too late for an earlier request would cost them their own.
 const REST_MAX: Duration = Duration::from_secs(4);
@@ -273,8 +269,9 @@
             head if success && !head.signed => return Tried::Lost("unsigned answer"),
             _ => {}
         }
-        let Ok(body) = Limited::new(body, ANSWER_MAX).collect().await else {
-            return Tried::Lost("answer broke off");
+        let body = match self.relay.bodies.collect(body).await {
+            Ok(body) => body,
+            Err(e) => return Tried::Lost(e.why()),
         };
         if !head.close {
             self.relay.links.keep(lease.key, link, head.keep);
@@ -289,7 +286,7 @@
             return Tried::Lost("refused without a promise");
         }
         (dialect.pass)(&mut parts.headers);
-        Tried::Answer((parts, body.to_bytes()))
+        Tried::Answer((parts, body))
     }
 
     /// The answer when no attempt is left.
--- a/src/relay/duty.rs
+++ b/src/relay/duty.rs
@@ -8,7 +8,7 @@
 
 use super::relay::Relay;
 use crate::ident::fraction;
-use crate::peer::{CANDIDATES, on_duty};
+use crate::peer::{CANDIDATES, Reach, on_duty, ranked};
 
 /// Instances of a failure domain that read the platform for the others in a small fleet: when one
 /// is cut off from the platform, or dies, the other still does.
@@ -56,6 +56,16 @@
         duty.contains(&self.me()) || !duty.iter().any(reads)
     }
 
+    /// Whether it has tried the instances of its failure domain that come before it.
+    pub(crate) fn has_met(&self) -> bool {
+        let me = self.peers.me();
+        let known = self.peers.candidates(&me.domain);
+        let order = ranked(&me.domain, known.iter().chain([me]));
+        let before = order.into_iter().take_while(|m| m.name != me.name);
+        let mut before = before.map(|m| self.peers.reach(&m.name));
+        before.all(|reach| reach == Reach::Alive)
+    }
+
     /// The same in a large fleet: the first candidate that can, or another instance once the
     /// domain was without a reader for a while.
     fn is_reader_of_many(&self) -> bool {
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest event, in bytes; a target that sends more without a boundary is broken.
-const EVENT_MAX: usize = 1 << 20;
+const EVENT_MAX: usize = 16 * 1024;
 
 /// A whole event as it came.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -40,8 +40,8 @@
 /// the own region and back.
 const MEET_MAX: Duration = Duration::from_millis(100);
 
-/// The same when the whole system starts, and callers come seconds later.
-const MEET_FIRST: Duration = Duration::from_secs(2);
+/// The same when the whole system starts, and callers come seconds later: some heartbeats.
+const MEET_FIRST: Duration = Duration::from_secs(3);
 
 /// Time between two looks for other instances at the start.
 const MEET_LOOK: Duration = Duration::from_millis(10);
@@ -146,7 +146,7 @@
             false => MEET_MAX,
         };
         let until = Instant::now() + longest;
-        while Instant::now() < until && !self.peers.is_tiered() {
+        while Instant::now() < until && !(self.peers.is_tiered() && self.has_met()) {
             sleep(MEET_LOOK).await;
         }
     }
--- a/src/relay/links.rs
+++ b/src/relay/links.rs
@@ -33,10 +33,10 @@
 const KEEP_MARGIN: Duration = Duration::from_secs(1);
 
 /// Largest answer to a question of the relay's own, in bytes: a report with hundreds of runs.
-const OWN_MAX: usize = 256 * 1024;
+const OWN_MAX: usize = 64 * 1024;
 
 /// Bytes buffered for one connection; a head fits into it.
-const BUFFER: usize = 32 * 1024;
+const BUFFER: usize = 16 * 1024;
 
 /// Ends the task of a connection with its owner.
 #[derive(Debug)]
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod front;
 mod gossip;
+mod held;
 mod inquiry;
 mod leaving;
 mod ledger;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -15,6 +15,7 @@
 use super::dialect::Dialect;
 use super::duty::Reading;
 use super::exchange::{Failed, Outbox};
+use super::held::Held;
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
@@ -47,6 +48,8 @@
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) router: Arc<Router>,
     pub(crate) links: Links,
+    /// Answers of targets that are held whole.
+    pub(crate) bodies: Held,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) runs: Mutex<Runs>,
@@ -101,6 +104,7 @@
             catalog: Mutex::default(),
             router: Arc::new(Router::new(Policy::Cost, Costs::default())),
             links: Links::default(),
+            bodies: Held::default(),
             probes: Arc::default(),
             retries: Mutex::new(retries),
             runs: Mutex::default(),
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -41,8 +41,8 @@
     pub(crate) pace: &'a Pace,
     /// Whether there is a copy to go on from.
     pub(crate) copied: bool,
-    /// When the target was last heard.
-    pub(crate) heard: Instant,
+    /// Since when the next sign of progress is waited for.
+    pub(crate) waiting: Instant,
     pub(crate) deadline: Instant,
 }
 
@@ -52,7 +52,7 @@
         tokio::pin!(task);
         let lost = self.lease.lost();
         tokio::pin!(lost);
-        let since = self.heard.max(Instant::now());
+        let since = self.waiting;
         let pace = self.pace;
         let mut probe_at = since + pace.probe_after();
         let mut ask_at = (!pace.has_begun()).then(|| since + pace.ask_after());
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -50,7 +50,23 @@
     body: Incoming,
     splitter: Splitter,
     pace: Pace,
+    /// When the last event came.
     heard: Instant,
+    /// Since when the next one is waited for; none until somebody waits.
+    waiting: Option<Instant>,
+    /// Whether its events have numbers: then one without is no sign of progress.
+    numbered: bool,
+}
+
+impl Leg {
+    /// Notes an event; whether it is the first of the run.
+    fn advance(&mut self, now: Instant) -> bool {
+        let first = !self.pace.has_begun();
+        self.pace.event(now - self.heard);
+        self.heard = now;
+        self.waiting = None;
+        first
+    }
 }
 
 /// A stream in progress.
@@ -240,6 +256,22 @@
         let leg = self.leg.as_mut().expect("a run is open");
         loop {
             if let Some(event) = leg.splitter.next() {
+                leg.numbered |= event.id.is_some();
+                if event.id.is_some() || !leg.numbered {
+                    let now = Instant::now();
+                    if leg.advance(now) {
+                        leg.lease.prompt_read();
+                        if let Some(since) = self.paused.take() {
+                            let account = self.inquiry.account.as_deref();
+                            let span = self.relay.metrics.span(account.unwrap_or_default());
+                            span.record(Stage::ResumeGap, now - since);
+                        }
+                        let source = source(&self.inquiry, self.digest, leg);
+                        let keeper = source
+                            .map(|source| Keeper::start(&self.relay, source, self.backup.take()));
+                        self.keeper = keeper.filter(|_| self.keeps);
+                    }
+                }
                 match (event.id, self.last) {
                     (Some(id), Some(last)) if id <= last => continue,
                     (Some(id), Some(last)) if id > last + 1 => {
@@ -256,7 +288,7 @@
                 lease: &leg.lease,
                 pace: &leg.pace,
                 copied,
-                heard: leg.heard,
+                waiting: *leg.waiting.get_or_insert_with(Instant::now),
                 deadline: self.inquiry.deadline,
             };
             match silence.guard(leg.body.frame()).await? {
@@ -266,23 +298,8 @@
                 }
                 Some(Err(_)) => return Err(Loss::Broken("answer broke off")),
                 Some(Ok(frame)) => {
-                    let now = Instant::now();
-                    if !leg.pace.has_begun() {
-                        leg.lease.prompt_read();
-                        if let Some(since) = self.paused.take() {
-                            let account = self.inquiry.account.as_deref();
-                            let span = self.relay.metrics.span(account.unwrap_or_default());
-                            span.record(Stage::ResumeGap, now - since);
-                        }
-                        let source = source(&self.inquiry, self.digest, leg);
-                        let keeper = source
-                            .map(|source| Keeper::start(&self.relay, source, self.backup.take()));
-                        self.keeper = keeper.filter(|_| self.keeps);
-                    }
-                    let router = &self.relay.router;
-                    router.mark_alive(leg.lease.key, now.into_std());
-                    leg.pace.event(now - leg.heard);
-                    leg.heard = now;
+                    let now = std::time::Instant::now();
+                    self.relay.router.mark_alive(leg.lease.key, now);
                     if let Ok(data) = frame.into_data()
                         && !leg.splitter.push(&data)
                     {
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -1,12 +1,12 @@
 //! Opening a run: which engine, from what, and what its head says.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Body;
 use axum::response::Response;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
@@ -180,7 +180,7 @@
             lease: &lease,
             pace: &pace,
             copied: false,
-            heard: now,
+            waiting: now,
             deadline: self.inquiry.deadline,
         };
         let sent = silence.guard(link.send(request)).await;
@@ -223,6 +223,8 @@
             splitter: Splitter::default(),
             pace,
             heard: now,
+            waiting: None,
+            numbered: false,
         })
     }
 
@@ -259,9 +261,11 @@
     /// The engine answered with a failure of its own.
     async fn failed(&mut self, lease: &Lease, mut parts: Parts, body: Incoming) -> Missed {
         let left = self.inquiry.left(Instant::now());
-        let body = timeout(left, body.collect()).await;
-        let Ok(Ok(body)) = body else {
-            return self.missed(lease, Loss::Broken("answer broke off"), Instant::now());
+        let relay = Arc::clone(&self.relay);
+        let body = match timeout(left, relay.bodies.collect(body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => return self.missed(lease, Loss::Broken(e.why()), Instant::now()),
+            Err(_) => return self.missed(lease, Loss::Late, Instant::now()),
         };
         let again = parts.status.is_server_error()
             && self.inquiry.route.kind.repeats()
@@ -275,7 +279,7 @@
             return Missed::Stop(Stop::Own(Own::lost("engine failed")));
         }
         (self.relay.dialect.pass)(&mut parts.headers);
-        let body = Body::from(body.to_bytes());
+        let body = Body::from(body);
         Missed::Stop(Stop::Failed(Response::from_parts(parts, body)))
     }
 }
