Read the platform through one instance of a domain also at the start and past a cut

Summaries between aggregators did not say what these hold, so a domain whose one reader is cut off from the platform would have waited for the end of its watch. And a stand-in that read made its aggregator say that the domain is read, on which it stopped.

Stand-ins begin by rank and judge by readers other than themselves. Summaries say what is held; one that does not read takes what it lacks after 300 ms.

The retry sum: a property run found 1,399 retries where 1,398 are allowed, with half of 727 instances knowing no sums: each of those counts requests of its own window, so the requests that earned the retries lie up to two windows apart. They use half of their part instead of 0.8.

--- a/src/relay/held.rs
+++ b/src/relay/bodies.rs
@@ -39,11 +39,11 @@
 
 /// Counts the bytes that are held.
 #[derive(Debug, Default)]
-pub(crate) struct Held(AtomicUsize);
+pub(crate) struct Bodies(AtomicUsize);
 
 /// The part of one answer; given back when dropped.
 struct Part<'a> {
-    held: &'a Held,
+    all: &'a Bodies,
     bytes: usize,
 }
 
@@ -52,7 +52,7 @@
         if self.bytes + bytes > ANSWER_MAX {
             return Err(HoldError::TooLarge);
         }
-        let before = self.held.0.fetch_add(bytes, Ordering::Relaxed);
+        let before = self.all.0.fetch_add(bytes, Ordering::Relaxed);
         self.bytes += bytes;
         match before + bytes > HELD_MAX {
             true => Err(HoldError::Full),
@@ -63,18 +63,18 @@
 
 impl Drop for Part<'_> {
     fn drop(&mut self) {
-        self.held.0.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.all.0.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
-impl Held {
+impl Bodies {
     /// Reads a whole body.
     pub(crate) async fn collect<B>(&self, mut body: B) -> Result<Bytes, HoldError>
     where
         B: Body<Data = Bytes> + Unpin,
     {
         let mut part = Part {
-            held: self,
+            all: self,
             bytes: 0,
         };
         let mut blocks: Vec<Vec<u8>> = Vec::new();
--- a/src/relay/duty.rs
+++ b/src/relay/duty.rs
@@ -2,7 +2,7 @@
 //! hundreds of instances, each reading for itself, the platform is asked for the same again and
 //! again.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
@@ -14,9 +14,12 @@
 /// is cut off from the platform, or dies, the other still does.
 const READERS: usize = 2;
 
-/// Time without a reader after which an instance of a large fleet reads the platform itself, if
-/// none of the candidates can.
-const UNREAD_MAX: Duration = Duration::from_secs(2);
+/// Time without a reader after which the second candidate of a large fleet's failure domain reads
+/// the platform; the third waits twice as long.
+const UNREAD_FIRST: Duration = Duration::from_secs(1);
+
+/// The same for other instances, when none of the candidates can.
+const UNREAD_MAX: Duration = Duration::from_secs(3);
 
 /// Time over which instances begin to do so, one after the other, so that the first that succeeds
 /// spares the others.
@@ -66,47 +69,37 @@
         before.all(|reach| reach == Reach::Alive)
     }
 
-    /// The same in a large fleet: the first candidate that can, or another instance once the
-    /// domain was without a reader for a while.
+    /// The same in a large fleet: the aggregator, or another instance once its failure domain was
+    /// without a reader for a while.
     fn is_reader_of_many(&self) -> bool {
         let candidates = self.aggregators();
-        let rank = candidates.iter().position(|m| m.name == self.me());
-        let readers = self.readers.lock();
-        let fails = |name: &SmolStr| readers.get(name).is_some_and(|reads| !reads);
-        match rank {
-            Some(0) => true,
-            Some(n) if n < CANDIDATES => candidates[..n].iter().all(|m| fails(&m.name)),
-            _ => {
-                drop(readers);
-                let wait = UNREAD_MAX + UNREAD_SPREAD.mul_f64(fraction(self.me()));
-                self.unread_for().is_some_and(|unread| unread >= wait)
-            }
-        }
+        let wait = match candidates.iter().position(|m| m.name == self.me()) {
+            Some(0) => return true,
+            Some(n) if n < CANDIDATES => UNREAD_FIRST * n as u32,
+            _ => UNREAD_MAX + UNREAD_SPREAD.mul_f64(fraction(self.me())),
+        };
+        let unread = *self.unread.lock();
+        unread.is_some_and(|since| since.elapsed() >= wait)
     }
 
-    /// Time for which no instance of this failure domain is known to read the platform.
-    fn unread_for(&self) -> Option<Duration> {
-        let mut unread = self.unread.lock();
-        match self.domain_is_read() {
-            true => {
-                *unread = None;
-                None
-            }
-            false => {
-                let since = unread.get_or_insert_with(std::time::Instant::now);
-                Some(since.elapsed())
-            }
-        }
-    }
-
-    /// Whether an instance of this failure domain, this one included, reads the platform.
-    pub(crate) fn domain_is_read(&self) -> bool {
-        if self.reading.lock().is_whole() {
-            return true;
-        }
+    /// Whether an instance of this failure domain other than `asker` reads the platform, as far as
+    /// this one knows.
+    pub(crate) fn is_read_beside(&self, asker: &str) -> bool {
+        let own = self.reading.lock().is_whole() && asker != self.me();
         let readers = self.readers.lock();
         let near = self.near();
-        near.iter().any(|name| readers.get(name) == Some(&true))
+        let mut others = near.iter().filter(|name| *name != asker);
+        own || others.any(|name| readers.get(name) == Some(&true))
+    }
+
+    /// Takes an aggregator's word whether another instance of this failure domain reads the
+    /// platform.
+    pub(crate) fn note_read(&self, read: bool) {
+        let mut unread = self.unread.lock();
+        *unread = match read {
+            true => None,
+            false => unread.or_else(|| Some(Instant::now())),
+        };
     }
 
     /// Whether this instance stores the runs of its failure domain.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -75,12 +75,15 @@
 struct Answer {
     view: View,
     held: Held,
+    /// Whether another instance of the failure domain than the one that reports reads the platform.
+    read: bool,
 }
 
 /// What an aggregator tells another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Summary {
     part: Part,
+    held: Held,
     runs: Vec<Note>,
 }
 
@@ -163,6 +166,7 @@
         let me = Arc::clone(self);
         self.peers.on(Tag::Summary, move |from, summary: Summary| {
             let now = Instant::now();
+            me.compare(sources, from.clone(), summary.held, now);
             me.aggregate
                 .lock()
                 .take(Origin::Aggregator(from), summary.part, now);
@@ -192,15 +196,13 @@
         drop((runs, outbox));
         self.readers.lock().insert(from.clone(), report.held.reads);
         self.compare(sources, from.clone(), report.held, now);
-        let held = Held {
-            reads: self.domain_is_read(),
-            ..self.held()
-        };
+        let (held, read) = (self.held(), self.is_read_beside(from));
         let mut aggregate = self.aggregate.lock();
         aggregate.take(Origin::Member(from.clone()), report.part, now);
         Answer {
             view: aggregate.view(from, report.have),
             held,
+            read,
         }
     }
 
@@ -263,6 +265,7 @@
             Ok(answer) => {
                 reports.answered();
                 self.readers.lock().insert(to.clone(), answer.held.reads);
+                self.note_read(answer.read);
                 self.compare(sources, to, answer.held, Instant::now());
                 self.take_view(reports, answer.view);
             }
@@ -396,7 +399,11 @@
 
     async fn tell_summary(&self, name: &SmolStr, part: Part) {
         let (runs, next) = self.outbox.lock().pending(name);
-        let summary = Summary { part, runs };
+        let summary = Summary {
+            part,
+            held: self.held(),
+            runs,
+        };
         let told = self
             .peers
             .call::<_, ()>(name, Tag::Summary, &summary, LIMIT);
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -32,6 +32,9 @@
 /// platform tells this instance itself.
 const BEHIND_MAX: Duration = Duration::from_secs(1);
 
+/// The same for an instance that is told what others read.
+const UNTOLD_MAX: Duration = Duration::from_millis(300);
+
 /// What one instance tells the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Told {
@@ -111,7 +114,10 @@
             // Another one that lacks the same says nothing.
             false => *behind = behind.take().filter(|(ahead, _)| *ahead != from),
         }
-        let late = |at: &Instant| now.saturating_duration_since(*at) > BEHIND_MAX;
+        // One that does not read the platform is told by the reader, which is as far.
+        let reads = self.reading.lock().is_whole() || !self.peers.is_tiered();
+        let most = if reads { BEHIND_MAX } else { UNTOLD_MAX };
+        let late = |at: &Instant| now.saturating_duration_since(*at) > most;
         let lagging = behind.as_ref().is_some_and(|(_, at)| late(at));
         if lagging {
             *behind = None;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod aggregate;
 mod answer;
+mod bodies;
 mod call;
 mod catalog;
 mod copies;
@@ -16,7 +17,6 @@
 mod follow;
 mod front;
 mod gossip;
-mod held;
 mod inquiry;
 mod leaving;
 mod ledger;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -10,12 +10,12 @@
 use tokio::sync::{Notify, watch};
 
 use super::aggregate::Aggregate;
+use super::bodies::Bodies;
 use super::catalog::Catalog;
 use super::copies::{RunCopy, Source};
 use super::dialect::Dialect;
 use super::duty::Reading;
 use super::exchange::{Failed, Outbox};
-use super::held::Held;
 use super::links::Links;
 use super::probe::Probes;
 use super::record::Record;
@@ -49,7 +49,7 @@
     pub(crate) router: Arc<Router>,
     pub(crate) links: Links,
     /// Answers of targets that are held whole.
-    pub(crate) bodies: Held,
+    pub(crate) bodies: Bodies,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<Retries>,
     pub(crate) runs: Mutex<Runs>,
@@ -69,7 +69,7 @@
     pub(crate) reading: Mutex<Reading>,
     /// What peers have last said of that.
     pub(crate) readers: Mutex<IndexMap<SmolStr, bool>>,
-    /// Since when no instance of this failure domain reads the platform.
+    /// Since when no other instance of this failure domain reads the platform.
     pub(crate) unread: Mutex<Option<Instant>>,
     /// A peer that has newer targets, and since when.
     pub(crate) behind: Mutex<Option<(SmolStr, Instant)>>,
@@ -104,7 +104,7 @@
             catalog: Mutex::default(),
             router: Arc::new(Router::new(Policy::Cost, Costs::default())),
             links: Links::default(),
-            bodies: Held::default(),
+            bodies: Bodies::default(),
             probes: Arc::default(),
             retries: Mutex::new(retries),
             runs: Mutex::default(),
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::ident::fraction;
+use crate::peer::SMALL_FLEET;
 
 /// Parts that a window is counted in.
 const PARTS: u64 = 10;
@@ -18,6 +19,11 @@
 /// requests counted here that did not reach the service's count.
 const USED_PART: f64 = 0.8;
 
+/// The same for an instance of a large fleet that does not know the fleet's sums. There each
+/// counts few requests, and those that earned the retries of different instances lie up to two
+/// windows apart.
+const USED_APART: f64 = 0.5;
+
 /// Part of what is left of the fleet's retries that instances take by themselves; the rest is lent
 /// to those that need more than their own.
 const OWN_PART: f64 = 0.5;
@@ -140,7 +146,11 @@
             None => {
                 let (requests, retries) = self.count(&self.services, service, BUCKETS, now);
                 let slack = self.allowance.slack / members.max(1) as f64;
-                let most = USED_PART * (self.allowance.ratio * f64::from(requests) + slack);
+                let used = match members < SMALL_FLEET {
+                    true => USED_PART,
+                    false => USED_APART,
+                };
+                let most = used * (self.allowance.ratio * f64::from(requests) + slack);
                 f64::from(retries) + 1.0 <= most
             }
         };
