Believe no answer without an id on a connection that was used before

Cause: an answer that names another request is not passed on, but one that names none was: a late second copy of an earlier answer, without its id, was taken for the answer of the next idempotent call on the same connection. Calls that run once and streams always take a new connection.

Ruled out: closing connections on unasked bytes (done already, but the copy may come when the next request is out).

Change: on a connection that an earlier request used, an answer must name its request, also a refusal.

Measured: a_late_copy_without_an_id_is_not_the_next_callers_answer got "stale" before.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -265,6 +265,8 @@
         let success = parts.status.is_success();
         match head {
             head if head.foreign => return Tried::Lost("answer to another request"),
+            // It may be a late copy of the answer to an earlier request on this connection.
+            head if link.used && !head.named => return Tried::Lost("answer to no request"),
             head if head.encoded => return Tried::Lost("encoded answer"),
             head if success && !head.signed => return Tried::Lost("unsigned answer"),
             _ => {}
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -69,6 +69,8 @@
     pub misdirected: bool,
     /// It bears the target's signature.
     pub signed: bool,
+    /// It names the request that it answers.
+    pub named: bool,
     /// It answers another request.
     pub foreign: bool,
     /// Something on the way has encoded the body.
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod aggregate;
 mod answer;
+mod bodies;
 mod catalog;
 mod events;
 mod pace;
