Split heartbeats, tiers and the questions to aggregators from the larger files

Change: peer/beats.rs (heartbeats), peer/tiers.rs (who asks whom in a large fleet), relay/queries.rs (runs and retries asked of aggregators). One function names the aggregators of other domains; before, lenders and run look-ups did not pass over one that took nothing lately. Otherwise moves only. Three tests of tests/peer.rs spelled version 1 of the protocol between instances, which is 2 since: 2 is the present one there, 1 and 3 the others.

Measured: tests of the library, of peers and of the platform pass.

--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::auth::PeerKey;
+use super::beats;
 use super::frame::{Tag, decode, encode};
 use super::link::{Link, LinkError};
 use super::member::{Evidence, Gossip, Heartbeat, Layout, Member, Members, Reach};
@@ -26,26 +27,6 @@
 /// Longest wait for a connection to be open and authenticated.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
-/// Longest wait for an answer to a heartbeat.
-const BEAT_LIMIT: Duration = Duration::from_millis(500);
-
-/// Others that one heartbeat tells of, so that its size does not grow with the fleet. A newcomer
-/// hears of eight more from each instance that it knows, and so of hundreds in a few heartbeats.
-const INTRODUCED: usize = 8;
-
-/// The same in the answer to an instance of a large fleet that has just come, which asks few.
-const INTRODUCED_NEW: usize = 24;
-
-/// Rounds of heartbeats in which an instance is new: it asks who there is.
-const NEW_ROUNDS: usize = 10;
-
-/// Rounds of heartbeats after which one of the seeds is asked again, in a large fleet: it may know
-/// better candidates for a duty.
-const SEED_ROUNDS: usize = 16;
-
-/// Time after which an unused connection is closed, in a large fleet.
-const UNUSED_MAX: Duration = Duration::from_secs(5);
-
 /// Who this instance is to others.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -95,22 +76,22 @@
 type Handler = Arc<dyn Fn(SmolStr, Bytes) -> BoxFuture<'static, Option<Bytes>> + Send + Sync>;
 
 /// The connection to one address, and when it was last used.
-struct Slot {
+pub(super) struct Slot {
     link: Arc<tokio::sync::Mutex<Option<Link>>>,
-    used: Instant,
+    pub(super) used: Instant,
 }
 
 /// State shared by all connections.
 pub(crate) struct Hub {
     pub(crate) opts: Options,
     pub(crate) closed: CancellationToken,
-    incarnation: u64,
-    leaving: AtomicBool,
-    members: Mutex<Members>,
-    links: Mutex<IndexMap<SocketAddr, Slot>>,
-    beating: Mutex<IndexSet<SocketAddr>>,
+    pub(super) incarnation: u64,
+    pub(super) leaving: AtomicBool,
+    pub(super) members: Mutex<Members>,
+    pub(super) links: Mutex<IndexMap<SocketAddr, Slot>>,
+    pub(super) beating: Mutex<IndexSet<SocketAddr>>,
     /// Rounds of heartbeats so far.
-    round: AtomicUsize,
+    pub(super) round: AtomicUsize,
     handlers: RwLock<IndexMap<Tag, Handler>>,
     malformed: AtomicU64,
     foreign: AtomicU64,
@@ -137,31 +118,8 @@
         metrics::counter!("endivefork_peer_strangers_total").increment(1);
     }
 
-    /// A heartbeat, or the answer to one of an instance that `asks` who there is.
-    fn heartbeat(&self, asks: bool) -> Heartbeat {
-        let now = Instant::now();
-        let mut members = self.members.lock();
-        let others = match members.is_tiered() {
-            false => members.introduce(INTRODUCED, now),
-            true if asks => {
-                let mut others = members.introduce_candidates();
-                others.extend(members.turn(INTRODUCED_NEW));
-                others
-            }
-            true if members.is_settled(now) => Vec::new(),
-            true => members.introduce_candidates(),
-        };
-        Heartbeat {
-            from: self.opts.me.clone(),
-            incarnation: self.incarnation,
-            leaving: self.leaving.load(Ordering::Relaxed),
-            asks: self.is_new(),
-            others,
-        }
-    }
-
     /// Sends a message over the open connection, or a new one.
-    async fn exchange(
+    pub(super) async fn exchange(
         &self,
         addr: SocketAddr,
         tag: Tag,
@@ -207,101 +165,6 @@
         *slot = Some(link.clone());
         Ok(link)
     }
-
-    /// Sends one heartbeat, twice if the first connection was lost.
-    async fn beat(&self, addr: SocketAddr) -> Result<Heartbeat, LinkError> {
-        let body = encode(&self.heartbeat(false));
-        let mut answer = self
-            .exchange(addr, Tag::Heartbeat, body.clone(), BEAT_LIMIT)
-            .await;
-        if matches!(answer, Err(LinkError::Lost | LinkError::TimedOut)) {
-            answer = self.exchange(addr, Tag::Heartbeat, body, BEAT_LIMIT).await;
-        }
-        decode(&answer?).ok_or(LinkError::Lost)
-    }
-
-    /// Sends a heartbeat to `addr`, which is `name` if that is known, unless one is under way.
-    async fn beat_once(self: Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
-        if !self.beating.lock().insert(addr) {
-            return;
-        }
-        let answer = self.beat(addr).await;
-        self.beating.lock().swap_remove(&addr);
-        let now = Instant::now();
-        let mut members = self.members.lock();
-        match (answer, name) {
-            (Ok(beat), _) => members.hear(&beat, now),
-            (Err(error), Some(name)) => members.witness(&name, evidence(error), now),
-            (Err(_), None) => {}
-        }
-        drop(members);
-        if self.is_new() {
-            self.beat_untried();
-        }
-    }
-
-    /// Whether this instance has just started.
-    fn is_new(&self) -> bool {
-        self.round.load(Ordering::Relaxed) <= NEW_ROUNDS
-    }
-
-    /// Sends heartbeats to candidates that this instance was told of and has not tried: a new one
-    /// does not wait for the next round.
-    fn beat_untried(self: &Arc<Self>) {
-        let members = self.members.lock();
-        if !members.is_tiered() {
-            return;
-        }
-        let due = members.due_tiered(&self.opts.me).into_iter();
-        let untried = due.filter(|m| members.reach(&m.name) == Reach::Unknown);
-        let untried: Vec<_> = untried.map(|m| (m.addr, m.name.clone())).collect();
-        drop(members);
-        for (addr, name) in untried {
-            self.spawn_beat(addr, Some(name));
-        }
-    }
-
-    fn spawn_beat(self: &Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
-        let beat = Arc::clone(self).beat_once(addr, name).boxed();
-        tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
-    }
-
-    fn beat_all(self: &Arc<Self>) {
-        let round = self.round.fetch_add(1, Ordering::Relaxed);
-        let mut members = self.members.lock();
-        let known: IndexSet<_> = members.all().map(|m| m.addr).collect();
-        let tiered = members.is_tiered();
-        let alone = members.alive().next().is_none();
-        let seeds = self.opts.seeds.iter().enumerate();
-        let seeds = seeds.filter(|(n, addr)| match tiered {
-            false => !known.contains(*addr),
-            true => {
-                let turn = round % (SEED_ROUNDS * self.opts.seeds.len()) == n * SEED_ROUNDS;
-                alone || turn || round < NEW_ROUNDS
-            }
-        });
-        let mut targets: IndexMap<_, _> = seeds.map(|(_, addr)| (*addr, None)).collect();
-        let named = |m: &Member| (m.addr, Some(m.name.clone()));
-        match tiered {
-            false => targets.extend(members.due(&self.opts.me.domain, round).map(named)),
-            true => {
-                members.expire(Instant::now());
-                targets.extend(members.due_tiered(&self.opts.me).into_iter().map(named));
-            }
-        }
-        drop(members);
-        targets.swap_remove(&self.opts.me.addr);
-        let kept = |addr: &SocketAddr, slot: &Slot| match tiered {
-            false => known.contains(addr),
-            true => slot.used.elapsed() < UNUSED_MAX,
-        };
-        self.links
-            .lock()
-            .retain(|addr, slot| targets.contains_key(addr) || kept(addr, slot));
-        for (addr, name) in targets {
-            self.spawn_beat(addr, name);
-        }
-    }
 }
 
 /// The other instances as this one reaches them. Cheap to clone.
@@ -344,7 +207,7 @@
             std::future::ready(listening.heartbeat(beat.asks))
         });
         tokio::spawn(serve::accept(Arc::clone(&peers.hub), listener));
-        tokio::spawn(beats(Arc::clone(&peers.hub)));
+        tokio::spawn(beats::beats(Arc::clone(&peers.hub)));
         peers
     }
 
@@ -514,23 +377,3 @@
         self.hub.links.lock().clear();
     }
 }
-
-async fn beats(hub: Arc<Hub>) {
-    let mut ticks = tokio::time::interval(hub.opts.period);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => hub.beat_all(),
-            () = hub.closed.cancelled() => return,
-        }
-    }
-}
-
-fn evidence(error: LinkError) -> Evidence {
-    match error {
-        LinkError::Refused => Evidence::Refused,
-        LinkError::WrongKey => Evidence::WrongKey,
-        LinkError::OtherVersion => Evidence::OtherVersion,
-        LinkError::Lost | LinkError::TimedOut | LinkError::Status(_) => Evidence::TimedOut,
-    }
-}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between instances: h2 streams of bincode over TCP, authentication and membership.
 
 mod auth;
+mod beats;
 mod duty;
 mod frame;
 mod hub;
@@ -8,6 +9,7 @@
 mod member;
 mod meter;
 mod serve;
+mod tiers;
 
 pub use auth::PeerKey;
 pub use duty::{CANDIDATES, SMALL_FLEET, on_duty, ranked};
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -4,11 +4,14 @@
 //! Each sender has one message in flight and sends its newest state when that was answered: a slow
 //! aggregator is told less often, and gets no more work by being slow.
 
+use std::collections::VecDeque;
 use std::future::ready;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use smol_str::SmolStr;
@@ -32,15 +35,6 @@
 /// Time between two summaries to another aggregator.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(250);
 
-/// Longest wait for a peer's answer where a run's copy lies: two ways between regions.
-const FIND_LIMIT: Duration = Duration::from_millis(200);
-
-/// Longest wait for an aggregator to lend a retry: a fraction of the pause that a stream may have.
-const LEND_LIMIT: Duration = Duration::from_millis(150);
-
-/// Aggregators that are asked for one retry.
-pub(crate) const LENDERS: usize = 3;
-
 /// Notes of runs kept for other aggregators: what a fleet of hundreds begins in some seconds.
 const NOTES_MAX: usize = 4_000;
 
@@ -124,7 +118,7 @@
 pub(crate) struct Outbox {
     /// Number of the first note.
     first: u64,
-    notes: std::collections::VecDeque<Note>,
+    notes: VecDeque<Note>,
     /// Number after the last note that each aggregator has taken.
     taken: IndexMap<SmolStr, u64>,
 }
@@ -157,7 +151,7 @@
 }
 
 impl Relay {
-    /// Answers reports, summaries and questions for runs.
+    /// Answers reports and takes summaries.
     pub(crate) fn hear_exchange(self: &Arc<Self>, sources: Sources) {
         let me = Arc::clone(self);
         self.peers.on(Tag::Report, move |from, report: Report| {
@@ -175,14 +169,6 @@
             notes.for_each(|note| runs.hear(note, false, now));
             ready(())
         });
-        let me = Arc::clone(self);
-        self.peers.on(Tag::Usage, move |_, service: SmolStr| {
-            ready(me.lend_retry(&service))
-        });
-        let me = Arc::clone(self);
-        self.peers.on(Tag::Run, move |_, digest: u128| {
-            ready(me.runs.lock().take(digest, Instant::now()))
-        });
     }
 
     fn take_report(self: &Arc<Self>, sources: Sources, from: &SmolStr, report: Report) -> Answer {
@@ -294,56 +280,9 @@
         self.router.peer_word("fleet", &word, now);
     }
 
-    /// Asks aggregators to lend a retry: that of this failure domain, then others, near ones first.
-    pub(crate) async fn borrow_retry(&self, service: &SmolStr) -> bool {
-        if !self.peers.is_tiered() {
-            return false;
-        }
-        for lender in self.lenders() {
-            let lent = match lender.name == self.settings.instance.name {
-                true => self.lend_retry(service),
-                false => self.ask_retry(&lender.name, service).await,
-            };
-            if lent {
-                self.retries.lock().took(service, Instant::now());
-                return true;
-            }
-        }
-        false
-    }
-
-    async fn ask_retry(&self, lender: &str, service: &SmolStr) -> bool {
-        let asked = self.peers.call(lender, Tag::Usage, service, LEND_LIMIT);
-        asked.await.unwrap_or_else(|e| {
-            info!(self.record.log, "retry: could not ask an aggregator";
-                "aggregator" => lender, "error" => %e);
-            false
-        })
-    }
-
-    fn lenders(&self) -> Vec<Member> {
-        let me = &self.settings.instance;
-        let domains = self
-            .settings
-            .domains
-            .iter()
-            .filter(|(d, _)| **d != me.domain);
-        let mut far: Vec<_> = domains
-            .filter_map(|(domain, _)| self.peers.candidates(domain).into_iter().next())
-            .collect();
-        far.sort_by_key(|m| m.region != me.region);
-        let near = self.aggregators().into_iter().take(1);
-        near.chain(far).take(LENDERS).collect()
-    }
-
-    fn lend_retry(&self, service: &SmolStr) -> bool {
-        let near = self.aggregate.lock().members();
-        self.retries.lock().lend(service, near, Instant::now())
-    }
-
     /// Tells other aggregators what this one's instances do, while it is one.
     pub(crate) async fn exchange(self: Arc<Self>) {
-        let busy = Arc::new(parking_lot::Mutex::new(indexmap::IndexSet::new()));
+        let busy = Arc::new(Mutex::new(IndexSet::new()));
         loop {
             sleep(SUMMARY_PERIOD).await;
             if !self.peers.is_tiered() {
@@ -358,8 +297,7 @@
             let part = active.then(|| aggregate.summary());
             drop(aggregate);
             let Some(part) = part else {
-                self.greeted
-                    .store(false, std::sync::atomic::Ordering::Relaxed);
+                self.greeted.store(false, Ordering::Relaxed);
                 continue;
             };
             let told = self.told_summaries();
@@ -384,17 +322,24 @@
     /// its own while instances report to this one instead.
     fn told_summaries(&self) -> Vec<SmolStr> {
         let me = self.peers.me();
+        let near = self.aggregators().into_iter().next();
+        let near = near.filter(|m| m.name != me.name);
+        let told = self.far_aggregators().into_iter().chain(near);
+        told.map(|m| m.name).collect()
+    }
+
+    /// The aggregator of each other failure domain, as far as this instance knows.
+    pub(crate) fn far_aggregators(&self) -> Vec<Member> {
+        let me = &self.settings.instance;
         let now = Instant::now();
-        let mut told = Vec::new();
-        for domain in self.settings.domains.keys().filter(|d| **d != me.domain) {
+        let untold = self.untold.lock();
+        let domains = self.settings.domains.keys().filter(|d| **d != me.domain);
+        let first = domains.filter_map(|domain| {
             let mut candidates = self.peers.candidates(domain);
-            let untold = self.untold.lock();
             candidates.sort_by_key(|m| untold.lately(&m.name, now));
-            told.extend(candidates.into_iter().next().map(|m| m.name));
-        }
-        let near = self.aggregators().into_iter().next();
-        told.extend(near.filter(|m| m.name != me.name).map(|m| m.name));
-        told
+            candidates.into_iter().next()
+        });
+        first.collect()
     }
 
     async fn tell_summary(&self, name: &SmolStr, part: Part) {
@@ -418,34 +363,4 @@
             }
         }
     }
-
-    /// Asks aggregators where the copy of a run lies: that of this failure domain, then one of
-    /// another.
-    pub(crate) async fn find_run(&self, digest: u128) -> Option<(SmolStr, super::dialect::Copied)> {
-        if !self.peers.is_tiered() {
-            return None;
-        }
-        let me = &self.settings.instance;
-        let near = self.aggregators().into_iter().next();
-        let others = self.settings.domains.keys().filter(|d| **d != me.domain);
-        let far = others.filter_map(|d| self.peers.candidates(d).into_iter().next());
-        let asked = near.into_iter().chain(far.take(1));
-        for peer in asked.filter(|m| m.name != me.name) {
-            let found = self
-                .peers
-                .call::<_, Option<(SmolStr, super::dialect::Copied)>>(
-                    &peer.name,
-                    Tag::Run,
-                    &digest,
-                    FIND_LIMIT,
-                );
-            match found.await {
-                Ok(Some(found)) => return Some(found),
-                Ok(None) => {}
-                Err(e) => info!(self.record.log, "run: could not ask an aggregator";
-                    "aggregator" => peer.name.as_str(), "error" => %e),
-            }
-        }
-        None
-    }
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -56,6 +56,7 @@
             .on(Tag::Journal, move |_, ()| ready(me.runs.lock().all()));
         self.hear_news(sources);
         self.hear_exchange(sources);
+        self.hear_queries();
     }
 
     fn take_word(self: &Arc<Self>, sources: Sources, from: SmolStr, told: Told) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod pacing;
 mod probe;
 mod progress;
+mod queries;
 mod record;
 #[expect(
     clippy::module_inception,
--- a/src/relay/tests/retries.rs
+++ b/src/relay/tests/retries.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use smol_str::SmolStr;
 
-use crate::relay::exchange::LENDERS;
+use crate::relay::queries::LENDERS;
 use crate::relay::retries::{Allowance, Retries, Usage};
 
 const ALLOWANCE: Allowance = Allowance {
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -166,7 +166,7 @@
 async fn a_call_without_a_proof_is_refused_and_counted() {
     let a = instance("a", "key", vec![]).await;
 
-    let status = raw(a.me().addr, "/m/4", "1", Bytes::from_static(b"x")).await;
+    let status = raw(a.me().addr, "/m/4", "2", Bytes::from_static(b"x")).await;
 
     assert_eq!(status, StatusCode::UNAUTHORIZED);
     assert_eq!(a.counts().strangers, 1);
@@ -176,7 +176,7 @@
 async fn other_versions_are_told_so() {
     let a = instance("a", "key", vec![]).await;
 
-    for version in ["0", "2", "none"] {
+    for version in ["1", "3", "none"] {
         let status = raw(a.me().addr, "/hello", version, Bytes::new()).await;
         assert_eq!(status, StatusCode::UPGRADE_REQUIRED, "version {version}");
     }
@@ -189,8 +189,8 @@
     let a = instance("a", "key", vec![]).await;
     let large = Bytes::from(vec![0; MAX_FRAME + 1]);
 
-    let malformed = raw(a.me().addr, "/hello", "1", Bytes::from_static(&[255; 40])).await;
-    let oversized = raw(a.me().addr, "/hello", "1", large).await;
+    let malformed = raw(a.me().addr, "/hello", "2", Bytes::from_static(&[255; 40])).await;
+    let oversized = raw(a.me().addr, "/hello", "2", large).await;
 
     assert_eq!(malformed, StatusCode::BAD_REQUEST);
     assert_eq!(oversized, StatusCode::PAYLOAD_TOO_LARGE);
