Log and count the requests sent to a target that states a limit

Change: the limit is read from the target's answers, and its changes are logged ('target: limit stated', 'target: limit lifted'); once a second each instance logs what it sent to each limited target, and a counter has the purpose of each request: first, retry, resume, probe, copy. Nothing is decided by it yet.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -15,6 +15,7 @@
 use super::caller_request::CallerRequest;
 use super::connections::{Connection, SendError};
 use super::dialect::AttemptHead;
+use super::limits::Purpose;
 use super::local_reply::{LocalReply, retry_after};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
@@ -257,6 +258,11 @@
             backup: None,
             resume_from: None,
         };
+        let purpose = match self.tried.is_empty() {
+            true => Purpose::First,
+            false => Purpose::Retry,
+        };
+        self.relay.record_sent(lease.key, purpose);
         let response = match connection.send(request.attempt(dialect, &attempt)).await {
             Ok(response) => response,
             Err(SendError::Unsent) => return AttemptResult::Unsent,
@@ -265,6 +271,7 @@
         let (mut parts, body) = response.into_parts();
         let head = (dialect.parse_response)(&request.ask.id, parts.status, &parts.headers);
         let success = parts.status.is_success();
+        self.relay.observe_limit(lease.probe_target(), &head);
         match head {
             head if head.mismatched => return AttemptResult::Lost("answer to another request"),
             // It may be a late response to an earlier request on this connection.
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::dialect::CopyRef;
+use super::limits::Purpose;
 use super::relay::{Relay, TargetCriteria};
 use crate::ident::TargetKey;
 use crate::routing::{Lease, ProbeTarget, Work};
@@ -181,6 +182,7 @@
 ) -> Option<SmolStr> {
     let request = (relay.dialect.copy_request)(&source.id, at)?;
     let engine = &source.engine;
+    relay.record_sent(engine.key, Purpose::Copy);
     let answer = timeout(
         COPY_TIMEOUT,
         relay.pool.request(engine.key, engine.addr, request),
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::limits::Rate;
 use super::progress::EngineReport;
 
 /// Head of a caller's request.
@@ -81,6 +82,8 @@
     pub close: bool,
     /// Keep-alive time of the idle connection, if stated.
     pub keep_alive: Option<Duration>,
+    /// Rate at which the target takes requests of all instances together, if it states one.
+    pub limit: Option<Rate>,
 }
 
 /// Protocol functions of one deployment.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,8 +17,10 @@
 mod exchange;
 mod front;
 mod gossip;
+mod limits;
 mod local_reply;
 mod pacing;
+mod permits;
 mod platform_update;
 mod platform_watch;
 mod probe;
@@ -46,6 +48,7 @@
 
 pub use catalog::{Registration, TargetInfo};
 pub use dialect::{AttemptHead, CopyRef, Dialect, RequestHead, ResponseHead};
+pub use limits::Rate;
 pub use platform_watch::Sources;
 pub use progress::EngineReport;
 pub use retries::Allowance;
--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use super::limits::Purpose;
 use super::relay::Relay;
 use crate::ident::TargetKey;
 use crate::routing::Lease;
@@ -74,6 +75,7 @@
     key: TargetKey,
     addr: SocketAddr,
 ) -> Option<EngineReport> {
+    relay.record_sent(key, Purpose::Probe);
     let response = relay.pool.get(key, addr, relay.dialect.report_path).await?;
     (relay.dialect.parse_report)(response.body())
 }
--- a/src/relay/recovery.rs
+++ b/src/relay/recovery.rs
@@ -10,6 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::catalog::TargetInfo;
+use super::limits::Purpose;
 use super::progress::fetch_report;
 use super::relay::Relay;
 use crate::routing::ProbeTarget;
@@ -90,6 +91,7 @@
     async fn name_at(&self, target: &ProbeTarget) -> Option<SmolStr> {
         let rules = self.rules()?;
         let health = &rules.services.get(&target.service)?.health_path;
+        self.record_sent(target.key, Purpose::Probe);
         let answer = self.pool.get(target.key, target.addr, health).await?;
         (self.dialect.target_name)(answer.headers())
     }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -17,6 +17,7 @@
 use super::dialect::Dialect;
 use super::election::ReadState;
 use super::exchange::{Outbox, RecentFailures};
+use super::limits::Limits;
 use super::probe::Probes;
 use super::record::DecisionLog;
 use super::retries::RetryBudget;
@@ -52,6 +53,8 @@
     pub(crate) buffers: ResponseBuffers,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<RetryBudget>,
+    /// Limits that targets state.
+    pub(crate) limits: Mutex<Limits>,
     pub(crate) runs: Mutex<RunDirectory>,
     /// Peers that failed to accept a report or a summary.
     pub(crate) failed_peers: Mutex<RecentFailures>,
@@ -108,6 +111,7 @@
             buffers: ResponseBuffers::default(),
             probes: Arc::default(),
             retries: Mutex::new(retries),
+            limits: Mutex::default(),
             runs: Mutex::default(),
             failed_peers: Mutex::default(),
             aggregate: Mutex::new(Aggregate::new(rand::random())),
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -17,6 +17,7 @@
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{AttemptHead, CopyRef};
 use crate::relay::events::EventSplitter;
+use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
 use crate::relay::record::Placement;
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
@@ -192,6 +193,12 @@
             wait_start: now,
             deadline: self.request.deadline,
         };
+        let purpose = match self.runs + self.declined {
+            _ if self.last_id.is_some() => Purpose::Resume,
+            0 => Purpose::First,
+            _ => Purpose::Retry,
+        };
+        self.relay.record_sent(lease.key, purpose);
         let sent = stall.watch(connection.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
@@ -206,6 +213,7 @@
         let (mut parts, body) = response.into_parts();
         let head =
             (self.relay.dialect.parse_response)(&self.request.ask.id, parts.status, &parts.headers);
+        self.relay.observe_limit(lease.probe_target(), &head);
         let violation = match parts.status {
             _ if head.mismatched => Some("answer to another request"),
             _ if head.encoded => Some("encoded answer"),
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -342,6 +342,12 @@
         self.table().by_name(name).map(|e| e.target.key)
     }
 
+    /// Name of a target.
+    #[must_use]
+    pub fn name(&self, key: TargetKey) -> Option<SmolStr> {
+        self.table().entry(key).map(|e| e.target.name.clone())
+    }
+
     /// The target that takes requests at `addr`.
     #[must_use]
     pub fn key_at(&self, addr: SocketAddr) -> Option<TargetKey> {
