Keep the limits that targets state across all instances

Cause: a target in need got two to three times the requests that it had said it takes from all instances together (LIMIT). No instance read the limit, and there was no means by which instances could keep one together; the budget of retries is a share of the fleet's own traffic that each may use without asking, which fails for limits below one request for each instance.

Change: one instance of a target's failure domain issues permits for the target's requests from a token bucket; all others ask it before they send one, and wait for an appointment when there is none. A permit is valid for a second, so that none are saved up. First attempts, retries, resumed streams, health checks, load reports and copies of runs each take one. What the limit leaves over goes to another target, waits in line, or is refused at once with the time at which a place is expected. Limits that change are passed on with the load reports.

--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between instances.
-pub const PROTOCOL: u16 = 2;
+pub const PROTOCOL: u16 = 3;
 
 /// Largest message, in bytes.
 pub const MAX_FRAME: usize = 4 << 20;
@@ -42,11 +42,13 @@
     Summary,
     /// Locations of runs and of their copies.
     Run,
+    /// Permits for requests to targets with a limit.
+    Permit,
 }
 
 impl Tag {
     /// All tags, by their number on the wire.
-    pub(crate) const ALL: [Self; 14] = [
+    pub(crate) const ALL: [Self; 15] = [
         Self::Heartbeat,
         Self::Journal,
         Self::Takeover,
@@ -61,6 +63,7 @@
         Self::Report,
         Self::Summary,
         Self::Run,
+        Self::Permit,
     ];
 }
 
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -364,6 +364,12 @@
         self.hub.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this instance is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.hub.leaving.load(Ordering::Relaxed)
+    }
+
     /// Calls rejected since the start.
     #[must_use]
     pub fn counts(&self) -> Counts {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -17,6 +17,7 @@
 use super::dialect::AttemptHead;
 use super::limits::Purpose;
 use super::local_reply::{LocalReply, retry_after};
+use super::permits::PlaceError;
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
 use crate::ident::TargetKey;
@@ -65,6 +66,9 @@
     }
 }
 
+/// Part of a request's remaining time that it may wait for a target that takes requests again.
+pub(crate) const PATIENCE_DIVISOR: u32 = 2;
+
 /// A target's response with its complete body.
 type FullResponse = (Parts, Bytes);
 
@@ -78,7 +82,7 @@
 }
 
 struct Call<'a> {
-    relay: &'a Relay,
+    relay: &'a Arc<Relay>,
     request: &'a CallerRequest,
     tried: Vec<TargetKey>,
     runs: u32,
@@ -86,6 +90,8 @@
     unreachable: u32,
     target: SmolStr,
     failure: Option<FullResponse>,
+    /// Expected time until a target takes a request, if all are at their limits.
+    at_limit: Option<Duration>,
 }
 
 pub(crate) async fn run(relay: &Arc<Relay>, request: &CallerRequest) -> FinalReply {
@@ -98,6 +104,7 @@
         unreachable: 0,
         target: SmolStr::default(),
         failure: None,
+        at_limit: None,
     };
     let (response, reason) = call.run().await;
     FinalReply {
@@ -113,7 +120,14 @@
     async fn run(&mut self) -> (Response, &'static str) {
         let deadline = self.request.deadline;
         while self.may_attempt().await {
-            let Some(lease) = self.choose() else { break };
+            let lease = match self.choose().await {
+                Ok(lease) => lease,
+                Err(PlaceError::Unavailable) => break,
+                Err(PlaceError::AtLimit(wait)) => {
+                    self.at_limit = Some(wait);
+                    break;
+                }
+            };
             self.target = lease.name();
             let started = Instant::now();
             let limit = self.attempt_deadline(started);
@@ -183,21 +197,24 @@
 
     /// Chooses a target that has not been tried. If there is none, a call that failed may be sent
     /// to a target again.
-    fn choose(&self) -> Option<Lease> {
+    async fn choose(&self) -> Result<Lease, PlaceError> {
         let wanted = TargetCriteria {
             service: &self.request.service,
             excluded: &self.tried,
             ..TargetCriteria::default()
         };
-        let retry = || {
-            let unrestricted = TargetCriteria {
-                excluded: &[],
-                ..wanted
-            };
-            let failed = self.failure.is_some();
-            failed.then(|| self.relay.choose(unrestricted)).flatten()
-        };
-        self.relay.choose(wanted).or_else(retry)
+        let patience = self.request.left(Instant::now()) / PATIENCE_DIVISOR;
+        let placed = self.relay.place(wanted, patience).await;
+        match placed {
+            Err(PlaceError::Unavailable) if self.failure.is_some() => {
+                let unrestricted = TargetCriteria {
+                    excluded: &[],
+                    ..wanted
+                };
+                self.relay.place(unrestricted, patience).await
+            }
+            placed => placed,
+        }
     }
 
     /// Deadline of the next attempt. An idempotent call that has another attempt left does not
@@ -313,6 +330,10 @@
             (None, 0) if timed_out => {
                 LocalReply::unavailable(retry_after, "no target answered in time")
             }
+            (None, 0) if self.at_limit.is_some() => {
+                let wait = self.at_limit.unwrap_or_default().max(RETRY_AFTER_MIN);
+                LocalReply::unavailable(wait, "targets are at their limits")
+            }
             (None, 0) if self.declined > 0 => {
                 LocalReply::unavailable(retry_after, "targets are full")
             }
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -176,12 +176,15 @@
 
 /// Asks the run's engine to copy the run to `at`, or to refresh the copy there.
 async fn request_copy(
-    relay: &Relay,
+    relay: &Arc<Relay>,
     source: &CopySource,
     at: std::net::SocketAddr,
 ) -> Option<SmolStr> {
     let request = (relay.dialect.copy_request)(&source.id, at)?;
     let engine = &source.engine;
+    if !relay.permit(engine.key).await {
+        return None;
+    }
     relay.record_sent(engine.key, Purpose::Copy);
     let answer = timeout(
         COPY_TIMEOUT,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::aggregate::{LoadDelta, LoadReplica, LoadSummary, Origin, Version};
+use super::limits::Statement;
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use super::runs::RunLocation;
@@ -63,6 +64,7 @@
     held: HeldRevisions,
     runs: Vec<RunLocation>,
     known: Version,
+    limits: Vec<Statement>,
 }
 
 /// The aggregator's reply to a report.
@@ -72,6 +74,7 @@
     held: HeldRevisions,
     /// Whether an instance of the failure domain other than the sender reads the platform.
     has_reader: bool,
+    limits: Vec<Statement>,
 }
 
 /// An aggregator's summary, sent to the others.
@@ -80,6 +83,7 @@
     load: LoadSummary,
     held: HeldRevisions,
     runs: Vec<RunLocation>,
+    limits: Vec<Statement>,
 }
 
 /// State of an instance's reports to its aggregator.
@@ -161,6 +165,7 @@
         let me = Arc::clone(self);
         self.peers.on(Tag::Summary, move |from, summary: Summary| {
             let now = Instant::now();
+            me.learn_limits(&from, &summary.limits);
             me.check_revisions(sources, from.clone(), summary.held, now);
             me.aggregate
                 .lock()
@@ -190,6 +195,11 @@
             .lock()
             .insert(from.clone(), report.held.reads);
         self.check_revisions(sources, from.clone(), report.held, now);
+        self.learn_limits(from, &report.limits);
+        let limits = match report.known == Version::default() {
+            true => self.limits.lock().statements(now),
+            false => self.limits.lock().news(now),
+        };
         let (held, has_reader) = (self.held_revisions(), self.has_other_reader(from));
         let mut aggregate = self.aggregate.lock();
         aggregate.update(Origin::Member(from.clone()), report.load, now);
@@ -197,6 +207,7 @@
             delta: aggregate.delta(from, report.known),
             held,
             has_reader,
+            limits,
         }
     }
 
@@ -246,6 +257,7 @@
             held: self.held_revisions(),
             runs,
             known: reporter.replica.version(),
+            limits: self.limits.lock().news(now),
         };
         if to == *me {
             let reply = self.handle_report(sources, me, report);
@@ -262,6 +274,7 @@
                     .lock()
                     .insert(to.clone(), reply.held.reads);
                 self.record_reader(reply.has_reader);
+                self.learn_limits(&to, &reply.limits);
                 self.check_revisions(sources, to, reply.held, Instant::now());
                 self.apply_delta(reporter, reply.delta);
             }
@@ -365,6 +378,7 @@
             load,
             held: self.held_revisions(),
             runs,
+            limits: self.limits.lock().news(Instant::now()),
         };
         let sent = self
             .peers
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::exchange::Reporter;
+use super::limits::Statement;
 use super::pacing::{Decision, Pacing, Snapshot};
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
@@ -48,6 +49,7 @@
     report: PeerReport,
     held: HeldRevisions,
     runs: Vec<RunLocation>,
+    limits: Vec<Statement>,
 }
 
 impl Relay {
@@ -65,11 +67,13 @@
         self.handle_platform_updates(sources);
         self.handle_exchange(sources);
         self.handle_queries();
+        self.handle_permits();
     }
 
     fn handle_gossip(self: &Arc<Self>, sources: Sources, from: SmolStr, message: GossipMessage) {
         let now = Instant::now();
         self.router.apply_peer_report(&from, &message.report, now);
+        self.learn_limits(&from, &message.limits);
         let is_local = self.peers.in_domain(&from);
         let mut runs = self.runs.lock();
         let locations = message.runs.into_iter();
@@ -173,8 +177,9 @@
                 held: self.held_revisions(),
                 recipients: alive.into_iter().map(|m| m.name).collect(),
             };
+            let has_news = !self.limits.lock().news(now).is_empty();
             let has_unsent = self.runs.lock().has_unsent();
-            let wait = match pacing.schedule(&snapshot, urgent || has_unsent, now) {
+            let wait = match pacing.schedule(&snapshot, urgent || has_unsent || has_news, now) {
                 Decision::Skip => continue,
                 Decision::After(wait) => wait,
             };
@@ -183,6 +188,7 @@
                 report: self.router.peer_report(Instant::now()),
                 held: snapshot.held,
                 runs: self.runs.lock().take_unsent(),
+                limits: self.limits.lock().news(Instant::now()),
             };
             self.broadcast(snapshot.recipients, &message);
         }
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -276,12 +276,20 @@
         limited.map(|t| t.target.clone()).collect()
     }
 
-    /// Counts a request to a target. Every request is sent.
-    pub(crate) fn take(&mut self, key: TargetKey, _now: Instant) -> bool {
-        if let Some(target) = self.targets.get_mut(&key) {
+    /// Uses a permit for a request to a target. `false` if the target has a limit and there is
+    /// none.
+    pub(crate) fn take(&mut self, key: TargetKey, now: Instant) -> bool {
+        let Some(target) = self.targets.get_mut(&key).filter(|t| t.rate.is_some()) else {
+            return true;
+        };
+        target.expire(now);
+        // The oldest permit first, as it expires first.
+        let is_taken = !target.permits.is_empty();
+        if is_taken {
+            target.permits.remove(0);
             target.sent += 1;
         }
-        true
+        is_taken
     }
 
     /// Permits to ask for so that `count` requests to any of `targets` find one.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,7 +17,6 @@
 mod exchange;
 mod front;
 mod gossip;
-#[allow(dead_code, unused_imports, reason = "permits are not asked for yet")]
 mod limits;
 mod local_reply;
 mod pacing;
--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -2,6 +2,7 @@
 //! explains the wait; a response lost on the network path does not.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -63,7 +64,7 @@
 }
 
 /// Queries the engine of `lease` for the progress of the run `id`.
-pub(crate) async fn query_progress(relay: &Relay, lease: &Lease, id: &str) -> Progress {
+pub(crate) async fn query_progress(relay: &Arc<Relay>, lease: &Lease, id: &str) -> Progress {
     let report = timeout(REPORT_TIMEOUT, fetch_report(relay, lease.key, lease.addr));
     let report = report.await.ok().flatten();
     report.map_or(Progress::NoReport, |r| Progress::from_report(&r, id))
@@ -71,10 +72,13 @@
 
 /// Fetches an engine's report.
 pub(crate) async fn fetch_report(
-    relay: &Relay,
+    relay: &Arc<Relay>,
     key: TargetKey,
     addr: SocketAddr,
 ) -> Option<EngineReport> {
+    if !relay.permit(key).await {
+        return None;
+    }
     relay.record_sent(key, Purpose::Probe);
     let response = relay.pool.get(key, addr, relay.dialect.report_path).await?;
     (relay.dialect.parse_report)(response.body())
--- a/src/relay/recovery.rs
+++ b/src/relay/recovery.rs
@@ -58,7 +58,7 @@
     /// Uses a restarted engine before it has registered, which takes a second or more, and longer
     /// during a platform outage. Only done where the service is certain: an address may be
     /// reassigned to another service, and targets other than engines do not report theirs.
-    async fn add_replacement(&self, dead: &ProbeTarget, name: SmolStr) {
+    async fn add_replacement(self: &Arc<Self>, dead: &ProbeTarget, name: SmolStr) {
         let is_certain = self
             .rules()
             .is_some_and(|r| r.is_sole_engine(&dead.service));
@@ -88,9 +88,12 @@
     }
 
     /// The target name in the health check answer at a target's address.
-    async fn name_at(&self, target: &ProbeTarget) -> Option<SmolStr> {
+    async fn name_at(self: &Arc<Self>, target: &ProbeTarget) -> Option<SmolStr> {
         let rules = self.rules()?;
         let health = &rules.services.get(&target.service)?.health_path;
+        if !self.permit(target.key).await {
+            return None;
+        }
         self.record_sent(target.key, Purpose::Probe);
         let answer = self.pool.get(target.key, target.addr, health).await?;
         (self.dialect.target_name)(answer.headers())
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -17,7 +17,8 @@
 use super::dialect::Dialect;
 use super::election::ReadState;
 use super::exchange::{Outbox, RecentFailures};
-use super::limits::Limits;
+use super::limits::{Issuer, Limits};
+use super::permits::WaitLine;
 use super::probe::Probes;
 use super::record::DecisionLog;
 use super::retries::RetryBudget;
@@ -55,6 +56,14 @@
     pub(crate) retries: Mutex<RetryBudget>,
     /// Limits that targets state.
     pub(crate) limits: Mutex<Limits>,
+    /// Permits that this instance issues for limited targets.
+    pub(crate) issuer: Mutex<Issuer>,
+    /// Instances that did not answer an ask for permits.
+    pub(crate) failed_issuers: Mutex<RecentFailures>,
+    /// Wakes the requests that wait for a permit.
+    pub(crate) permits_changed: Notify,
+    /// Requests that wait for a permit, by service.
+    pub(crate) wait_lines: Mutex<IndexMap<SmolStr, Arc<WaitLine>>>,
     pub(crate) runs: Mutex<RunDirectory>,
     /// Peers that failed to accept a report or a summary.
     pub(crate) failed_peers: Mutex<RecentFailures>,
@@ -112,6 +121,10 @@
             probes: Arc::default(),
             retries: Mutex::new(retries),
             limits: Mutex::default(),
+            issuer: Mutex::default(),
+            failed_issuers: Mutex::default(),
+            permits_changed: Notify::new(),
+            wait_lines: Mutex::default(),
             runs: Mutex::default(),
             failed_peers: Mutex::default(),
             aggregate: Mutex::new(Aggregate::new(rand::random())),
@@ -192,8 +205,17 @@
     }
 
     pub(crate) fn choose(&self, wanted: TargetCriteria<'_>) -> Option<Lease> {
+        self.router.choose(&self.query(wanted), Instant::now())
+    }
+
+    /// The target that [`Self::choose`] would choose.
+    pub(crate) fn preferred(&self, wanted: TargetCriteria<'_>) -> Option<TargetKey> {
+        self.router.preferred(&self.query(wanted), Instant::now())
+    }
+
+    fn query<'a>(&'a self, wanted: TargetCriteria<'a>) -> Query<'a> {
         let me = &self.settings.instance;
-        let query = Query {
+        Query {
             service: wanted.service,
             version: "",
             domain: &me.domain,
@@ -203,8 +225,7 @@
             bytes: CROSS_REGION_BYTES,
             excluded_domains: wanted.avoid_domains,
             work: wanted.work,
-        };
-        self.router.choose(&query, Instant::now())
+        }
     }
 
     /// Whether the service's engines continuously copy the KV cache of their runs.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -211,4 +211,5 @@
     tokio::spawn(Arc::clone(relay).send_summaries());
     tokio::spawn(Arc::clone(relay).check_dead_targets());
     tokio::spawn(Arc::clone(relay).watch_limits());
+    tokio::spawn(Arc::clone(relay).watch_issuer());
 }
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -1,6 +1,7 @@
 //! Detects stalled upstreams. While a target sends nothing, it is probed, asked for the run's
 //! progress and finally abandoned.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep_until, timeout};
@@ -36,7 +37,7 @@
 
 /// Waits on a target and detects when it stalls.
 pub(crate) struct StallDetector<'a> {
-    pub(crate) relay: &'a Relay,
+    pub(crate) relay: &'a Arc<Relay>,
     pub(crate) id: &'a str,
     pub(crate) lease: &'a Lease,
     pub(crate) timeouts: &'a StallTimeouts,
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -12,13 +12,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::{Stream, StreamError, Upstream, estimate_work};
-use crate::relay::call::implies_not_run;
+use crate::relay::call::{PATIENCE_DIVISOR, implies_not_run};
 use crate::relay::connections::SendError;
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{AttemptHead, CopyRef};
 use crate::relay::events::EventSplitter;
 use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
+use crate::relay::permits::PlaceError;
 use crate::relay::record::Placement;
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::stall::{Loss, StallDetector};
@@ -59,14 +60,22 @@
             let is_usable =
                 |c: &RunCopy| self.relay.router.is_available(c.lease.key, now.into_std());
             let (copy, copied) = match copy.filter(is_usable) {
-                Some(mut copy) => {
+                Some(mut copy) if self.relay.permit(copy.lease.key).await => {
                     copy.lease.start_run();
                     (Some(copy.lease), Some(copy.copied))
                 }
-                None => (None, None),
+                _ => (None, None),
             };
-            let Some(lease) = copy.or_else(|| self.choose()) else {
-                return Err(self.give_up("no engine can be reached"));
+            let lease = match copy {
+                Some(lease) => Ok(lease),
+                None => self.choose().await,
+            };
+            let lease = match lease {
+                Ok(lease) => lease,
+                Err(PlaceError::Unavailable) => {
+                    return Err(self.give_up("no engine can be reached"));
+                }
+                Err(PlaceError::AtLimit(wait)) => return Err(self.refuse_at_limit(wait)),
             };
             let backup = self.choose_backup(&lease);
             self.backup = backup.map(|l| RunCopy::automatic(l, &self.request.ask.id));
@@ -107,7 +116,16 @@
         })
     }
 
-    fn choose(&self) -> Option<Lease> {
+    /// Final response when all engines are at their limits.
+    fn refuse_at_limit(&self, wait: Duration) -> StreamError {
+        let reason = "engines are at their limits";
+        StreamError::Local(match self.runs {
+            0 => LocalReply::unavailable(wait.max(RETRY_AFTER_MIN), reason),
+            _ => LocalReply::lost(reason),
+        })
+    }
+
+    async fn choose(&self) -> Result<Lease, PlaceError> {
         let wanted = TargetCriteria {
             service: &self.request.service,
             work: Some(estimate_work(&self.request)),
@@ -119,8 +137,11 @@
             excluded: &[],
             ..wanted
         };
-        let chosen = self.relay.choose(wanted);
-        chosen.or_else(|| self.relay.choose(unrestricted))
+        if let Some(lease) = self.relay.choose_now(wanted) {
+            return Ok(lease);
+        }
+        let patience = self.request.left(Instant::now()) / PATIENCE_DIVISOR;
+        self.relay.place(unrestricted, patience).await
     }
 
     /// Chooses an engine in another failure domain, so that the copy survives the loss of this
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -168,6 +168,18 @@
 
     /// Selects a target and counts the request as in flight until the lease is dropped.
     pub fn choose(&self, query: &Query<'_>, now: Instant) -> Option<Lease> {
+        let entry = self.select(query, now)?;
+        let work = query.work.unwrap_or_default();
+        Some(Lease::new(&entry, query.region, work, now))
+    }
+
+    /// The target that [`Self::choose`] would select.
+    #[must_use]
+    pub fn preferred(&self, query: &Query<'_>, now: Instant) -> Option<TargetKey> {
+        self.select(query, now).map(|e| e.target.key)
+    }
+
+    fn select(&self, query: &Query<'_>, now: Instant) -> Option<Arc<Entry>> {
         let table = self.table();
         let outages = self.outages.lock();
         let selection = Selection {
@@ -187,9 +199,8 @@
             Policy::TwoChoices => selection.two_choices(),
             Policy::LeastReported => selection.least_reported(),
             Policy::Cost => selection.by_cost(),
-        }?;
-        let work = query.work.unwrap_or_default();
-        Some(Lease::new(entry, query.region, work, now))
+        };
+        entry.cloned()
     }
 
     /// Counts a request at a given target, as for a running attempt that is taken over.
@@ -342,10 +353,17 @@
         self.table().by_name(name).map(|e| e.target.key)
     }
 
-    /// Name of a target.
+    /// A target, for a probe.
+    #[must_use]
+    pub fn probe_target(&self, key: TargetKey) -> Option<ProbeTarget> {
+        self.table().entry(key).map(|e| ProbeTarget::of(&e.target))
+    }
+
+    /// The target of this name, for a probe.
     #[must_use]
-    pub fn name(&self, key: TargetKey) -> Option<SmolStr> {
-        self.table().entry(key).map(|e| e.target.name.clone())
+    pub fn probe_target_named(&self, name: &str) -> Option<ProbeTarget> {
+        let table = self.table();
+        table.by_name(name).map(|e| ProbeTarget::of(&e.target))
     }
 
     /// The target that takes requests at `addr`.
