Wait for the answer to an ask for a permit at resumes and probes

Cause: a resumed stream, a probe or a copy of a run that had no permit gave up while its ask was under way, as the answer's timeout lay after its own.

Change: the wait ends at its deadline; an appointment after it is refused at once. An instance logs when it begins to issue the permits of a target.

--- a/src/relay/limits/issuer.rs
+++ b/src/relay/limits/issuer.rs
@@ -63,6 +63,11 @@
 }
 
 impl Issuer {
+    /// Whether it has issued permits for a target since it became the issuer.
+    pub(crate) fn issues(&self, key: TargetKey) -> bool {
+        self.buckets.contains_key(&key)
+    }
+
     /// Issues up to `count` permits for a target that takes `rate`.
     pub(crate) fn issue(
         &mut self,
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -237,11 +237,9 @@
                 return Err(PlaceError::Unavailable);
             }
             self.ask_permits(&limited, line.len() as u32);
-            let wake = self.next_change(&limited);
-            if wake > deadline {
+            if !self.wait_for_permit(&limited, changed, deadline).await {
                 return Err(self.refuse(&line, &limited));
             }
-            let _ = timeout_at(wake, changed).await;
         }
     }
 
@@ -261,23 +259,33 @@
             };
             let target = [target];
             self.ask_permits(&target, 1);
-            let wake = self.next_change(&target);
-            if wake > deadline {
+            if !self.wait_for_permit(&target, changed, deadline).await {
                 return false;
             }
-            let _ = timeout_at(wake, changed).await;
         }
     }
 
-    /// When a permit for one of the targets may be had, or else asked for. An ask under way is
-    /// answered by then.
-    fn next_change(&self, targets: &[ProbeTarget]) -> Instant {
+    /// Waits until a permit for one of the targets may be had or asked for. `false` if that is not
+    /// before the deadline.
+    async fn wait_for_permit(
+        &self,
+        targets: &[ProbeTarget],
+        changed: impl Future<Output = ()>,
+        deadline: Instant,
+    ) -> bool {
         let now = Instant::now();
         let next = self.limits.lock().next_permit(targets, now.into_std());
-        match next.map(Instant::from_std) {
+        let wake = match next.map(Instant::from_std) {
             Some(at) if at > now => at,
-            _ => now + ASK_TIMEOUT,
+            // An ask under way is answered, or has failed, by then.
+            _ => deadline.min(now + ASK_TIMEOUT),
+        };
+        if wake > deadline || now >= deadline {
+            return false;
         }
+        // Woken by a change or by time, the caller looks again.
+        let _ = timeout_at(wake, changed).await;
+        true
     }
 
     fn refuse(&self, line: &WaitLine, limited: &[ProbeTarget]) -> PlaceError {
@@ -379,11 +387,15 @@
         let now = Instant::now().into_std();
         let limits = self.limits.lock();
         let statement = limits.statement(target.key, now);
+        let mut issuer = self.issuer.lock();
         let permits = match limits.rate(target.key) {
-            Some(rate) => self
-                .issuer
-                .lock()
-                .issue(target.key, rate, request.count, now),
+            Some(rate) => {
+                if !issuer.issues(target.key) {
+                    info!(self.decisions.log, "permit: issued by this instance";
+                        "target" => target.name.as_str(), "per_second" => rate.as_f64());
+                }
+                issuer.issue(target.key, rate, request.count, now)
+            }
             None => Permits::default(),
         };
         PermitReply::Issued { permits, statement }
