Bound the wait at limited targets by the route's objective

Refused callers were told 10 s because those counted as ahead that could no longer return.

Change: the wait ends at the latency objective; a refused caller counts as ahead of later ones only if it returns within its own time.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -17,7 +17,7 @@
 use super::dialect::AttemptHead;
 use super::limits::Purpose;
 use super::local_reply::{LocalReply, retry_after};
-use super::permits::PlaceError;
+use super::permits::{Patience, PlaceError};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
 use crate::ident::TargetKey;
@@ -66,9 +66,6 @@
     }
 }
 
-/// Part of a request's remaining time that it may wait for a target that takes requests again.
-pub(crate) const PATIENCE_DIVISOR: u32 = 2;
-
 /// A target's response with its complete body.
 type FullResponse = (Parts, Bytes);
 
@@ -203,7 +200,7 @@
             excluded: &self.tried,
             ..TargetCriteria::default()
         };
-        let patience = self.request.left(Instant::now()) / PATIENCE_DIVISOR;
+        let patience = Patience::of(self.request);
         let placed = self.relay.place(wanted, patience).await;
         match placed {
             Err(PlaceError::Unavailable) if self.failure.is_some() => {
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
+use super::caller_request::CallerRequest;
 use super::dialect::ResponseHead;
 use super::limits::{Ask, Permits, Purpose, Statement};
 use super::relay::{Relay, TargetCriteria};
@@ -57,6 +58,26 @@
     UnknownTarget,
 }
 
+/// How long a request may wait for a target that takes requests again.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    /// Longest wait.
+    wait: Duration,
+    /// Time left until the request's deadline.
+    left: Duration,
+}
+
+impl Patience {
+    /// A longer wait than the route's objective would make every request of a full line late.
+    pub(crate) fn of(request: &CallerRequest) -> Self {
+        let left = request.left(Instant::now());
+        Self {
+            wait: request.route.latency_objective.min(left / 2),
+            left,
+        }
+    }
+}
+
 /// Why a request got no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlaceError {
@@ -98,15 +119,16 @@
     }
 
     /// Time after which a refused caller is to return. `expected` is the expected wait behind a
-    /// number of requests; those that are to return before it are ahead of this one.
-    fn return_after(&self, expected: impl Fn(usize) -> Duration) -> Duration {
+    /// number of requests; those that are to return before it are ahead of this one. A caller whose
+    /// `left` time is over by then does not return.
+    fn return_after(&self, left: Duration, expected: impl Fn(usize) -> Duration) -> Duration {
         let now = Instant::now();
         let mut returns = self.returns.lock();
         while returns.front().is_some_and(|at| *at <= now) {
             returns.pop_front();
         }
         let wait = expected(self.len() + returns.len());
-        if wait < RETURN_MAX {
+        if wait < left.min(RETURN_MAX) {
             returns.push_back(now + wait);
         }
         wait.min(RETURN_MAX)
@@ -118,8 +140,8 @@
     pub(crate) fn handle_permits(self: &Arc<Self>) {
         let me = Arc::clone(self);
         self.peers
-            .on(Tag::Permit, move |_, request: PermitRequest| {
-                ready(me.issue_permits(&request))
+            .on(Tag::Permit, move |from, request: PermitRequest| {
+                ready(me.issue_permits(&from, &request))
             });
     }
 
@@ -202,12 +224,12 @@
         limits.take(lease.key, now).then_some(lease)
     }
 
-    /// Chooses a target for a request, and waits up to `patience` for a permit when all available
-    /// targets are at their limits.
+    /// Chooses a target for a request, and waits for a permit when all available targets are at
+    /// their limits.
     pub(crate) async fn place(
         self: &Arc<Self>,
         wanted: TargetCriteria<'_>,
-        patience: Duration,
+        patience: Patience,
     ) -> Result<Lease, PlaceError> {
         if let Some(lease) = self.choose_now(wanted) {
             return Ok(lease);
@@ -216,14 +238,14 @@
         if limited.is_empty() {
             return Err(PlaceError::Unavailable);
         }
-        let deadline = Instant::now() + patience;
+        let deadline = Instant::now() + patience.wait;
         let line = self.wait_line(wanted.service);
-        if self.expected_wait(&limited, line.len()) > patience {
-            return Err(self.refuse(&line, &limited));
+        if self.expected_wait(&limited, line.len()) > patience.wait {
+            return Err(self.refuse(&line, &limited, patience));
         }
         let _place = Place::enter(&line);
         let Ok(_head) = timeout_at(deadline, line.head.lock()).await else {
-            return Err(self.refuse(&line, &limited));
+            return Err(self.refuse(&line, &limited, patience));
         };
         loop {
             let changed = self.permits_changed.notified();
@@ -238,7 +260,7 @@
             }
             self.ask_permits(&limited, line.len() as u32);
             if !self.wait_for_permit(&limited, changed, deadline).await {
-                return Err(self.refuse(&line, &limited));
+                return Err(self.refuse(&line, &limited, patience));
             }
         }
     }
@@ -288,9 +310,11 @@
         true
     }
 
-    fn refuse(&self, line: &WaitLine, limited: &[ProbeTarget]) -> PlaceError {
+    fn refuse(&self, line: &WaitLine, limited: &[ProbeTarget], patience: Patience) -> PlaceError {
         metrics::counter!("endivefork_limit_refusals_total").increment(1);
-        PlaceError::AtLimit(line.return_after(|ahead| self.expected_wait(limited, ahead)))
+        PlaceError::AtLimit(
+            line.return_after(patience.left, |ahead| self.expected_wait(limited, ahead)),
+        )
     }
 
     fn expected_wait(&self, limited: &[ProbeTarget], ahead: usize) -> Duration {
@@ -348,7 +372,7 @@
         let mut issuer = self.issuer(&ask.target.domain, true)?.name;
         for _ in 0..HOPS_MAX {
             let reply = match issuer == self.settings.instance.name {
-                true => Ok(self.issue_permits(&request)),
+                true => Ok(self.issue_permits(&issuer, &request)),
                 false => {
                     self.peers
                         .call(&issuer, Tag::Permit, &request, ASK_TIMEOUT)
@@ -375,7 +399,7 @@
         None
     }
 
-    fn issue_permits(&self, request: &PermitRequest) -> PermitReply {
+    fn issue_permits(&self, from: &str, request: &PermitRequest) -> PermitReply {
         let Some(target) = self.router.probe_target_named(&request.statement.target) else {
             return PermitReply::UnknownTarget;
         };
@@ -383,7 +407,7 @@
         if let Some(other) = self.issuer(&target.domain, false).filter(|m| m.name != *me) {
             return PermitReply::Elsewhere(other.name);
         }
-        self.learn_limits("peer", std::slice::from_ref(&request.statement));
+        self.learn_limits(from, std::slice::from_ref(&request.statement));
         let now = Instant::now().into_std();
         let limits = self.limits.lock();
         let statement = limits.statement(target.key, now);
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -12,14 +12,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::{Stream, StreamError, Upstream, estimate_work};
-use crate::relay::call::{PATIENCE_DIVISOR, implies_not_run};
+use crate::relay::call::implies_not_run;
 use crate::relay::connections::SendError;
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{AttemptHead, CopyRef};
 use crate::relay::events::EventSplitter;
 use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
-use crate::relay::permits::PlaceError;
+use crate::relay::permits::{Patience, PlaceError};
 use crate::relay::record::Placement;
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::stall::{Loss, StallDetector};
@@ -140,7 +140,7 @@
         if let Some(lease) = self.relay.choose_now(wanted) {
             return Ok(lease);
         }
-        let patience = self.request.left(Instant::now()) / PATIENCE_DIVISOR;
+        let patience = Patience::of(&self.request);
         self.relay.place(unrestricted, patience).await
     }
 
