Count health checks of dead targets towards the limit of who has the address

Instances that had found a target dead checked it every 400 ms without a permit: they did not know its limit, since only answers to callers' requests were read for it; and checks of a replaced target went to its successor at the same address under the old target's key.

Change: health checks, load reports and copies share one way to send, which takes a permit for the limited target at the address, and applies the limit that the answer states.

--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// A request for `path` at a target.
+pub(crate) fn get_request(addr: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().ok()?;
+    let host = HeaderValue::from_str(&addr.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    Some(request)
+}
+
 /// An open connection. Dropping it closes it, which makes the target cancel the request.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -164,20 +173,6 @@
         Some(Response::from_parts(parts, body.to_bytes()))
     }
 
-    /// Requests `path` from a target.
-    pub(crate) async fn get(
-        &self,
-        key: TargetKey,
-        addr: SocketAddr,
-        path: &str,
-    ) -> Option<Response<Bytes>> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = path.parse().ok()?;
-        let host = HeaderValue::from_str(&addr.to_string()).ok()?;
-        request.headers_mut().insert(HOST, host);
-        self.request(key, addr, request).await
-    }
-
     /// Returns a connection to the pool after a complete exchange. `keep_alive` is the time stated
     /// by the target.
     pub(crate) fn release(
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -182,16 +182,8 @@
 ) -> Option<SmolStr> {
     let request = (relay.dialect.copy_request)(&source.id, at)?;
     let engine = &source.engine;
-    if !relay.permit(engine.key).await {
-        return None;
-    }
-    relay.record_sent(engine.key, Purpose::Copy);
-    let answer = timeout(
-        COPY_TIMEOUT,
-        relay.pool.request(engine.key, engine.addr, request),
-    )
-    .await;
-    let answer = answer.ok().flatten()?;
+    let sent = relay.request(engine.key, engine.addr, request, Purpose::Copy);
+    let answer = timeout(COPY_TIMEOUT, sent).await.ok().flatten()?;
     let handle = (relay.dialect.parse_handle)(answer.body());
     handle.filter(|_| answer.status().is_success())
 }
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -99,6 +99,8 @@
     pub write_attempt: fn(&mut HeaderMap, &AttemptHead<'_>),
     /// Parses the head of a target's response to the request with this id.
     pub parse_response: fn(&str, StatusCode, &HeaderMap) -> ResponseHead,
+    /// Rate at which a target takes requests of all instances together, if an answer states one.
+    pub stated_limit: fn(&HeaderMap) -> Option<Rate>,
     /// Name of the target that responded to a health check.
     pub target_name: fn(&HeaderMap) -> Option<SmolStr>,
     /// Builds the request to copy a run's KV cache to another engine or to update that copy.
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -6,6 +6,7 @@
 
 mod issuer;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -269,6 +270,13 @@
         blocked.collect()
     }
 
+    /// The limited target at an address.
+    pub(crate) fn limited_at(&self, addr: SocketAddr) -> Option<TargetKey> {
+        let mut targets = self.targets.values();
+        let limited = targets.find(|t| t.rate.is_some() && t.target.addr == addr);
+        limited.map(|t| t.target.key)
+    }
+
     /// Limited targets of a service.
     pub(crate) fn limited(&self, service: &str) -> Vec<ProbeTarget> {
         let targets = self.targets.values();
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -3,10 +3,14 @@
 
 use std::collections::VecDeque;
 use std::future::ready;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use slog::info;
 use smol_str::SmolStr;
@@ -14,7 +18,7 @@
 
 use super::caller_request::CallerRequest;
 use super::dialect::ResponseHead;
-use super::limits::{Ask, Permits, Purpose, Statement};
+use super::limits::{Ask, Permits, Purpose, Rate, Statement};
 use super::relay::{Relay, TargetCriteria};
 use crate::ident::TargetKey;
 use crate::peer::{Member, Tag, ranked};
@@ -151,15 +155,45 @@
         // Only a signed answer can take a limit back: others may come from a failing target, or
         // from the path to it.
         let is_statement = is_authentic && (head.limit.is_some() || head.signed);
-        let Some(target) = target.filter(|_| is_statement) else {
-            return;
-        };
+        if let Some(target) = target.filter(|_| is_statement) {
+            self.apply_limit(&target, head.limit);
+        }
+    }
+
+    fn apply_limit(&self, target: &ProbeTarget, stated: Option<Rate>) {
         let now = Instant::now().into_std();
-        let is_changed = self.limits.lock().observe(&target, head.limit, now);
+        let is_changed = self.limits.lock().observe(target, stated, now);
         if is_changed {
             self.gossip_wakeup.notify_one();
-            self.log_limit(&target, "target");
+            self.log_limit(target, "target");
+        }
+    }
+
+    /// Sends one of the relay's own requests to a target, if there is a permit for it, and applies
+    /// the limit that the answer states.
+    pub(crate) async fn request(
+        self: &Arc<Self>,
+        key: TargetKey,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        purpose: Purpose,
+    ) -> Option<Response<Bytes>> {
+        // Another target may have started at the address.
+        let limited = self.limits.lock().limited_at(addr).unwrap_or(key);
+        if !self.permit(limited).await {
+            return None;
+        }
+        self.record_sent(limited, purpose);
+        let answer = self.pool.request(key, addr, request).await?;
+        let stated = (self.dialect.stated_limit)(answer.headers());
+        let target = match (self.dialect.target_name)(answer.headers()) {
+            Some(sender) => self.router.probe_target_named(&sender),
+            None => self.router.probe_target(limited),
+        };
+        if let (Some(target), Some(_)) = (target, stated) {
+            self.apply_limit(&target, stated);
         }
+        Some(answer)
     }
 
     /// Applies limits that another instance knows.
--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
+use super::connections::get_request;
 use super::limits::Purpose;
 use super::relay::Relay;
 use crate::ident::TargetKey;
@@ -76,10 +77,7 @@
     key: TargetKey,
     addr: SocketAddr,
 ) -> Option<EngineReport> {
-    if !relay.permit(key).await {
-        return None;
-    }
-    relay.record_sent(key, Purpose::Probe);
-    let response = relay.pool.get(key, addr, relay.dialect.report_path).await?;
+    let request = get_request(addr, relay.dialect.report_path)?;
+    let response = relay.request(key, addr, request, Purpose::Probe).await?;
     (relay.dialect.parse_report)(response.body())
 }
--- a/src/relay/recovery.rs
+++ b/src/relay/recovery.rs
@@ -10,6 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::catalog::TargetInfo;
+use super::connections::get_request;
 use super::limits::Purpose;
 use super::progress::fetch_report;
 use super::relay::Relay;
@@ -91,11 +92,9 @@
     async fn name_at(self: &Arc<Self>, target: &ProbeTarget) -> Option<SmolStr> {
         let rules = self.rules()?;
         let health = &rules.services.get(&target.service)?.health_path;
-        if !self.permit(target.key).await {
-            return None;
-        }
-        self.record_sent(target.key, Purpose::Probe);
-        let answer = self.pool.get(target.key, target.addr, health).await?;
+        let request = get_request(target.addr, health)?;
+        let sent = self.request(target.key, target.addr, request, Purpose::Probe);
+        let answer = sent.await?;
         (self.dialect.target_name)(answer.headers())
     }
 }
