Split the placing of requests from the asks for permits

Change: placing.rs has the choice, the wait and the refusal; nothing is checked while no limit is known. Otherwise moved only.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -17,7 +17,7 @@
 use super::dialect::AttemptHead;
 use super::limits::Purpose;
 use super::local_reply::{LocalReply, retry_after};
-use super::permits::{Patience, PlaceError};
+use super::placing::{Patience, PlaceError};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
 use crate::ident::TargetKey;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod local_reply;
 mod pacing;
 mod permits;
+mod placing;
 mod platform_update;
 mod platform_watch;
 mod probe;
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -1,11 +1,9 @@
-//! Applies the limits that targets state: asks their issuers for permits, and places requests at
-//! targets that may get them.
+//! Applies the limits that targets state: asks their issuers for permits, and issues those of this
+//! instance.
 
-use std::collections::VecDeque;
 use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,15 +12,14 @@
 use serde::{Deserialize, Serialize};
 use slog::info;
 use smol_str::SmolStr;
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::caller_request::CallerRequest;
 use super::dialect::ResponseHead;
 use super::limits::{Ask, Permits, Purpose, Rate, Statement};
-use super::relay::{Relay, TargetCriteria};
+use super::relay::Relay;
 use crate::ident::TargetKey;
 use crate::peer::{Member, Tag, ranked};
-use crate::routing::{Lease, ProbeTarget};
+use crate::routing::ProbeTarget;
 
 /// Time between two log lines about the requests sent to a limited target.
 const SUMMARY_PERIOD: Duration = Duration::from_secs(1);
@@ -31,16 +28,12 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Timeout of an ask for permits: two round trips between regions and a busy issuer.
-const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Issuers asked for one permit: a candidate of the target's failure domain, and the issuer that it
 /// names.
 const HOPS_MAX: usize = 2;
 
-/// Latest time at which a refused caller is told to return. What lies further ahead depends on
-/// callers that may not return.
-const RETURN_MAX: Duration = Duration::from_secs(10);
-
 /// Ask for permits, sent to the issuer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct PermitRequest {
@@ -62,83 +55,6 @@
     UnknownTarget,
 }
 
-/// How long a request may wait for a target that takes requests again.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Patience {
-    /// Longest wait.
-    wait: Duration,
-    /// Time left until the request's deadline.
-    left: Duration,
-}
-
-impl Patience {
-    /// A longer wait than the route's objective would make every request of a full line late.
-    pub(crate) fn of(request: &CallerRequest) -> Self {
-        let left = request.left(Instant::now());
-        Self {
-            wait: request.route.latency_objective.min(left / 2),
-            left,
-        }
-    }
-}
-
-/// Why a request got no target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PlaceError {
-    /// No target is available.
-    Unavailable,
-    /// All available targets are at their limits; one is expected to take a request after this
-    /// time.
-    AtLimit(Duration),
-}
-
-/// Requests to one service that wait for a permit, in their order of arrival.
-#[derive(Debug, Default)]
-pub(crate) struct WaitLine {
-    head: tokio::sync::Mutex<()>,
-    waiting: AtomicUsize,
-    /// When the callers that were refused are to return.
-    returns: parking_lot::Mutex<VecDeque<Instant>>,
-}
-
-/// A place in a [`WaitLine`].
-struct Place<'a>(&'a WaitLine);
-
-impl<'a> Place<'a> {
-    fn enter(line: &'a WaitLine) -> Self {
-        line.waiting.fetch_add(1, Ordering::Relaxed);
-        Self(line)
-    }
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl WaitLine {
-    fn len(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
-    }
-
-    /// Time after which a refused caller is to return. `expected` is the expected wait behind a
-    /// number of requests; those that are to return before it are ahead of this one. A caller whose
-    /// `left` time is over by then does not return.
-    fn return_after(&self, left: Duration, expected: impl Fn(usize) -> Duration) -> Duration {
-        let now = Instant::now();
-        let mut returns = self.returns.lock();
-        while returns.front().is_some_and(|at| *at <= now) {
-            returns.pop_front();
-        }
-        let wait = expected(self.len() + returns.len());
-        if wait < left.min(RETURN_MAX) {
-            returns.push_back(now + wait);
-        }
-        wait.min(RETURN_MAX)
-    }
-}
-
 impl Relay {
     /// Registers the handler of asks for permits.
     pub(crate) fn handle_permits(self: &Arc<Self>) {
@@ -221,160 +137,8 @@
         }
     }
 
-    /// Chooses a target for a request, among those without a limit and those for which there is a
-    /// permit that no earlier request waits for.
-    pub(crate) fn choose_now(self: &Arc<Self>, wanted: TargetCriteria<'_>) -> Option<Lease> {
-        if self.limits.lock().is_empty() {
-            return self.choose(wanted);
-        }
-        let limited = self.limited_targets(wanted);
-        if self.wait_line(wanted.service).len() > 0 {
-            let keys = limited.iter().map(|t| t.key);
-            let excluded: Vec<_> = wanted.excluded.iter().copied().chain(keys).collect();
-            let unlimited = TargetCriteria {
-                excluded: &excluded,
-                ..wanted
-            };
-            return self.choose_permitted(unlimited);
-        }
-        let lease = self.choose_permitted(wanted)?;
-        // The next request that would go to a limited target is to find a permit.
-        let preferred = self.preferred(wanted);
-        let preferred = limited.into_iter().filter(|t| Some(t.key) == preferred);
-        self.ask_permits(&preferred.collect::<Vec<_>>(), 1);
-        Some(lease)
-    }
-
-    /// Chooses a target, among those without a limit and those for which there is a permit.
-    fn choose_permitted(&self, wanted: TargetCriteria<'_>) -> Option<Lease> {
-        let now = Instant::now().into_std();
-        let mut limits = self.limits.lock();
-        let blocked = limits.without_permit(now);
-        let excluded = [wanted.excluded, &blocked].concat();
-        let lease = self.choose(TargetCriteria {
-            excluded: &excluded,
-            ..wanted
-        })?;
-        limits.take(lease.key, now).then_some(lease)
-    }
-
-    /// Chooses a target for a request, and waits for a permit when all available targets are at
-    /// their limits.
-    pub(crate) async fn place(
-        self: &Arc<Self>,
-        wanted: TargetCriteria<'_>,
-        patience: Patience,
-    ) -> Result<Lease, PlaceError> {
-        if let Some(lease) = self.choose_now(wanted) {
-            return Ok(lease);
-        }
-        let limited = self.limited_targets(wanted);
-        if limited.is_empty() {
-            return Err(PlaceError::Unavailable);
-        }
-        let deadline = Instant::now() + patience.wait;
-        let line = self.wait_line(wanted.service);
-        if self.expected_wait(&limited, line.len()) > patience.wait {
-            return Err(self.refuse(&line, &limited, patience));
-        }
-        let _place = Place::enter(&line);
-        let Ok(_head) = timeout_at(deadline, line.head.lock()).await else {
-            return Err(self.refuse(&line, &limited, patience));
-        };
-        loop {
-            let changed = self.permits_changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if let Some(lease) = self.choose_permitted(wanted) {
-                return Ok(lease);
-            }
-            let limited = self.limited_targets(wanted);
-            if limited.is_empty() {
-                return Err(PlaceError::Unavailable);
-            }
-            self.ask_permits(&limited, line.len() as u32);
-            if !self.wait_for_permit(&limited, changed, deadline).await {
-                return Err(self.refuse(&line, &limited, patience));
-            }
-        }
-    }
-
-    /// Waits until a request may be sent to a given target. `false` if there is no permit within
-    /// the time of one ask.
-    pub(crate) async fn permit(self: &Arc<Self>, key: TargetKey) -> bool {
-        let deadline = Instant::now() + ASK_TIMEOUT;
-        loop {
-            let changed = self.permits_changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if self.limits.lock().take(key, Instant::now().into_std()) {
-                return true;
-            }
-            let Some(target) = self.router.probe_target(key) else {
-                return false;
-            };
-            let target = [target];
-            self.ask_permits(&target, 1);
-            if !self.wait_for_permit(&target, changed, deadline).await {
-                return false;
-            }
-        }
-    }
-
-    /// Waits until a permit for one of the targets may be had or asked for. `false` if that is not
-    /// before the deadline.
-    async fn wait_for_permit(
-        &self,
-        targets: &[ProbeTarget],
-        changed: impl Future<Output = ()>,
-        deadline: Instant,
-    ) -> bool {
-        let now = Instant::now();
-        let next = self.limits.lock().next_permit(targets, now.into_std());
-        let wake = match next.map(Instant::from_std) {
-            Some(at) if at > now => at,
-            // An ask under way is answered, or has failed, by then.
-            _ => deadline.min(now + ASK_TIMEOUT),
-        };
-        if wake > deadline || now >= deadline {
-            return false;
-        }
-        // Woken by a change or by time, the caller looks again.
-        let _ = timeout_at(wake, changed).await;
-        true
-    }
-
-    fn refuse(&self, line: &WaitLine, limited: &[ProbeTarget], patience: Patience) -> PlaceError {
-        metrics::counter!("endivefork_limit_refusals_total").increment(1);
-        PlaceError::AtLimit(
-            line.return_after(patience.left, |ahead| self.expected_wait(limited, ahead)),
-        )
-    }
-
-    fn expected_wait(&self, limited: &[ProbeTarget], ahead: usize) -> Duration {
-        let now = Instant::now().into_std();
-        self.limits.lock().expected_wait(limited, ahead, now)
-    }
-
-    fn wait_line(&self, service: &str) -> Arc<WaitLine> {
-        let mut lines = self.wait_lines.lock();
-        Arc::clone(lines.entry(service.into()).or_default())
-    }
-
-    /// Available targets with a limit that a request may use.
-    fn limited_targets(&self, wanted: TargetCriteria<'_>) -> Vec<ProbeTarget> {
-        let mut limited = self.limits.lock().limited(wanted.service);
-        let now = Instant::now().into_std();
-        limited.retain(|t| {
-            !wanted.excluded.contains(&t.key)
-                && !wanted.avoid_domains.contains(&t.domain)
-                && self.router.is_available(t.key, now)
-        });
-        limited
-    }
-
     /// Asks for as many permits as `count` requests to any of `targets` lack.
-    fn ask_permits(self: &Arc<Self>, targets: &[ProbeTarget], count: u32) {
+    pub(super) fn ask_permits(self: &Arc<Self>, targets: &[ProbeTarget], count: u32) {
         if targets.is_empty() {
             return;
         }
@@ -490,6 +254,9 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
+            if self.limits.lock().is_empty() {
+                continue;
+            }
             let is_isolated = self.peers.others() > 0 && self.peers.alive().is_empty();
             let issues = |key| {
                 let target = self.router.probe_target(key);
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -18,7 +18,7 @@
 use super::election::ReadState;
 use super::exchange::{Outbox, RecentFailures};
 use super::limits::{Issuer, Limits};
-use super::permits::WaitLine;
+use super::placing::WaitLine;
 use super::probe::Probes;
 use super::record::DecisionLog;
 use super::retries::RetryBudget;
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -19,7 +19,7 @@
 use crate::relay::events::EventSplitter;
 use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
-use crate::relay::permits::{Patience, PlaceError};
+use crate::relay::placing::{Patience, PlaceError};
 use crate::relay::record::Placement;
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::stall::{Loss, StallDetector};
