Log whether a target was alive when a run on it was given up

The line 'request: attempt lost' did not tell a sound target that was silent from a dead one. It now has 'alive_ms', the time since the target last showed life to a request, a probe or a peer, and endivefork_runs_abandoned_total counts the runs that were given up at targets that no probe found dead.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -19,6 +19,7 @@
 use super::local_reply::{LocalReply, retry_after};
 use super::placing::{Patience, PlaceError};
 use super::quarantine::LostRun;
+use super::record::{FailedAttempt, count_abandoned};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
 use crate::ident::TargetKey;
@@ -181,6 +182,7 @@
                 Err(_) => {
                     self.runs += 1;
                     self.report_loss(&lease, trial);
+                    count_abandoned("no answer");
                     "no answer"
                 }
             };
@@ -189,6 +191,13 @@
             let failed = self
                 .request
                 .failed_attempt(&name, reason, started.elapsed());
+            let failed = FailedAttempt {
+                alive: self
+                    .relay
+                    .router
+                    .alive_age(lease.key, Instant::now().into_std()),
+                ..failed
+            };
             self.relay.decisions.attempt_failed(&failed);
             if Instant::now() >= deadline {
                 break;
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -77,6 +77,7 @@
             elapsed,
             begun: None,
             events: 0,
+            alive: None,
         }
     }
 
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -78,6 +78,8 @@
     pub(crate) begun: Option<Duration>,
     /// Events of this attempt.
     pub(crate) events: u64,
+    /// Time since the target last showed life, to any request or probe.
+    pub(crate) alive: Option<Duration>,
 }
 
 impl DecisionLog {
@@ -144,11 +146,12 @@
         let Some(suppressed) = self.admit() else {
             return;
         };
-        let begun = failed.begun.map_or(-1, |d| d.as_millis() as i64);
+        let millis = |d: Option<Duration>| d.map_or(-1, |d| d.as_millis() as i64);
+        let (begun, alive) = (millis(failed.begun), millis(failed.alive));
         info!(self.log, "request: attempt lost";
             "id" => failed.id, "target" => failed.target, "why" => failed.reason,
             "ms" => failed.elapsed.as_millis() as u64, "begun_ms" => begun,
-            "events" => failed.events, "route" => failed.route, "account" => failed.account,
+            "alive_ms" => alive, "events" => failed.events, "route" => failed.route, "account" => failed.account,
             "parts" => failed.parts, "left_out" => suppressed);
     }
 
@@ -162,3 +165,8 @@
             "probe_ms" => after.as_millis() as u64, "left_out" => suppressed);
     }
 }
+
+/// Counts a run that was given up at a target that no probe found dead.
+pub(crate) fn count_abandoned(reason: &'static str) {
+    metrics::counter!("endivefork_runs_abandoned_total", "reason" => reason).increment(1);
+}
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -24,7 +24,7 @@
 use super::events::EventSplitter;
 use super::local_reply::LocalReply;
 use super::quarantine::LostRun;
-use super::record::{FailedAttempt, Outcome};
+use super::record::{FailedAttempt, Outcome, count_abandoned};
 use super::relay::Relay;
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
@@ -356,8 +356,15 @@
         self.relay.decisions.attempt_failed(&FailedAttempt {
             begun: progress.begun.map(|at| at.elapsed()),
             events: progress.events,
+            alive: self
+                .relay
+                .router
+                .alive_age(lease.key, Instant::now().into_std()),
             ..self.request.failed_attempt(&name, loss.reason(), elapsed)
         });
+        if loss == Loss::Stalled {
+            count_abandoned(loss.reason());
+        }
         self.excluded.push(lease.key);
         self.avoid_domains = vec![lease.domain()];
         if loss == Loss::DeadlineExceeded || loss == Loss::Quarantined {
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -132,10 +132,14 @@
         self.own_dead = false;
     }
 
+    /// When it last showed life to this instance or a peer.
+    pub(crate) fn last_alive(&self) -> Option<Instant> {
+        self.last_alive.max(self.peer_alive)
+    }
+
     /// When it last showed life, or when it was `listed` if that is later.
     pub(crate) fn last_seen(&self, listed: Instant) -> Instant {
-        let last_alive = self.last_alive.max(self.peer_alive);
-        last_alive.map_or(listed, |at| at.max(listed))
+        self.last_alive().map_or(listed, |at| at.max(listed))
     }
 
     /// Whether this instance itself found the target dead and still blocks it.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
@@ -267,6 +267,13 @@
         self.with_entry(key, |entry| entry.state.lock().health.mark_alive(since));
     }
 
+    /// Time since the target last showed life to this instance or a peer.
+    pub fn alive_age(&self, key: TargetKey, now: Instant) -> Option<Duration> {
+        let entry = self.table().entry(key).cloned()?;
+        let alive = entry.state.lock().health.last_alive()?;
+        Some(now.saturating_duration_since(alive))
+    }
+
     /// Records that a peer confirmed the target alive at `at`.
     pub fn confirm_alive(&self, key: TargetKey, at: Instant) {
         self.with_entry(key, |entry| entry.state.lock().health.confirm_alive(at));
