Move a run from a silent target only when it can be had elsewhere

What callers saw: beside sound targets that fell silent for about a second, streams ended with a closed connection or 502 although their target would have gone on.

Cause: a silence ended the run first and looked for another one then. Each cost one of the route's attempts and one of the shared retry budget, and once either was spent the stream was aborted. A stream that may not be resumed was aborted at the first silence, and a report that did not list the run, or listed events that were still on their way, ended it at once.

Now the target's silence is weak evidence. Whether the run may move is decided by Silence::may_move before the old run is dropped: a short silence leaves an attempt and half of the instance's retry budget for a real loss, a silence of 3 s may use the last attempt and loans. The next target's permit, a connection to it and the retry are secured first; otherwise the wait goes on until the target is found dead or the deadline passes. A report that contradicts the stream starts a grace time of a second in place of ending the run. A silence no longer makes its target suspect, nor counts towards an outage of its domain: the probe tells better. The old connection is still closed before the next request is sent, and that one goes on after the last event received, so no two runs overlap and no event is lost or repeated.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -2,6 +2,7 @@
 //! itself. When the copy is lost or its engine is leaving, this instance requests another one and
 //! refreshes it periodically.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -92,10 +93,15 @@
 
     /// Whether there is a copy at an available engine.
     pub(crate) fn has_copy(&self, relay: &Relay) -> bool {
+        self.holder(relay).is_some()
+    }
+
+    /// The available engine that holds the copy.
+    pub(crate) fn holder(&self, relay: &Relay) -> Option<(TargetKey, SocketAddr)> {
         let copy = self.copy.lock();
-        let now = Instant::now();
-        copy.as_ref()
-            .is_some_and(|c| relay.router.is_available(c.lease.key, now))
+        let lease = &copy.as_ref()?.lease;
+        let is_available = relay.router.is_available(lease.key, Instant::now());
+        is_available.then_some((lease.key, lease.addr))
     }
 
     /// Takes the copy, to resume from it.
@@ -175,11 +181,7 @@
 }
 
 /// Asks the run's engine to copy the run to `at`, or to refresh the copy there.
-async fn request_copy(
-    relay: &Arc<Relay>,
-    source: &CopySource,
-    at: std::net::SocketAddr,
-) -> Option<SmolStr> {
+async fn request_copy(relay: &Arc<Relay>, source: &CopySource, at: SocketAddr) -> Option<SmolStr> {
     let request = (relay.dialect.copy_request)(&source.id, at)?;
     let engine = &source.engine;
     let sent = relay.request(engine.key, engine.addr, request, Purpose::Copy);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -42,9 +42,11 @@
 mod runs;
 mod settings;
 mod shutdown;
+mod silence;
 mod stall;
 mod stall_timeouts;
 mod stream;
+mod successor;
 #[cfg(test)]
 mod tests;
 
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -155,6 +155,18 @@
             "parts" => failed.parts, "left_out" => suppressed);
     }
 
+    /// Logs that a run stays at its silent target, and why it was not moved.
+    pub(crate) fn silence_awaited(&self, attempt: &FailedAttempt<'_>) {
+        let Some(suppressed) = self.admit() else {
+            return;
+        };
+        let alive = attempt.alive.map_or(-1, |d| d.as_millis() as i64);
+        info!(self.log, "request: waits for a silent target";
+            "id" => attempt.id, "target" => attempt.target, "why" => attempt.reason,
+            "ms" => attempt.elapsed.as_millis() as u64, "alive_ms" => alive,
+            "route" => attempt.route, "left_out" => suppressed);
+    }
+
     /// Logs that a target was found dead.
     pub(crate) fn target_dead(&self, target: &str, reason: &str, after: Duration) {
         let Some(suppressed) = self.admit() else {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -26,6 +26,7 @@
 use super::rules::{Engine, Rules};
 use super::runs::{RunDirectory, RunLocation};
 use super::settings::Settings;
+use super::silence::RetryShare;
 use crate::ident::TargetKey;
 use crate::peer::Peers;
 use crate::platform;
@@ -293,6 +294,15 @@
         taken
     }
 
+    /// Takes a retry for a run that may not need it, from what remains after a reserve for real
+    /// losses.
+    pub(crate) async fn take_spare_retry(&self, service: &SmolStr, share: RetryShare) -> bool {
+        let members = self.peers.others() + 1;
+        let now = Instant::now();
+        let own = self.retries.lock().take_spare(service, members, now);
+        own || share == RetryShare::SpareOrLoan && self.borrow_retry(service).await
+    }
+
     /// Probes a target.
     pub(crate) fn probe(&self, lease: &Lease) {
         if let Some(subject) = lease.probe_target() {
@@ -300,6 +310,11 @@
         }
     }
 
+    /// Time since a target last showed life.
+    pub(crate) fn alive_age(&self, lease: &Lease) -> Option<Duration> {
+        self.router.alive_age(lease.key, Instant::now())
+    }
+
     /// Expected time until a target has prefilled all prompts queued at it.
     pub(crate) fn prefill_backlog(&self, key: TargetKey) -> Duration {
         let prompt = self.router.work(key, Instant::now()).prompt;
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -32,6 +32,9 @@
 /// instances that need more than their own share.
 const LOCAL_SHARE: f64 = 0.5;
 
+/// Part of this instance's share that may be spent on runs that may not need it.
+const SPARE_SHARE: f64 = 0.5;
+
 /// Number of buckets that the fleet's usage may not include yet: the present one and the one before
 /// it.
 const LAG_BUCKETS: u64 = 2;
@@ -147,21 +150,30 @@
     /// Takes a retry; `false` when this instance's share is spent. `members` is the number of
     /// instances that share the slack.
     pub(crate) fn take(&mut self, service: &SmolStr, members: usize, now: Instant) -> bool {
+        self.take_share(1.0, service, members, now)
+    }
+
+    /// Takes a retry unless less than a reserve would remain of this instance's share.
+    pub(crate) fn take_spare(&mut self, service: &SmolStr, members: usize, now: Instant) -> bool {
+        self.take_share(SPARE_SHARE, service, members, now)
+    }
+
+    fn take_share(&mut self, usable: f64, service: &SmolStr, members: usize, now: Instant) -> bool {
         let is_fresh = |s: &&FleetUsage| now.saturating_duration_since(s.at) < USAGE_TTL;
         let is_taken = match self.fleet.as_ref().filter(is_fresh) {
             Some(fleet) => {
                 let (_, recent) = self.count(&self.services, service, LAG_BUCKETS, now);
                 let share = LOCAL_SHARE * self.remaining(fleet, service) / fleet.members as f64;
-                recent < self.round(share, service)
+                recent < self.round(usable * share, service)
             }
             None => {
                 let (requests, retries) = self.count(&self.services, service, BUCKETS, now);
                 let slack = self.allowance.slack / members.max(1) as f64;
-                let usable = match members < SMALL_FLEET {
+                let own = match members < SMALL_FLEET {
                     true => USABLE_SHARE,
                     false => ISOLATED_SHARE,
                 };
-                let limit = usable * (self.allowance.ratio * f64::from(requests) + slack);
+                let limit = usable * own * (self.allowance.ratio * f64::from(requests) + slack);
                 f64::from(retries) + 1.0 <= limit
             }
         };
--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -1,15 +1,18 @@
 //! Detects stalled upstreams. While a target sends nothing, it is probed, asked for the run's
-//! progress and finally abandoned.
+//! progress and finally, once another target is certain to take the run, abandoned. Otherwise the
+//! wait goes on until the request's deadline or until the target is found dead.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::progress::{Progress, query_progress};
 use super::quarantine::QUARANTINED;
+use super::record::FailedAttempt;
 use super::relay::Relay;
 use super::stall_timeouts::StallTimeouts;
+use super::successor::Mover;
 use crate::quarantine::PartKey;
 use crate::routing::Lease;
 
@@ -17,6 +20,13 @@
 /// process may itself have been delayed.
 const READ_GRACE: Duration = Duration::from_millis(3);
 
+/// Time for the events of a run to arrive although its engine reports that they were sent, or that
+/// the run is not there: the connection may be behind.
+const DELIVERY_GRACE: Duration = Duration::from_secs(1);
+
+/// Interval at which a run that could not be moved is considered again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Why an upstream run ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Loss {
@@ -48,8 +58,8 @@
     pub(crate) parts: &'a [PartKey],
     pub(crate) lease: &'a Lease,
     pub(crate) timeouts: &'a StallTimeouts,
-    /// Whether there is a copy of the KV cache to resume from.
-    pub(crate) has_copy: bool,
+    /// Looks for the next run's place before this one is given up.
+    pub(crate) mover: Mover<'a>,
     /// Start of the wait for the next sign of progress.
     pub(crate) wait_start: Instant,
     pub(crate) deadline: Instant,
@@ -67,9 +77,12 @@
         let timeouts = self.timeouts;
         let mut probe_at = since + timeouts.probe_after();
         let mut query_at = (!timeouts.has_started()).then(|| since + timeouts.query_after());
-        let mut abandon_at = since + timeouts.abandon_after(self.has_copy);
+        let has_copy = self.mover.copy.is_some_and(|c| c.has_copy(self.relay));
+        let mut move_at = since + timeouts.abandon_after(has_copy);
+        let mut is_reported_lost = false;
+        let mut is_held = false;
         loop {
-            let next = probe_at.min(abandon_at).min(self.deadline);
+            let next = probe_at.min(move_at).min(self.deadline);
             let wake = query_at.map_or(next, |at| at.min(next));
             tokio::select! {
                 biased;
@@ -101,15 +114,39 @@
                 };
                 match progress {
                     Progress::Prefilling => {
-                        abandon_at = Instant::now() + 2 * timeouts.query_interval();
+                        move_at = Instant::now() + 2 * timeouts.query_interval();
+                        is_reported_lost = false;
+                    }
+                    Progress::Produced | Progress::Unknown if !is_reported_lost => {
+                        move_at = move_at.min(Instant::now() + DELIVERY_GRACE);
+                        is_reported_lost = true;
                     }
-                    Progress::Produced | Progress::Unknown => return Err(Loss::Stalled),
-                    Progress::NoReport => {}
+                    Progress::Produced | Progress::Unknown | Progress::NoReport => {}
                 }
                 query_at = Some(Instant::now() + timeouts.query_interval());
             }
-            if now >= abandon_at {
-                return Err(Loss::Stalled);
+            if now >= move_at {
+                let secured = self.mover.secure(self.lease, now - since);
+                let secured = tokio::select! {
+                    biased;
+                    done = task.as_mut() => return Ok(done),
+                    () = lost.as_mut() => return Err(Loss::Dead),
+                    secured = timeout_at(self.deadline, secured) => secured,
+                };
+                let moved = secured.unwrap_or(Err("no time left"));
+                match (moved, timeout(READ_GRACE, task.as_mut()).await) {
+                    (_, Ok(done)) => {
+                        self.mover.found.lock().take();
+                        return Ok(done);
+                    }
+                    (Ok(()), Err(_)) => return Err(Loss::Stalled),
+                    (Err(reason), Err(_)) if !is_held => {
+                        self.log_held(reason, now - since);
+                        is_held = true;
+                    }
+                    (Err(_), Err(_)) => {}
+                }
+                move_at = Instant::now() + RECHECK_INTERVAL;
             }
             if now >= probe_at {
                 self.relay.probe(self.lease);
@@ -117,4 +154,16 @@
             }
         }
     }
+
+    /// Logs why a run stays at its silent target.
+    fn log_held(&self, reason: &'static str, elapsed: Duration) {
+        metrics::counter!("endivefork_silences_awaited_total", "reason" => reason).increment(1);
+        self.relay.decisions.silence_awaited(&FailedAttempt {
+            alive: self.relay.alive_age(self.lease),
+            ..self
+                .mover
+                .request
+                .failed_attempt(&self.lease.name(), reason, elapsed)
+        });
+    }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -14,6 +14,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -28,6 +29,7 @@
 use super::relay::Relay;
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
+use super::successor::{Mover, Successor};
 use crate::caller::Running;
 use crate::ident::TargetKey;
 use crate::quarantine::BEGIN_WINDOW;
@@ -104,6 +106,8 @@
     backup: Option<RunCopy>,
     /// Maintains the copy of the current run's KV cache.
     copy_task: Option<CopyTask>,
+    /// What was secured for the next run before the current one was given up.
+    successor: Mutex<Option<Successor>>,
     /// Copy of the lost run's KV cache, from which the next run resumes.
     copy: Option<RunCopy>,
     head: Option<Parts>,
@@ -155,6 +159,7 @@
         digest,
         backup: None,
         copy_task: None,
+        successor: Mutex::default(),
         copy,
         head: None,
         last_id: last,
@@ -283,8 +288,6 @@
 
     /// Returns the next event that the caller has not received, or `None` at the end of the stream.
     async fn read_event(&mut self) -> Result<Option<Bytes>, Loss> {
-        let copy_task = self.copy_task.as_ref();
-        let has_copy = copy_task.is_some_and(|k| k.has_copy(&self.relay));
         let upstream = self.upstream.as_mut().expect("a run is open");
         loop {
             if let Some(event) = upstream.splitter.next() {
@@ -326,7 +329,15 @@
                 parts: &self.request.suspect_parts,
                 lease: &upstream.lease,
                 timeouts: &upstream.timeouts,
-                has_copy,
+                mover: Mover {
+                    relay: &self.relay,
+                    request: &self.request,
+                    attempts_left: self.request.route.max_attempts.saturating_sub(self.runs),
+                    copy: self.copy_task.as_ref(),
+                    excluded: &self.excluded,
+                    work: estimate_work(&self.request),
+                    found: &self.successor,
+                },
                 wait_start: *upstream.wait_start.get_or_insert_with(Instant::now),
                 deadline: self.request.deadline,
             };
@@ -356,10 +367,7 @@
         self.relay.decisions.attempt_failed(&FailedAttempt {
             begun: progress.begun.map(|at| at.elapsed()),
             events: progress.events,
-            alive: self
-                .relay
-                .router
-                .alive_age(lease.key, Instant::now().into_std()),
+            alive: self.relay.alive_age(lease),
             ..self.request.failed_attempt(&name, loss.reason(), elapsed)
         });
         if loss == Loss::Stalled {
@@ -371,8 +379,11 @@
             return;
         }
         if loss != Loss::Dead {
-            let now = std::time::Instant::now();
-            self.relay.router.mark_suspect(lease.key, now);
+            // A silence says nothing that the probe does not tell better.
+            if loss != Loss::Stalled {
+                let now = std::time::Instant::now();
+                self.relay.router.mark_suspect(lease.key, now);
+            }
             self.relay.probe(lease);
         }
         self.relay.report_loss(
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -13,7 +13,7 @@
 
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
-use crate::relay::connections::SendError;
+use crate::relay::connections::{Connection, SendError};
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{AttemptHead, CopyRef};
 use crate::relay::events::EventSplitter;
@@ -24,6 +24,7 @@
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::stall::{Loss, StallDetector};
 use crate::relay::stall_timeouts::StallTimeouts;
+use crate::relay::successor::{Mover, Place};
 use crate::routing::{Lease, Work};
 
 /// Attempts that did not run the request before the stream is refused.
@@ -60,22 +61,23 @@
             if !runs_left || self.declined > MAX_DECLINED {
                 return Err(self.give_up("no attempt left"));
             }
-            if attempts > 0 && !self.relay.take_retry(&self.request.service).await {
+            let successor = self.successor.lock().take();
+            let has_retry = attempts == 0 || successor.is_some();
+            if !has_retry && !self.relay.take_retry(&self.request.service).await {
                 return Err(self.give_up("retry budget spent"));
             }
             let copy = self.copy.take();
             let is_usable =
                 |c: &RunCopy| self.relay.router.is_available(c.lease.key, now.into_std());
-            let (copy, copied) = match copy.filter(is_usable) {
-                Some(mut copy) if self.relay.permit(copy.lease.key).await => {
-                    copy.lease.start_run();
-                    (Some(copy.lease), Some(copy.copied))
-                }
-                _ => (None, None),
+            let (key, place, connection) = match successor {
+                Some(s) => (Some(s.key), Some(s.place), Some(s.connection)),
+                None => (None, None, None),
             };
-            let lease = match copy {
-                Some(lease) => Ok(lease),
-                None => self.choose().await,
+            let (lease, copied) = match (place, copy.filter(is_usable)) {
+                (Some(Place::Prompt(lease)), _) => (Ok(lease), None),
+                (Some(Place::Copy), Some(copy)) if Some(copy.lease.key) == key => from_copy(copy),
+                (_, Some(copy)) if self.relay.permit(copy.lease.key).await => from_copy(copy),
+                _ => (self.choose().await, None),
             };
             let lease = match lease {
                 Ok(lease) => lease,
@@ -96,7 +98,8 @@
             self.target = lease.name();
             self.log_placement(&lease, copied.is_some());
             self.relay.gossip_wakeup.notify_one();
-            match self.attempt(lease, copied).await {
+            let connection = connection.filter(|_| key == Some(lease.key));
+            match self.attempt(lease, copied, connection).await {
                 Ok(upstream) => {
                     self.upstream = Some(upstream);
                     return Ok(());
@@ -196,12 +199,13 @@
         &mut self,
         lease: Lease,
         copied: Option<CopyRef>,
+        connection: Option<Connection>,
     ) -> Result<Upstream, AttemptError> {
-        let acquired = self
-            .relay
-            .pool
-            .acquire(lease.key, lease.addr, Duration::ZERO)
-            .await;
+        let pool = &self.relay.pool;
+        let acquired = match connection {
+            Some(connection) => Ok(connection),
+            None => pool.acquire(lease.key, lease.addr, Duration::ZERO).await,
+        };
         let Ok(mut connection) = acquired else {
             self.relay.probe(&lease);
             return Err(self.record_declined(&lease, "could not connect"));
@@ -225,7 +229,19 @@
             parts: &self.request.suspect_parts,
             lease: &lease,
             timeouts: &timeouts,
-            has_copy: false,
+            mover: Mover {
+                relay: &self.relay,
+                request: &self.request,
+                attempts_left: self
+                    .request
+                    .route
+                    .max_attempts
+                    .saturating_sub(self.runs + 1),
+                copy: None,
+                excluded: &self.excluded,
+                work: estimate_work(&self.request),
+                found: &self.successor,
+            },
             wait_start: now,
             deadline: self.request.deadline,
         };
@@ -355,3 +371,9 @@
         AttemptError::Fatal(StreamError::Target(Response::from_parts(parts, body)))
     }
 }
+
+/// A run that starts from a copy, at the engine that holds it.
+fn from_copy(mut copy: RunCopy) -> (Result<Lease, PlaceError>, Option<CopyRef>) {
+    copy.lease.start_run();
+    (Ok(copy.lease), Some(copy.copied))
+}
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -11,4 +11,5 @@
 mod retries;
 mod rules;
 mod runs;
+mod silence;
 mod stall_timeouts;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -180,6 +180,14 @@
         table.entry(key).is_some_and(available)
     }
 
+    /// Whether the target gets requests without reservation.
+    pub fn is_healthy(&self, key: TargetKey, now: Instant) -> bool {
+        let table = self.table();
+        let healthy =
+            |e: &Arc<Entry>| e.state.lock().health.availability(now) == Availability::Healthy;
+        table.entry(key).is_some_and(healthy)
+    }
+
     /// Selects a target and counts the request as in flight until the lease is dropped.
     pub fn choose(&self, query: &Query<'_>, now: Instant) -> Option<Lease> {
         let entry = self.select(query, now)?;
