Let an idempotent call go on at a silent target beside its second attempt

What callers saw: an idempotent call was cut at twice its latency objective and answered 502 when its retry was denied, though its target would have answered.

Cause: the first attempt was dropped before the second was certain. Now it goes on while a second target is tried, and the first good answer wins. Attempts and the retry budget count as before, and the second attempt leaves a reserve of the budget for real losses; without one the first is waited for until the deadline. It ends earlier only when the probes find its target dead. Calls that may run only once wait as before.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -1,16 +1,22 @@
 //! Relays unary calls. The whole response is buffered, and a call is retried only if its route
-//! allows it or the target states that it did not run the request.
+//! allows it or the target states that it did not run the request. While a target is silent, an
+//! idempotent call is sent to a second one too, and the first answer wins.
 
+mod second;
+
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Body;
 use axum::response::Response;
 use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use http::response::Parts;
 use smol_str::SmolStr;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::caller_request::CallerRequest;
 use super::connections::{Connection, SendError};
@@ -38,9 +44,6 @@
 /// Targets that may be unreachable before a request is refused.
 const MAX_UNREACHABLE: u32 = 4;
 
-/// Multiple of the latency objective after which an idempotent call is retried on another target.
-const RETRY_FACTOR: u32 = 2;
-
 /// Shortest `Retry-After` of a refused call: the time in which a target works off its queue.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 
@@ -78,6 +81,29 @@
     Misdirected,
     Unsent,
     Lost(&'static str),
+    /// No answer by the request's deadline.
+    TimedOut,
+}
+
+/// An attempt that has ended.
+struct Ended {
+    lease: Lease,
+    started: Instant,
+    trial: bool,
+    result: AttemptResult,
+}
+
+/// What may happen while an attempt is under way.
+enum Step {
+    Ended(Ended),
+    Second(Result<Lease, &'static str>),
+}
+
+/// Sends one attempt and receives its response.
+struct Exchange<'a> {
+    relay: &'a Arc<Relay>,
+    request: &'a CallerRequest,
+    purpose: Purpose,
 }
 
 struct Call<'a> {
@@ -115,95 +141,168 @@
     }
 }
 
-impl Call<'_> {
+impl<'a> Call<'a> {
     async fn run(&mut self) -> (Response, &'static str) {
-        let deadline = self.request.deadline;
-        while self.may_attempt().await {
-            let trial = match self.relay.admit_suspect(self.request).await {
-                Ok(trial) => trial,
-                Err(left) => {
-                    let reply = self.relay.refuse_suspect(left, self.runs > 0);
-                    return (reply.into(), reply.reason);
-                }
-            };
-            if Instant::now() >= deadline {
-                break;
-            }
-            let lease = match self.choose().await {
-                Ok(lease) => lease,
-                Err(PlaceError::Unavailable) => break,
-                Err(PlaceError::AtLimit(wait)) => {
-                    self.at_limit = Some(wait);
+        let mut open = FuturesUnordered::new();
+        let mut second_at = Instant::now();
+        loop {
+            if open.is_empty() {
+                if !self.may_attempt().await {
                     break;
                 }
-            };
-            // It may have waited for a permit meanwhile.
-            if !trial && let Some(left) = self.relay.quarantine_left(&self.request.suspect_parts) {
-                let reply = self.relay.refuse_suspect(left, self.runs > 0);
-                return (reply.into(), reply.reason);
+                let (lease, trial) = match self.place().await {
+                    Ok(placed) => placed,
+                    Err(Some(reply)) => return (reply.into(), reply.reason),
+                    Err(None) => break,
+                };
+                open.push(self.begin(lease, trial));
+                second_at = Instant::now() + self.stall_time();
             }
-            self.target = lease.name();
-            let started = Instant::now();
-            let limit = self.attempt_deadline(started);
-            let result = timeout_at(limit, self.attempt(&lease)).await;
-            let reason = match result {
-                Ok(AttemptResult::Response(full)) if !self.should_retry(&full) => {
-                    self.runs += 1;
-                    self.relay.router.mark_alive(lease.key, started.into_std());
-                    self.relay.report_survival(self.request, self.runs, trial);
-                    return (response(full), "answered");
-                }
-                Ok(AttemptResult::Response(full)) => {
-                    self.runs += 1;
-                    self.failure = Some(full);
-                    "target failed"
-                }
-                Ok(AttemptResult::Declined) => {
-                    self.declined += 1;
-                    "declined"
-                }
-                Ok(AttemptResult::Misdirected) => {
-                    self.declined += 1;
-                    self.relay
-                        .router
-                        .mark_leaving(lease.key, started.into_std());
-                    "another target has the address"
+            let others = open.len() as u32 - 1;
+            let second = async {
+                sleep_until(second_at).await;
+                match self.may_repeat(others) {
+                    true => self.second().await,
+                    false => pending().await,
                 }
-                Ok(AttemptResult::Unsent) => {
-                    self.unreachable += 1;
-                    self.relay.probe(&lease);
-                    "could not connect"
+            };
+            let step = tokio::select! {
+                biased;
+                Some(ended) = open.next() => Step::Ended(ended),
+                second = second => Step::Second(second),
+            };
+            match step {
+                Step::Ended(ended) => {
+                    if let Some(answer) = self.settle(ended, others) {
+                        return answer;
+                    }
+                    if Instant::now() >= self.request.deadline {
+                        break;
+                    }
                 }
-                Ok(AttemptResult::Lost(reason)) => {
-                    self.runs += 1;
-                    self.report_loss(&lease, trial);
-                    reason
+                Step::Second(second) => {
+                    match second {
+                        Ok(lease) => open.push(self.begin(lease, false)),
+                        Err(reason) => self.log_held(reason),
+                    }
+                    second_at = Instant::now() + self.stall_time();
                 }
-                Err(_) => {
-                    self.runs += 1;
-                    self.report_loss(&lease, trial);
-                    count_abandoned("no answer");
-                    "no answer"
+            }
+        }
+        self.give_up()
+    }
+
+    /// Places the next attempt. An error is the reply to a suspect, or `None` when no target takes
+    /// the request in time.
+    async fn place(&mut self) -> Result<(Lease, bool), Option<LocalReply>> {
+        let relay = self.relay;
+        let trial = relay.admit_suspect(self.request).await;
+        let trial = trial.map_err(|left| Some(relay.refuse_suspect(left, self.runs > 0)))?;
+        if Instant::now() >= self.request.deadline {
+            return Err(None);
+        }
+        let lease = match self.choose().await {
+            Ok(lease) => lease,
+            Err(PlaceError::Unavailable) => return Err(None),
+            Err(PlaceError::AtLimit(wait)) => {
+                self.at_limit = Some(wait);
+                return Err(None);
+            }
+        };
+        // It may have waited for a permit meanwhile.
+        match relay.quarantine_left(&self.request.suspect_parts) {
+            Some(left) if !trial => Err(Some(relay.refuse_suspect(left, self.runs > 0))),
+            _ => Ok((lease, trial)),
+        }
+    }
+
+    /// Starts an attempt.
+    fn begin(&mut self, lease: Lease, trial: bool) -> impl Future<Output = Ended> + use<'a> {
+        self.target = lease.name();
+        let exchange = Exchange {
+            relay: self.relay,
+            request: self.request,
+            purpose: match self.tried.is_empty() {
+                true => Purpose::First,
+                false => Purpose::Retry,
+            },
+        };
+        self.tried.push(lease.key);
+        let stall_time = self.may_repeat(0).then(|| self.stall_time());
+        async move {
+            let started = Instant::now();
+            let deadline = exchange.request.deadline;
+            let result = tokio::select! {
+                biased;
+                result = timeout_at(deadline, exchange.attempt(&lease)) => result,
+                () = exchange.target_lost(&lease, stall_time) => {
+                    Ok(AttemptResult::Lost("target found dead"))
                 }
             };
-            self.tried.push(lease.key);
-            let name = lease.name();
-            let failed = self
-                .request
-                .failed_attempt(&name, reason, started.elapsed());
-            let failed = FailedAttempt {
-                alive: self
-                    .relay
-                    .router
-                    .alive_age(lease.key, Instant::now().into_std()),
-                ..failed
-            };
-            self.relay.decisions.attempt_failed(&failed);
-            if Instant::now() >= deadline {
-                break;
+            Ended {
+                lease,
+                started,
+                trial,
+                result: result.unwrap_or(AttemptResult::TimedOut),
             }
         }
-        self.give_up()
+    }
+
+    /// Records how an attempt ended, and returns the final answer if it is one. `others` attempts
+    /// are still under way.
+    fn settle(&mut self, ended: Ended, others: u32) -> Option<(Response, &'static str)> {
+        let Ended { lease, started, .. } = ended;
+        let reason = match ended.result {
+            AttemptResult::Response(full) if !self.should_retry(&full, others) => {
+                self.runs += 1 + others;
+                self.target = lease.name();
+                self.relay.router.mark_alive(lease.key, started.into_std());
+                self.relay
+                    .report_survival(self.request, self.runs, ended.trial);
+                return Some((response(full), "answered"));
+            }
+            AttemptResult::Response(full) => {
+                self.runs += 1;
+                self.failure = Some(full);
+                "target failed"
+            }
+            AttemptResult::Declined => {
+                self.declined += 1;
+                "declined"
+            }
+            AttemptResult::Misdirected => {
+                self.declined += 1;
+                self.relay
+                    .router
+                    .mark_leaving(lease.key, started.into_std());
+                "another target has the address"
+            }
+            AttemptResult::Unsent => {
+                self.unreachable += 1;
+                self.relay.probe(&lease);
+                "could not connect"
+            }
+            AttemptResult::Lost(reason) => {
+                self.runs += 1;
+                self.report_loss(&lease, ended.trial);
+                reason
+            }
+            AttemptResult::TimedOut => {
+                self.runs += 1;
+                self.report_loss(&lease, ended.trial);
+                count_abandoned("no answer");
+                "no answer"
+            }
+        };
+        let name = lease.name();
+        let failed = self
+            .request
+            .failed_attempt(&name, reason, started.elapsed());
+        self.relay.decisions.attempt_failed(&FailedAttempt {
+            alive: self.relay.alive_age(&lease),
+            ..failed
+        });
+        None
     }
 
     /// A call is short, so one that is lost counts as just begun.
@@ -254,25 +353,38 @@
         }
     }
 
-    /// Deadline of the next attempt. An idempotent call that has another attempt left does not
-    /// spend all of its time on this one.
-    fn attempt_deadline(&self, now: Instant) -> Instant {
+    /// Whether a failure may be followed by the answer of another attempt.
+    fn should_retry(&self, (head, _): &FullResponse, others: u32) -> bool {
         let route = &self.request.route;
-        let has_retry = route.kind == Kind::Idempotent && self.runs + 1 < route.max_attempts;
-        let stalled = now + route.latency_objective * RETRY_FACTOR;
-        match has_retry {
-            true => stalled.min(self.request.deadline),
-            false => self.request.deadline,
-        }
+        let has_other = others > 0 || self.runs + 1 < route.max_attempts;
+        head.status.is_server_error() && route.kind == Kind::Idempotent && has_other
     }
 
-    fn should_retry(&self, (head, _): &FullResponse) -> bool {
-        let route = &self.request.route;
-        head.status.is_server_error()
-            && route.kind == Kind::Idempotent
-            && self.runs + 1 < route.max_attempts
+    /// Response when no attempt is left.
+    fn give_up(&mut self) -> (Response, &'static str) {
+        let retry_after = retry_after(RETRY_AFTER_MIN, &self.request.ask.id);
+        let timed_out = Instant::now() >= self.request.deadline;
+        let reply = match (self.failure.take(), self.runs) {
+            (Some(full), _) => return (response(full), "target failed"),
+            (None, 0) if timed_out => {
+                LocalReply::unavailable(retry_after, "no target answered in time")
+            }
+            (None, 0) if self.at_limit.is_some() => {
+                let wait = self.at_limit.unwrap_or_default().max(RETRY_AFTER_MIN);
+                LocalReply::unavailable(wait, "targets are at their limits")
+            }
+            (None, 0) if self.declined > 0 => {
+                LocalReply::unavailable(retry_after, "targets are full")
+            }
+            (None, 0) => LocalReply::unavailable(retry_after, "no target can be reached"),
+            (None, _) if timed_out => LocalReply::timed_out(),
+            (None, _) => LocalReply::lost("the target's answer was lost"),
+        };
+        (reply.into(), reply.reason)
     }
+}
 
+impl Exchange<'_> {
     async fn attempt(&self, lease: &Lease) -> AttemptResult {
         let relay = self.relay;
         let max_idle = match self.request.route.kind {
@@ -312,11 +424,7 @@
             backup: None,
             resume_from: None,
         };
-        let purpose = match self.tried.is_empty() {
-            true => Purpose::First,
-            false => Purpose::Retry,
-        };
-        self.relay.record_sent(lease.key, purpose);
+        self.relay.record_sent(lease.key, self.purpose);
         let response = match connection.send(request.attempt(dialect, &attempt)).await {
             Ok(response) => response,
             Err(SendError::Unsent) => return AttemptResult::Unsent,
@@ -357,29 +465,6 @@
         (dialect.strip_response)(&mut parts.headers);
         AttemptResult::Response((parts, body))
     }
-
-    /// Response when no attempt is left.
-    fn give_up(&mut self) -> (Response, &'static str) {
-        let retry_after = retry_after(RETRY_AFTER_MIN, &self.request.ask.id);
-        let timed_out = Instant::now() >= self.request.deadline;
-        let reply = match (self.failure.take(), self.runs) {
-            (Some(full), _) => return (response(full), "target failed"),
-            (None, 0) if timed_out => {
-                LocalReply::unavailable(retry_after, "no target answered in time")
-            }
-            (None, 0) if self.at_limit.is_some() => {
-                let wait = self.at_limit.unwrap_or_default().max(RETRY_AFTER_MIN);
-                LocalReply::unavailable(wait, "targets are at their limits")
-            }
-            (None, 0) if self.declined > 0 => {
-                LocalReply::unavailable(retry_after, "targets are full")
-            }
-            (None, 0) => LocalReply::unavailable(retry_after, "no target can be reached"),
-            (None, _) if timed_out => LocalReply::timed_out(),
-            (None, _) => LocalReply::lost("the target's answer was lost"),
-        };
-        (reply.into(), reply.reason)
-    }
 }
 
 /// Whether the status implies that the request was not run.
--- /dev/null
+++ b/src/relay/call/second.rs
@@ -0,0 +1,78 @@
+//! The second attempt of an idempotent call whose first target is silent.
+
+use std::future::pending;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::{Call, Exchange, MAX_DECLINED, MAX_UNREACHABLE};
+use crate::relay::relay::TargetCriteria;
+use crate::relay::rules::Kind;
+use crate::relay::silence::RetryShare;
+use crate::routing::Lease;
+
+/// Multiple of the latency objective after which an idempotent call is sent to a second target too.
+const RETRY_FACTOR: u32 = 2;
+
+/// Interval between probes of a target that owes an answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+impl Call<'_> {
+    /// Time after which an idempotent call is sent to a second target.
+    pub(super) fn stall_time(&self) -> Duration {
+        self.request.route.latency_objective * RETRY_FACTOR
+    }
+
+    /// Whether another attempt is allowed while one is under way, besides `others`.
+    pub(super) fn may_repeat(&self, others: u32) -> bool {
+        let route = &self.request.route;
+        let runs = self.runs + 1 + others;
+        let reachable = self.declined < MAX_DECLINED && self.unreachable < MAX_UNREACHABLE;
+        route.kind == Kind::Idempotent && runs < route.max_attempts && reachable
+    }
+
+    /// Secures a target for a second attempt while the first one goes on.
+    pub(super) async fn second(&self) -> Result<Lease, &'static str> {
+        let relay = self.relay;
+        if !relay.is_clear(&self.request.suspect_parts) {
+            return Err("it may crash its targets");
+        }
+        let lease = relay.choose_now(TargetCriteria {
+            service: &self.request.service,
+            excluded: &self.tried,
+            ..TargetCriteria::default()
+        });
+        let lease = lease.ok_or("no other target takes it")?;
+        let share = RetryShare::SpareOrLoan;
+        match relay.take_spare_retry(&self.request.service, share).await {
+            true => Ok(lease),
+            false => Err("the retry budget is kept for losses"),
+        }
+    }
+
+    /// Logs why a call waits for its silent target alone.
+    pub(super) fn log_held(&self, reason: &'static str) {
+        metrics::counter!("endivefork_silences_awaited_total", "reason" => reason).increment(1);
+        let elapsed = self.request.arrived.elapsed();
+        let waiting = self.request.failed_attempt(&self.target, reason, elapsed);
+        self.relay.decisions.silence_awaited(&waiting);
+    }
+}
+
+impl Exchange<'_> {
+    /// Waits until the target is found dead. It is probed once the answer is later than
+    /// `stall_time`, if there is one.
+    pub(super) async fn target_lost(&self, lease: &Lease, stall_time: Option<Duration>) {
+        let Some(stall_time) = stall_time else {
+            return pending().await;
+        };
+        sleep(stall_time).await;
+        loop {
+            let lost = lease.lost();
+            self.relay.probe(lease);
+            if timeout(PROBE_INTERVAL, lost).await.is_ok() {
+                return;
+            }
+        }
+    }
+}
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Whether none of the parts is suspected.
+    pub(crate) fn is_clear(&self, parts: &[PartKey]) -> bool {
+        let status = self.suspects.lock().status(parts, Instant::now());
+        status == SuspectStatus::Clear
+    }
+
     fn check_suspect(&self, parts: &[PartKey]) -> Check {
         let now = Instant::now();
         let mut suspects = self.suspects.lock();
