Forward only events that continue the stream

What callers saw: a stream broke off, the next target answered 200 with something else, and the caller found that text in the middle of its stream, followed by the last chunk, so that the stream looked complete.

Cause: any signed 200 counted as the head of a run, everything up to a blank line as an event, events without ids were forwarded, also by a later run, and the clean end of any run counted as the end of the stream, even of one that had sent nothing or only events that the caller had already. Within a run, repeated events were dropped and the ones after them joined to the stream.

Why the fix works: each run has a `Sequence`, which takes an event only if its id is the next one of the run and leaves no gap to what the caller has; events that the caller has are dropped as before. Anything else ends the run as lost, which costs an attempt. A 200 that states another media type is no run. Before anything was sent it is the target's whole answer and is passed on unchanged with its signature, unless the caller resumes a stream; later it is a loss. A head without a media type still counts, as its events are checked.

The clean end of a run that sent no event is no proof: it ends the stream only when a second run ends in the same way, states that it is an event stream, and no earlier run was cut inside a further event. A sound target that is asked for the rest when there is none answers like this.

Comments are forwarded once their run has sent an event; before that the response may still become the one of another run.

--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -80,6 +80,8 @@
     pub mismatched: bool,
     /// An intermediary has encoded the body.
     pub encoded: bool,
+    /// Whether the body is a stream of events, if its type is stated.
+    pub events: Option<bool>,
     /// The connection may not be reused.
     pub close: bool,
     /// Keep-alive time of the idle connection, if stated.
--- a/src/relay/events.rs
+++ b/src/relay/events.rs
@@ -14,6 +14,14 @@
     pub(crate) bytes: Bytes,
 }
 
+impl Event {
+    /// Whether it has no fields, as a keep-alive.
+    pub(crate) fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|b| matches!(b, b'\r' | b'\n'));
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+}
+
 /// Buffers bytes until they form complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -3,6 +3,7 @@
 //! that copy when the first engine is lost.
 
 mod open;
+mod sequence;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -33,6 +34,7 @@
 use crate::quarantine::BEGIN_WINDOW;
 use crate::routing::{Lease, Work};
 use crate::telemetry::Stage;
+use sequence::{Next, Rest, Sequence};
 
 /// Output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 1024;
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 enum StreamError {
     Local(LocalReply),
+    /// An engine's complete answer that is not a stream.
     Target(Response),
 }
 
@@ -67,9 +70,7 @@
     progress: RunProgress,
     /// Start of the wait for the next event; `None` while nobody is reading.
     wait_start: Option<Instant>,
-    /// Whether events have carried ids so far. If so, an event without one does not count as
-    /// progress.
-    has_ids: bool,
+    sequence: Sequence,
     /// Whether it has outlived its beginning.
     has_survived: bool,
 }
@@ -108,6 +109,7 @@
     copy: Option<RunCopy>,
     head: Option<Parts>,
     last_id: Option<u64>,
+    rest: Rest,
     pending: VecDeque<Bytes>,
     ended: bool,
     /// Arrival time of the last event before a loss; start of the resume gap.
@@ -158,6 +160,7 @@
         copy,
         head: None,
         last_id: last,
+        rest: Rest::Unknown,
         pending: VecDeque::new(),
         ended: false,
         gap_start: None,
@@ -180,7 +183,17 @@
             return stream.into_reply();
         }
         Step::Error(StreamError::Local(reply)) => (reply.into(), reply.reason),
-        Step::Error(StreamError::Target(response)) => (response, "engine failed"),
+        Step::Error(StreamError::Target(response)) => {
+            let is_success = response.status().is_success();
+            (
+                response,
+                if is_success {
+                    "answered"
+                } else {
+                    "engine failed"
+                },
+            )
+        }
     };
     stream.respond(response, reason)
 }
@@ -273,6 +286,11 @@
                 Ok(Some(bytes)) => return Step::Event(bytes),
                 Ok(None) => return Step::End,
                 Err(loss) => {
+                    let is_cut =
+                        |u: &Upstream| u.sequence.has_begun() && u.splitter.is_inside_event();
+                    if self.upstream.as_ref().is_some_and(is_cut) {
+                        self.rest = Rest::Cut;
+                    }
                     if let Some(error) = self.end_run(loss) {
                         return Step::Error(error);
                     }
@@ -288,36 +306,38 @@
         let upstream = self.upstream.as_mut().expect("a run is open");
         loop {
             if let Some(event) = upstream.splitter.next() {
-                upstream.has_ids |= event.id.is_some();
-                if event.id.is_some() || !upstream.has_ids {
-                    let now = Instant::now();
-                    if upstream.outlives_its_beginning(now) {
-                        let attempt = self.runs;
-                        self.relay
-                            .report_survival(&self.request, attempt, self.trial);
-                        self.trial = false;
-                    }
-                    if upstream.record_event(now) {
-                        upstream.lease.prefill_done();
-                        if let Some(since) = self.gap_start.take() {
-                            let account = self.request.account.as_deref();
-                            let span = self.relay.metrics.span(account.unwrap_or_default());
-                            span.record(Stage::ResumeGap, now - since);
-                        }
-                        let source = copy_source(&self.request, self.digest, upstream);
-                        let copy_task = source
-                            .map(|source| CopyTask::start(&self.relay, source, self.backup.take()));
-                        self.copy_task = copy_task.filter(|_| self.keeps_copy);
+                let next = upstream.sequence.accept(&event, self.last_id)?;
+                if next == Next::Comment {
+                    match upstream.sequence.has_begun() {
+                        true => return Ok(Some(event.bytes)),
+                        // The response may still become another one.
+                        false => continue,
                     }
                 }
-                match (event.id, self.last_id) {
-                    (Some(id), Some(last)) if id <= last => continue,
-                    (Some(id), Some(last)) if id > last + 1 => {
-                        return Err(Loss::Broken("an event is missing"));
+                let now = Instant::now();
+                if upstream.outlives_its_beginning(now) {
+                    let attempt = self.runs;
+                    self.relay
+                        .report_survival(&self.request, attempt, self.trial);
+                    self.trial = false;
+                }
+                if upstream.record_event(now) {
+                    upstream.lease.prefill_done();
+                    if let Some(since) = self.gap_start.take() {
+                        let account = self.request.account.as_deref();
+                        let span = self.relay.metrics.span(account.unwrap_or_default());
+                        span.record(Stage::ResumeGap, now - since);
                     }
-                    (Some(id), _) => self.last_id = Some(id),
-                    (None, _) => {}
+                    let source = copy_source(&self.request, self.digest, upstream);
+                    let copy_task = source
+                        .map(|source| CopyTask::start(&self.relay, source, self.backup.take()));
+                    self.copy_task = copy_task.filter(|_| self.keeps_copy);
+                }
+                if next == Next::Repeated {
+                    continue;
                 }
+                self.last_id = event.id;
+                self.rest = Rest::Unknown;
                 return Ok(Some(event.bytes));
             }
             let stall = StallDetector {
@@ -334,7 +354,10 @@
                 None if upstream.splitter.is_inside_event() => {
                     return Err(Loss::Broken("answer ended inside an event"));
                 }
-                None => return Ok(None),
+                None => {
+                    upstream.sequence.end(self.last_id, &mut self.rest)?;
+                    return Ok(None);
+                }
                 Some(Err(_)) => return Err(Loss::Broken("answer broke off")),
                 Some(Ok(frame)) => {
                     let now = std::time::Instant::now();
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
+use super::sequence::Sequence;
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
 use crate::relay::connections::SendError;
@@ -259,7 +260,13 @@
                 return Err(self.record_declined(&lease, "another target has the address"));
             }
             _ if head.not_run => return Err(self.record_declined(&lease, "declined")),
-            StatusCode::OK if head.signed => None,
+            StatusCode::OK if head.signed && head.events != Some(false) => None,
+            StatusCode::OK if head.signed && self.last_id.is_some() => {
+                Some("answer is no event stream")
+            }
+            StatusCode::OK if head.signed => {
+                return Err(self.handle_error(&lease, parts, body).await);
+            }
             status if status.is_success() => Some("unsigned answer"),
             status if implies_not_run(status) => Some("refused without a promise"),
             _ => return Err(self.handle_error(&lease, parts, body).await),
@@ -284,7 +291,7 @@
                 events: 0,
             },
             wait_start: None,
-            has_ids: false,
+            sequence: Sequence::new(head.events == Some(true)),
             has_survived: false,
         })
     }
@@ -325,7 +332,7 @@
         }
     }
 
-    /// Handles an error response of the engine.
+    /// Handles an answer of the engine that is not a stream.
     async fn handle_error(
         &mut self,
         lease: &Lease,
