Continue a stream after a failure of a later run

What callers saw: a stream broke off after some events, the next target answered 400, 404, 409, 302 or 304, and the caller's connection was ended although attempts, time and other targets were left. A failure whose body did not end (400 or 500) held the stream up until its deadline.

Cause: `handle_error` treated a failure of any run as the final answer unless it was a server error, read its whole body first, and only then found that it could not be sent. A switch of protocols (101) went the same way.

Why the fix works: once events have been sent, a failure ends its run as lost at once, without its body, like any other answer that does not continue the stream. So does a server error that is to be retried. Before that, the failure is the caller's answer, as it was.

--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -265,11 +265,12 @@
                 Some("answer is no event stream")
             }
             StatusCode::OK if head.signed => {
-                return Err(self.handle_error(&lease, parts, body).await);
+                return Err(self.take_answer(&lease, parts, body).await);
             }
+            status if status.is_informational() => Some("protocol switched"),
             status if status.is_success() => Some("unsigned answer"),
             status if implies_not_run(status) => Some("refused without a promise"),
-            _ => return Err(self.handle_error(&lease, parts, body).await),
+            _ => return Err(self.take_answer(&lease, parts, body).await),
         };
         if let Some(reason) = violation {
             return Err(self.record_lost(&lease, Loss::Broken(reason), now));
@@ -332,13 +333,21 @@
         }
     }
 
-    /// Handles an answer of the engine that is not a stream.
-    async fn handle_error(
+    /// Handles an answer that is not a stream. It is the caller's as long as no event has been sent
+    /// and no other engine may do better.
+    async fn take_answer(
         &mut self,
         lease: &Lease,
         mut parts: Parts,
         body: Incoming,
     ) -> AttemptError {
+        let has_begun = self.last_id != self.request.ask.last_event;
+        let may_retry = parts.status.is_server_error()
+            && self.request.route.kind.is_repeatable()
+            && self.runs + 1 < self.request.route.max_attempts;
+        if has_begun || may_retry {
+            return self.record_lost(lease, Loss::Broken("engine failed"), Instant::now());
+        }
         let left = self.request.left(Instant::now());
         let relay = Arc::clone(&self.relay);
         let body = match timeout(left, relay.buffers.collect(body)).await {
@@ -346,17 +355,7 @@
             Ok(Err(e)) => return self.record_lost(lease, Loss::Broken(e.reason()), Instant::now()),
             Err(_) => return self.record_lost(lease, Loss::DeadlineExceeded, Instant::now()),
         };
-        let retry = parts.status.is_server_error()
-            && self.request.route.kind.is_repeatable()
-            && self.runs + 1 < self.request.route.max_attempts;
-        if retry {
-            return self.record_lost(lease, Loss::Broken("engine failed"), Instant::now());
-        }
         self.runs += 1;
-        let started = self.last_id != self.request.ask.last_event;
-        if started {
-            return AttemptError::Fatal(StreamError::Local(LocalReply::lost("engine failed")));
-        }
         (self.relay.dialect.strip_response)(&mut parts.headers);
         let body = Body::from(body);
         AttemptError::Fatal(StreamError::Target(Response::from_parts(parts, body)))
