Ignore the lines after the one that ended an attempt

What callers saw (own interface): the next attempt of a generation answered 200 with an error line, and the caller got a token that followed it, or the generation ended as complete with the tokens so far.

Cause: the lines that arrive together are applied one after the other, also when one of them has ended the attempt (an error line, a second gap in the tokens) or has made the driver read the stream anew. The state still has the number of that attempt, so it took the rest as its news.

`{"error":"oops"}` and a token gave [(0, "t0"), (1, "t1"), (2, "t2"), (3, "oops"), (4, "t4"), (5, "t5")], `{"error":"oops"}` and `{"end":"stop","n":3}` gave total: Some(3) of 6, and after two gaps the generation failed with "too many targets were lost". After a takeover by another instance (error_after_a_takeover_does_not_get_into_a_generation) the caller got [(3, "oops"), (4, "t4"), (5, "t5")]. JSON, HTML, an empty body, error statuses, a redirect, a head that is cut and other bytes did not get into a generation before either.

Why the fix works: each command that ends the attempt or opens its stream again drops the stream, and lines are applied only while the stream that they came from is there.

--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -172,6 +172,10 @@
 
     fn handle_lines(&mut self, open: bool) {
         for line in std::mem::take(&mut self.lines) {
+            // A line before it may have ended the attempt or its stream.
+            if self.stream.is_none() {
+                break;
+            }
             match line {
                 Line::Open(_) => self.apply(Input::Opened),
                 Line::Token(index, text) => self.apply(Input::Token(index, text)),
