Open a new connection where one is asked for

What callers saw: a call that may run only once, or a stream, could be sent on a connection that had just carried another call. There an earlier refusal without an id is taken for its own answer: 503 for a request that runs.

Cause: "new" was expressed as a longest idle time of zero. `take` reads the clock before it waits for the lock; a connection released meanwhile is younger than that reading, and the saturated difference, zero, passed the check.

The longest idle time is now optional, and without one the pool isn't asked.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -267,8 +267,8 @@
     async fn attempt(&self, lease: &Lease) -> AttemptResult {
         let relay = self.relay;
         let max_idle = match self.request.route.kind {
-            Kind::Idempotent => REUSE_IDLE_MAX,
-            _ => Duration::ZERO,
+            Kind::Idempotent => Some(REUSE_IDLE_MAX),
+            _ => None,
         };
         let Ok(connection) = relay.pool.acquire(lease.key, lease.addr, max_idle).await else {
             return AttemptResult::Unsent;
@@ -276,14 +276,12 @@
         match connection.reused {
             true => match self.exchange(connection, lease).await {
                 // The target closed the idle connection, which says nothing about its health.
-                AttemptResult::Unsent => match relay
-                    .pool
-                    .acquire(lease.key, lease.addr, Duration::ZERO)
-                    .await
-                {
-                    Ok(connection) => self.exchange(connection, lease).await,
-                    Err(_) => AttemptResult::Unsent,
-                },
+                AttemptResult::Unsent => {
+                    match relay.pool.acquire(lease.key, lease.addr, None).await {
+                        Ok(connection) => self.exchange(connection, lease).await,
+                        Err(_) => AttemptResult::Unsent,
+                    }
+                }
                 result => result,
             },
             false => self.exchange(connection, lease).await,
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -133,8 +133,8 @@
 }
 
 impl ConnectionPool {
-    /// Returns a connection to a target: one that has been idle for at most `max_idle`, or else a
-    /// new one.
+    /// Returns a connection to a target: one that has been idle for at most `max_idle`, if stated,
+    /// or else a new one.
     ///
     /// # Errors
     /// If a new connection cannot be opened.
@@ -142,9 +142,9 @@
         &self,
         key: TargetKey,
         addr: SocketAddr,
-        max_idle: Duration,
+        max_idle: Option<Duration>,
     ) -> io::Result<Connection> {
-        match self.take(key, max_idle) {
+        match max_idle.and_then(|max_idle| self.take(key, max_idle)) {
             Some(connection) => Ok(connection),
             None => Connection::connect(addr).await,
         }
@@ -167,7 +167,7 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Option<Response<Bytes>> {
-        let mut connection = self.acquire(key, addr, Duration::ZERO).await.ok()?;
+        let mut connection = self.acquire(key, addr, None).await.ok()?;
         let (parts, body) = connection.send(request).await.ok()?.into_parts();
         let body = Limited::new(body, REPLY_MAX_BYTES).collect().await.ok()?;
         Some(Response::from_parts(parts, body.to_bytes()))
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -197,11 +197,7 @@
         lease: Lease,
         copied: Option<CopyRef>,
     ) -> Result<Upstream, AttemptError> {
-        let acquired = self
-            .relay
-            .pool
-            .acquire(lease.key, lease.addr, Duration::ZERO)
-            .await;
+        let acquired = self.relay.pool.acquire(lease.key, lease.addr, None).await;
         let Ok(mut connection) = acquired else {
             self.relay.probe(&lease);
             return Err(self.record_declined(&lease, "could not connect"));
--- a/src/relay/tests/connections.rs
+++ b/src/relay/tests/connections.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -8,6 +9,9 @@
 use crate::ident::TargetKey;
 use crate::relay::connections::{ConnectionPool, get_request};
 
+/// Number of times that a connection is released while another one is acquired.
+const ROUNDS: usize = 4_000;
+
 /// A target that answers with neither a length nor chunks, and then closes or resets the connection.
 async fn target(reset: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -42,3 +46,48 @@
         assert_eq!(answer.is_some(), is_answered, "reset: {reset}");
     }
 }
+
+/// A target that accepts connections and sends nothing.
+async fn silent_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move { stream.read_u8().await });
+        }
+    });
+    addr
+}
+
+/// Guards a call that may not repeat against a connection that is released at the same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_connection_is_never_one_that_was_just_released() {
+    let (key, addr) = (TargetKey(0), silent_target().await);
+    let pool = Arc::new(ConnectionPool::default());
+    for round in 0..ROUNDS {
+        let kept = pool
+            .acquire(key, addr, Some(Duration::from_secs(4)))
+            .await
+            .unwrap();
+        let start = Arc::new(Barrier::new(2));
+        let releasing = {
+            let (pool, start) = (Arc::clone(&pool), Arc::clone(&start));
+            tokio::task::spawn_blocking(move || {
+                start.wait();
+                pool.release(key, kept, None);
+            })
+        };
+        let acquiring = {
+            let pool = Arc::clone(&pool);
+            tokio::task::spawn_blocking(move || {
+                start.wait();
+                tokio::runtime::Handle::current().block_on(pool.acquire(key, addr, None))
+            })
+        };
+
+        releasing.await.unwrap();
+        let acquired = acquiring.await.unwrap().unwrap();
+
+        assert!(!acquired.reused, "reused in round {round}");
+    }
+}
