Tie each response on a reused connection to its request

What callers saw: an idempotent call got 503 though its target ran it, when the target wrote an earlier refusal with the same id once more on a kept connection. The instance counted an attempt that ran as one that did not, so the call could also reach more targets than its route allows.

Cause: a response on a reused connection was tied to its request by the id alone, also if the connection had carried that id before: a caller that repeats its request with its id, or a second attempt at the same target.

Refusals without an id or with another one were told apart before.

A connection now remembers hashes of the ids it has carried and is not used for a request with one of them; it is closed after 512 requests, which bounds the memory. A connection with a refusal that states nothing, or with another target at its address, is no longer kept.

A connection with a refusal that can be tied to its request is kept. It is used again only when the whole request was written, and a repeated refusal bears an id that no later request on it has. Closing it was tried.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -25,11 +25,6 @@
 use crate::routing::Lease;
 use crate::telemetry::Stage;
 
-/// Longest idle time after which a connection may be reused for an idempotent call. Calls that may
-/// run only once always use a new connection: a late response to an earlier request on a reused one
-/// would fail them, and they cannot be retried.
-const REUSE_IDLE_MAX: Duration = Duration::from_secs(4);
-
 /// Targets that may decline a request before it is refused. Each has been asked for a free slot,
 /// and further attempts would only load the remaining ones.
 const MAX_DECLINED: u32 = 3;
@@ -266,14 +261,16 @@
 
     async fn attempt(&self, lease: &Lease) -> AttemptResult {
         let relay = self.relay;
-        let max_idle = match self.request.route.kind {
-            Kind::Idempotent => Some(REUSE_IDLE_MAX),
+        // Calls that may run only once always use a new connection: a late response to an earlier
+        // request on a reused one would fail them, and they cannot be retried.
+        let reuse_for = match self.request.route.kind {
+            Kind::Idempotent => Some(self.request.ask.id.as_str()),
             _ => None,
         };
-        let Ok(connection) = relay.pool.acquire(lease.key, lease.addr, max_idle).await else {
+        let Ok(connection) = relay.pool.acquire(lease.key, lease.addr, reuse_for).await else {
             return AttemptResult::Unsent;
         };
-        match connection.reused {
+        match connection.is_reused() {
             true => match self.exchange(connection, lease).await {
                 // The target closed the idle connection, which says nothing about its health.
                 AttemptResult::Unsent => {
@@ -318,7 +315,7 @@
         match head {
             head if head.mismatched => return AttemptResult::Lost("answer to another request"),
             // It may be a late response to an earlier request on this connection.
-            head if connection.reused && !head.has_id => {
+            head if connection.is_reused() && !head.has_id => {
                 return AttemptResult::Lost("answer to no request");
             }
             head if head.encoded => return AttemptResult::Lost("encoded answer"),
@@ -329,20 +326,20 @@
             Ok(body) => body,
             Err(e) => return AttemptResult::Lost(e.reason()),
         };
-        if !head.close {
-            self.relay
-                .pool
-                .release(lease.key, connection, head.keep_alive);
-        }
         if head.misdirected {
             return AttemptResult::Misdirected;
         }
+        if !head.not_run && implies_not_run(parts.status) {
+            return AttemptResult::Lost("refused without a promise");
+        }
+        if !head.close {
+            let id = &request.ask.id;
+            let pool = &self.relay.pool;
+            pool.release(lease.key, connection, id, head.keep_alive);
+        }
         if head.not_run {
             return AttemptResult::Declined;
         }
-        if implies_not_run(parts.status) {
-            return AttemptResult::Lost("refused without a promise");
-        }
         (dialect.strip_response)(&mut parts.headers);
         AttemptResult::Response((parts, body))
     }
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ident::TargetKey;
 
@@ -26,6 +27,12 @@
 /// Idle connections kept per target: the usual number of slots for unary calls.
 const IDLE_MAX: usize = 8;
 
+/// Longest idle time after which a connection is reused.
+const REUSE_IDLE_MAX: Duration = Duration::from_secs(4);
+
+/// Requests after which a connection is closed, which bounds the memory for their ids.
+const REQUESTS_MAX: usize = 512;
+
 /// Keep-alive time when the target states none.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
 
@@ -48,6 +55,10 @@
     }
 }
 
+fn hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
 /// A request for `path` at a target.
 pub(crate) fn get_request(addr: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(Bytes::new()));
@@ -62,8 +73,8 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Driver,
-    /// Whether it has carried an earlier request.
-    pub(crate) reused: bool,
+    /// Hashes of the ids of its earlier requests.
+    earlier: Vec<u64>,
 }
 
 /// Why no response head was received.
@@ -90,10 +101,15 @@
         Ok(Self {
             sender,
             _driver: Driver(driver),
-            reused: false,
+            earlier: Vec::new(),
         })
     }
 
+    /// Whether it has carried an earlier request.
+    pub(crate) fn is_reused(&self) -> bool {
+        !self.earlier.is_empty()
+    }
+
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
@@ -133,8 +149,8 @@
 }
 
 impl ConnectionPool {
-    /// Returns a connection to a target: one that has been idle for at most `max_idle`, if stated,
-    /// or else a new one.
+    /// Returns a connection to a target: an idle one that may carry the request `reuse_for`, if
+    /// stated, or else a new one.
     ///
     /// # Errors
     /// If a new connection cannot be opened.
@@ -142,21 +158,28 @@
         &self,
         key: TargetKey,
         addr: SocketAddr,
-        max_idle: Option<Duration>,
+        reuse_for: Option<&str>,
     ) -> io::Result<Connection> {
-        match max_idle.and_then(|max_idle| self.take(key, max_idle)) {
+        match reuse_for.and_then(|id| self.take(key, id)) {
             Some(connection) => Ok(connection),
             None => Connection::connect(addr).await,
         }
     }
 
-    fn take(&self, key: TargetKey, max_idle: Duration) -> Option<Connection> {
+    /// Takes the most recently used connection that has not carried a request with this id: only
+    /// the id distinguishes the response to this request from a late response to an earlier one.
+    fn take(&self, key: TargetKey, id: &str) -> Option<Connection> {
         let now = Instant::now();
+        let hash = hash(id);
+        let is_usable = |i: &IdleConnection| {
+            now.saturating_duration_since(i.since) <= REUSE_IDLE_MAX
+                && !i.connection.earlier.contains(&hash)
+        };
         let mut idle = self.idle.lock();
         let idle = idle.get_mut(&key)?;
         idle.retain(|i| i.expires > now && i.connection.sender.is_ready());
-        let last = idle.pop_if(|i| now.saturating_duration_since(i.since) <= max_idle)?;
-        Some(last.connection)
+        let last = idle.iter().rposition(is_usable)?;
+        Some(idle.remove(last).connection)
     }
 
     /// Sends one of the relay's own requests over a new connection and reads the complete response;
@@ -173,18 +196,22 @@
         Some(Response::from_parts(parts, body.to_bytes()))
     }
 
-    /// Returns a connection to the pool after a complete exchange. `keep_alive` is the time stated
-    /// by the target.
+    /// Returns a connection to the pool after a complete exchange for the request `id`.
+    /// `keep_alive` is the time stated by the target.
     pub(crate) fn release(
         &self,
         key: TargetKey,
         mut connection: Connection,
+        id: &str,
         keep_alive: Option<Duration>,
     ) {
+        connection.earlier.push(hash(id));
+        if connection.earlier.len() >= REQUESTS_MAX {
+            return;
+        }
         let now = Instant::now();
         let keep_alive =
             keep_alive.map_or(KEEP_ALIVE_DEFAULT, |k| k.saturating_sub(KEEP_ALIVE_MARGIN));
-        connection.reused = true;
         let mut idle = self.idle.lock();
         let idle = idle.entry(key).or_default();
         if idle.len() < IDLE_MAX {
--- a/src/relay/tests/connections.rs
+++ b/src/relay/tests/connections.rs
@@ -66,7 +66,7 @@
     let pool = Arc::new(ConnectionPool::default());
     for round in 0..ROUNDS {
         let kept = pool
-            .acquire(key, addr, Some(Duration::from_secs(4)))
+            .acquire(key, addr, Some(&round.to_string()))
             .await
             .unwrap();
         let start = Arc::new(Barrier::new(2));
@@ -74,7 +74,7 @@
             let (pool, start) = (Arc::clone(&pool), Arc::clone(&start));
             tokio::task::spawn_blocking(move || {
                 start.wait();
-                pool.release(key, kept, None);
+                pool.release(key, kept, &round.to_string(), None);
             })
         };
         let acquiring = {
@@ -88,6 +88,6 @@
         releasing.await.unwrap();
         let acquired = acquiring.await.unwrap().unwrap();
 
-        assert!(!acquired.reused, "reused in round {round}");
+        assert!(!acquired.is_reused(), "reused in round {round}");
     }
 }
