--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -205,7 +205,7 @@
         let pool = &self.relay.pool;
         let acquired = match connection {
             Some(connection) => Ok(connection),
-            None => pool.acquire(lease.key, lease.addr, Duration::ZERO).await,
+            None => pool.acquire(lease.key, lease.addr, None).await,
         };
         let Ok(mut connection) = acquired else {
             self.relay.probe(&lease);
