Log each request that was read whole and not answered

Callers saw a connection end without a complete answer, and nothing named the request: an aborted stream left only `request: answered` with status 0, which the rate limit may drop; a panic closed the connection and left a line on standard error; the exit of the process with requests open left a number. A plain call was no longer counted as running once its handler had returned, before its answer was written.

An explicit registry now holds a request from its head until its answer's last byte was written to the socket. What ends otherwise by this process is logged as `request: unanswered` (never suppressed) and counted in endivefork_unanswered_total by reason; `relay: stopped` counts those of the exit. A caller that leaves is none. A hook logs and counts panics of any task; a handler that panics is answered 502.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -21,7 +21,6 @@
 use super::event::{self, Api, Writer};
 use super::front::{Front, read_body};
 use super::identity;
-use super::server::Running;
 use crate::config::Kind;
 use crate::failure::Failure;
 use crate::generation::{Event, GenerationRequest, Reader};
@@ -76,7 +75,7 @@
 
 async fn answer(front: Front, api: Api, request: Request) -> Response {
     let arrival = Instant::now();
-    let running = front.drain.enter();
+    front.drain.record_arrival();
     let headers = request.headers().clone();
     let key = match identity::idempotency_key(&headers) {
         Ok(Some(key)) => key,
@@ -88,7 +87,7 @@
             front.instance.metrics.refused(failure.reason);
             failure.into_response()
         }
-        Ok(call) if call.stream => stream_answer(call, api, &key, running),
+        Ok(call) if call.stream => stream_answer(call, api, &key),
         Ok(call) => collect_answer(call, api, &key).await,
     };
     with_request_id(response, &key)
@@ -234,16 +233,14 @@
     writer: Writer,
     timer: LatencyTimer,
     done: bool,
-    _running: Running,
 }
 
-fn stream_answer(call: Call, api: Api, id: &str, running: Running) -> Response {
+fn stream_answer(call: Call, api: Api, id: &str) -> Response {
     let state = AnswerStream {
         writer: Writer::new(api, id, &call.model),
         reader: call.reader,
         timer: call.timer,
         done: false,
-        _running: running,
     };
     let frames = stream::unfold(state, |mut state| async move {
         let out = state.frame().await?;
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -6,13 +6,15 @@
 
 mod answer;
 mod completions;
+mod connection;
 mod event;
 mod front;
 mod identity;
+mod open;
 mod server;
 mod services;
 
 pub(crate) use front::close_on_drain;
 pub use front::{Front, router};
-pub(crate) use server::Running;
+pub(crate) use open::OpenRequest;
 pub use server::{Drain, serve};
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -3,11 +3,14 @@
 //! The number of connections is limited. During a drain the listener stays open until the load
 //! balancer has stopped sending new connections and the last request has ended.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use axum::Router;
+use axum::extract::Request;
+use hyper::body::Incoming;
+use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::service::TowerToHyperService;
@@ -16,6 +19,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
+use super::connection::{Connection, Socket};
+use super::open::{OpenRequests, track};
 use crate::settings::Limits;
 
 /// Minimum time that the listener stays open after the instance reports that it is not ready, so
@@ -42,7 +47,7 @@
 pub struct Drain {
     draining: AtomicBool,
     begun: OnceLock<Instant>,
-    requests: AtomicUsize,
+    requests: Arc<OpenRequests>,
     last_arrival: Mutex<Option<Instant>>,
 }
 
@@ -72,21 +77,19 @@
         }
     }
 
-    /// Number of running requests.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        self.requests.load(Ordering::Acquire)
+    /// The requests that are not completely answered yet.
+    pub(crate) fn requests(&self) -> &Arc<OpenRequests> {
+        &self.requests
     }
 
-    /// Counts a request as running until the guard is dropped.
+    /// Number of requests that are not completely answered yet.
     #[must_use]
-    pub(crate) fn enter(self: &Arc<Self>) -> Running {
-        self.requests.fetch_add(1, Ordering::AcqRel);
-        self.record_arrival();
-        Running(Arc::clone(self))
+    pub fn running(&self) -> usize {
+        self.requests.len()
     }
 
-    fn record_arrival(&self) {
+    /// Notes that a request or a connection has arrived: callers still use this instance.
+    pub(crate) fn record_arrival(&self) {
         if self.draining() {
             *self.last_arrival.lock() = Some(Instant::now());
         }
@@ -98,16 +101,6 @@
     }
 }
 
-/// Guard that counts one running request.
-#[derive(Debug)]
-pub(crate) struct Running(Arc<Drain>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.requests.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Serves `router` on `listener` until [`Drain::begin`] has been called and the last request has
 /// ended, or `max_drain` has passed since. Each new connection uses the current `limits`.
 pub async fn serve(
@@ -145,13 +138,13 @@
         let drain = Arc::clone(drain);
         let limits = limits();
         tokio::spawn(async move {
-            connection(stream, router, limits, drain).await;
+            serve_connection(stream, router, limits, drain).await;
             drop(permit);
         });
     }
 }
 
-async fn connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
+async fn serve_connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
@@ -169,8 +162,16 @@
         .timer(TokioTimer::new())
         .max_header_list_size(limits.headers as u32)
         .keep_alive_interval(Some(limits.idle));
-    let service = TowerToHyperService::new(router);
-    let served = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+    let socket = Socket {
+        stream,
+        connection: Arc::clone(&connection),
+    };
+    let service = service_fn(move |request: Request<Incoming>| {
+        let router = TowerToHyperService::new(router.clone());
+        track(request, Arc::clone(&connection), move |r| router.call(r))
+    });
+    let served = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(served);
     let linger = async {
         drain.begun().await;
--- a/src/caller/services.rs
+++ b/src/caller/services.rs
@@ -32,7 +32,7 @@
     Path((service, path)): Path<(SmolStr, String)>,
     request: Request,
 ) -> Response {
-    let _running = front.drain.enter();
+    front.drain.record_arrival();
     let key = match identity::idempotency_key(request.headers()) {
         Ok(key) => key,
         Err(failure) => return failure.into_response(),
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -25,7 +25,7 @@
 use super::relay::Relay;
 use super::rules::{Kind, Rules};
 use super::{call, shutdown, stream};
-use crate::caller::{Drain, close_on_drain};
+use crate::caller::{Drain, OpenRequest, close_on_drain};
 use crate::http::{BodyError, read_body};
 use crate::ident::fraction;
 use crate::telemetry::Stage;
@@ -91,9 +91,10 @@
 
 async fn handle(State(front): State<Front>, request: Request) -> Response {
     let arrived = Instant::now();
-    let running = front.drain.enter();
+    front.drain.record_arrival();
     let relay = &front.relay;
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let open_request = head.extensions.remove::<OpenRequest>();
     let request = match accept(relay, head, body, arrived).await {
         Ok(request) => request,
         Err((reply, id)) => {
@@ -101,6 +102,9 @@
             return reply.into();
         }
     };
+    if let Some(open) = &open_request {
+        open.describe(&request.ask.id, &request.route.name, request.rules);
+    }
     if let Some(since) = front.drain.since() {
         let time_left = request.left(arrived);
         let left = relay.settings.drain_timeout.saturating_sub(since);
@@ -125,7 +129,7 @@
     let reply = match request.route.kind {
         Kind::Stream { .. } => {
             tokio::select! {
-                reply = stream::run(relay, request, running) => reply,
+                reply = stream::run(relay, request, open_request) => reply,
                 () = front.drain_expiring() => FinalReply::local(LocalReply::lost("shutting down")),
             }
         }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -57,6 +57,7 @@
     load_settings: impl Fn() -> Result<Settings, String> + Send + 'static,
 ) -> ExitCode {
     let (log, guard) = telemetry::logger(&settings.log);
+    telemetry::log_panics(log.clone());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -103,7 +104,9 @@
         served = serving => served?,
         () = signals => {}
     }
-    info!(log, "relay: stopped"; "requests" => drain.running());
+    let requests = drain.running();
+    let unanswered = drain.requests().abandon_all("the process ends");
+    info!(log, "relay: stopped"; "requests" => requests, "unanswered" => unanswered);
     Ok(())
 }
 
@@ -156,10 +159,13 @@
         PLATFORM_TIMEOUT,
         platform.api_format,
     );
-    let record = DecisionLog::new(log);
+    let record = DecisionLog::new(log.clone());
     let relay = Relay::new(settings, platform.dialect, record, client, peers);
     let relay = Arc::new(relay);
     relay.metrics.install();
+    let rules = Arc::clone(&relay);
+    let in_force = move || rules.rules().map_or(0, |r| r.version);
+    drain.requests().report_to(log, in_force);
     spawn_tasks(&relay, platform.sources);
     let front = Front {
         relay: Arc::clone(&relay),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -28,7 +28,7 @@
 use super::relay::Relay;
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
-use crate::caller::Running;
+use crate::caller::OpenRequest;
 use crate::ident::TargetKey;
 use crate::quarantine::BEGIN_WINDOW;
 use crate::routing::{Lease, Work};
@@ -123,7 +123,7 @@
     target: SmolStr,
     /// Whether the run is the trial of a quarantine that is over.
     trial: bool,
-    _running: Option<Running>,
+    open_request: Option<OpenRequest>,
 }
 
 /// Outcome of one read from the stream.
@@ -137,7 +137,7 @@
 pub(crate) async fn run(
     relay: &Arc<Relay>,
     request: CallerRequest,
-    running: Running,
+    open_request: Option<OpenRequest>,
 ) -> FinalReply {
     let last = request.ask.last_event;
     let digest = request.digest();
@@ -168,7 +168,7 @@
         avoid_domains: Vec::new(),
         target: SmolStr::default(),
         trial: false,
-        _running: Some(running),
+        open_request,
     };
     let (response, reason) = match stream.next_step().await {
         Step::Event(bytes) => {
@@ -242,6 +242,9 @@
                     StreamError::Target(_) => "engine failed",
                 };
                 self.log_end(0, reason);
+                if let Some(open) = &self.open_request {
+                    open.will_abort(reason);
+                }
                 Some(Err(std::io::Error::other(reason)))
             }
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -66,9 +66,11 @@
 /// When an address cannot be bound or signals cannot be received.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let (log, _guard) = telemetry::logger(&settings.log);
+    telemetry::log_panics(log.clone());
+    let drain = Arc::<Drain>::default();
+    drain.requests().report_to(log.clone(), || 0);
     let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
-    let drain = Arc::<Drain>::default();
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
     info!(log, "serve: started"; "name" => settings.instance.name.as_str());
@@ -86,7 +88,8 @@
         () = serving => {}
         () = signals => {}
     }
-    info!(log, "serve: stopped");
+    let unanswered = drain.requests().abandon_all("the process ends");
+    info!(log, "serve: stopped"; "unanswered" => unanswered);
     Ok(())
 }
 
