Apply limits in force to open connections of callers

After a rise of the idle time a caller that reused a connection within the new limit found it closed; after a fall connections stayed open too long; after a rise of the header limit an old connection answered 431. The HTTP library's timer for heads cannot change and also ran between two requests.

The connection now keeps the time itself: idle since the last byte of an answer, or since the first byte of an incomplete head, compared with the limits in force at least once a second. It is closed only when no request runs and after one more look at the socket. Header sizes are checked for each request; a connection can read 64 KiB at least.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -4,19 +4,37 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until};
 
 use super::open::{OpenRequests, RequestKey};
 
+/// Interval at which an open connection looks at the limits in force.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What happens on a connection.
+#[derive(Debug)]
+struct Activity {
+    /// Requests that are not completely answered.
+    running: usize,
+    /// End of the last answer, or when the connection was opened.
+    idle_since: Instant,
+    /// Arrival of the first bytes of a head that is not complete.
+    head_since: Option<Instant>,
+}
+
 /// State of a connection, shared by its socket and its requests.
 #[derive(Debug)]
 pub(crate) struct Connection {
     requests: Arc<OpenRequests>,
     /// Requests whose answer was produced and is not written yet.
     unwritten: Mutex<Vec<RequestKey>>,
+    activity: Mutex<Activity>,
 }
 
 impl Connection {
@@ -24,6 +42,11 @@
         Self {
             requests,
             unwritten: Mutex::default(),
+            activity: Mutex::new(Activity {
+                running: 0,
+                idle_since: Instant::now(),
+                head_since: None,
+            }),
         }
     }
 
@@ -31,6 +54,48 @@
         &self.requests
     }
 
+    /// Notes that the head of a request is complete.
+    pub(crate) fn begin(&self) {
+        let mut activity = self.activity.lock();
+        activity.running += 1;
+        activity.head_since = None;
+    }
+
+    fn record_read(&self) {
+        let mut activity = self.activity.lock();
+        if activity.running == 0 {
+            activity.head_since.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// When the connection is to be closed; `None` while a request runs.
+    fn deadline(&self, limit: Duration) -> Option<Instant> {
+        let activity = self.activity.lock();
+        let since = activity.head_since.unwrap_or(activity.idle_since);
+        (activity.running == 0).then_some(since + limit)
+    }
+
+    /// Waits until the connection has been idle, or the head of its next request incomplete, for
+    /// the present value of `limit`. The socket must be polled before this in the same task.
+    pub(crate) async fn idle_end(&self, limit: impl Fn() -> Duration) {
+        loop {
+            let now = Instant::now();
+            match self.deadline(limit()) {
+                Some(at) if at <= now => {
+                    // The runtime looks for bytes that have just arrived.
+                    yield_now().await;
+                    if self.deadline(limit()).is_some_and(|at| at <= now) {
+                        return;
+                    }
+                }
+                at => {
+                    let next = now + LIMITS_INTERVAL;
+                    sleep_until(at.map_or(next, |at| at.min(next))).await;
+                }
+            }
+        }
+    }
+
     /// Keeps a request open until the bytes of its answer are written.
     pub(crate) fn hold(&self, key: RequestKey) {
         self.unwritten.lock().push(key);
@@ -39,6 +104,9 @@
     fn written(&self) {
         for key in self.unwritten.lock().drain(..) {
             self.requests.remove(key);
+            let mut activity = self.activity.lock();
+            activity.running -= 1;
+            activity.idle_since = Instant::now();
         }
     }
 }
@@ -63,7 +131,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.connection.record_read();
+        }
+        polled
     }
 }
 
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -192,6 +192,7 @@
 {
     let requests = Arc::clone(connection.requests());
     let key = requests.add();
+    connection.begin();
     let open = OpenRequest { requests, key };
     let mut answer = Answer {
         inner: Body::empty(),
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -9,6 +9,9 @@
 
 use axum::Router;
 use axum::extract::Request;
+use axum::response::IntoResponse;
+use http::StatusCode;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -17,7 +20,6 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
 
 use super::connection::{Connection, Socket};
 use super::open::{OpenRequests, track};
@@ -30,8 +32,11 @@
 /// Time without a new connection or request after which the listener may close.
 const QUIET_PERIOD: Duration = Duration::from_secs(1);
 
-/// Smallest buffer that the HTTP/1 library accepts, in bytes.
-const MIN_HTTP1_BUFFER: usize = 8 * 1024;
+/// Smallest limit of the bytes of a head.
+const MIN_HEAD: usize = 8 * 1024;
+
+/// Bytes of a head that a connection can read at least, as the limit may rise while it is open.
+const HEAD_BUFFER: usize = 64 * 1024;
 
 /// Interval at which the first bytes of a connection are polled.
 const PEEK_INTERVAL: Duration = Duration::from_millis(5);
@@ -102,11 +107,11 @@
 }
 
 /// Serves `router` on `listener` until [`Drain::begin`] has been called and the last request has
-/// ended, or `max_drain` has passed since. Each new connection uses the current `limits`.
+/// ended, or `max_drain` has passed since. Open connections follow the current `limits`.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
-    limits: impl Fn() -> Limits,
+    limits: impl Fn() -> Limits + Clone + Send + Sync + 'static,
     drain: Arc<Drain>,
     max_drain: Duration,
 ) {
@@ -121,7 +126,7 @@
 async fn accept(
     listener: &TcpListener,
     router: &Router,
-    limits: impl Fn() -> Limits,
+    limits: impl Fn() -> Limits + Clone + Send + Sync + 'static,
     drain: &Arc<Drain>,
     slots: &Arc<Semaphore>,
 ) {
@@ -136,7 +141,7 @@
         drain.record_arrival();
         let router = router.clone();
         let drain = Arc::clone(drain);
-        let limits = limits();
+        let limits = limits.clone();
         tokio::spawn(async move {
             serve_connection(stream, router, limits, drain).await;
             drop(permit);
@@ -144,35 +149,57 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    limits: impl Fn() -> Limits + Send + Sync + 'static,
+    drain: Arc<Drain>,
+) {
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let Ok(http2) = timeout(limits.idle, is_http2(&stream)).await else {
-        return;
+    let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+    let limits = Arc::new(limits);
+    let idle = || limits().idle;
+    let http2 = tokio::select! {
+        biased;
+        http2 = is_http2(&stream) => http2,
+        () = connection.idle_end(idle) => return,
     };
+    let opened = limits();
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.headers.max(MIN_HTTP1_BUFFER));
+        .header_read_timeout(None)
+        .max_buf_size(opened.headers.max(HEAD_BUFFER));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.headers as u32)
-        .keep_alive_interval(Some(limits.idle));
-    let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+        .max_header_list_size(opened.headers.max(HEAD_BUFFER) as u32)
+        .keep_alive_interval(Some(opened.idle));
     let socket = Socket {
         stream,
         connection: Arc::clone(&connection),
     };
+    let tracked = Arc::clone(&connection);
+    let current = Arc::clone(&limits);
     let service = service_fn(move |request: Request<Incoming>| {
-        let router = TowerToHyperService::new(router.clone());
-        track(request, Arc::clone(&connection), move |r| router.call(r))
+        let fits = head_bytes(&request) <= current().headers.max(MIN_HEAD);
+        let router = TowerToHyperService::new(match fits {
+            true => router.clone(),
+            false => Router::new().fallback(head_too_large),
+        });
+        track(request, Arc::clone(&tracked), move |r| router.call(r))
     });
     let served = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(served);
+    let idle_end = async {
+        match http2 {
+            true => std::future::pending().await,
+            false => connection.idle_end(idle).await,
+        }
+    };
     let linger = async {
         drain.begun().await;
         if !http2 {
@@ -180,13 +207,36 @@
         }
     };
     tokio::select! {
+        biased;
         _ = served.as_mut() => return,
+        () = idle_end => return,
         () = linger => {}
     }
     served.as_mut().graceful_shutdown();
     let _ = served.await;
 }
 
+/// Size of a request's head on an HTTP/1 connection.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    /// Separators of a header, and what surrounds the path in the first line.
+    const SEPARATORS: usize = ": \r\n".len();
+    const FIRST_LINE: usize = "  HTTP/1.1\r\n\r\n".len();
+    let headers = request.headers().iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum();
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |p| p.as_str().len());
+    request.method().as_str().len() + path + FIRST_LINE + headers
+}
+
+async fn head_too_large() -> impl IntoResponse {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    (status, [(CONNECTION, "close")])
+}
+
 /// Whether the caller uses HTTP/2, where GOAWAY stops new streams at once. An HTTP/1 connection
 /// stays open during [`MIN_LINGER`], because a request may already be in transit; its responses
 /// carry `connection: close`. Afterwards it is closed between two requests; a later request would
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -178,7 +178,8 @@
         relay.peers.leave();
         std::future::pending::<()>().await;
     };
-    let limits = || limits(&relay);
+    let current = Arc::clone(&relay);
+    let limits = move || limits(&current);
     tokio::select! {
         () = caller::serve(callers, front::router(front), limits, Arc::clone(&drain), drain_timeout) => {}
         () = leave => {}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -116,7 +116,7 @@
         std::future::pending::<()>().await;
     };
     tokio::select! {
-        () = caller::serve(listeners.caller, router, || limits, Arc::clone(&drain), longest) => {}
+        () = caller::serve(listeners.caller, router, move || limits, Arc::clone(&drain), longest) => {}
         () = leave => {}
     }
     // Actions whose callers went away still have their outcomes to store.
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -1,5 +1,6 @@
-//! Connections of callers, with a handler of the test.
+//! Connections of callers, with handlers of the test.
 
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,37 +11,74 @@
 use endivefork::caller::{Drain, serve};
 use endivefork::settings::Limits;
 use futures_util::stream;
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
-const LIMITS: Limits = Limits {
-    headers: 16 * 1024,
-    body: 1024,
-    receive: Duration::from_secs(5),
-    idle: Duration::from_secs(5),
-    connections: 100,
-};
-
-async fn start(router: Router) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    let drain = Arc::<Drain>::default();
-    tokio::spawn(serve(listener, router, || LIMITS, drain, MAX_WAIT));
-    addr
-}
-
-/// Sends a request for `path` and reads until the connection is closed.
-async fn exchange(addr: SocketAddr, path: &str) -> String {
-    let mut stream = TcpStream::connect(addr).await.unwrap();
-    let head = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-    stream.write_all(head.as_bytes()).await.unwrap();
+const SHORT: Duration = Duration::from_millis(300);
+
+const LONG: Duration = Duration::from_secs(60);
+
+struct Server {
+    addr: SocketAddr,
+    limits: Arc<Mutex<Limits>>,
+}
+
+impl Server {
+    async fn start(router: Router) -> Self {
+        Self::start_with(router, LONG, 100).await
+    }
+
+    async fn start_with(router: Router, idle: Duration, connections: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let limits = Arc::new(Mutex::new(Limits {
+            headers: 8 * 1024,
+            body: 1024,
+            receive: LONG,
+            idle,
+            connections,
+        }));
+        let drain = Arc::<Drain>::default();
+        let current = Arc::clone(&limits);
+        let current = move || *current.lock();
+        tokio::spawn(serve(listener, router, current, drain, MAX_WAIT));
+        Self { addr, limits }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.addr).await.unwrap()
+    }
+}
+
+fn fine() -> Router {
+    Router::new().route("/", get(|| async { "fine" }))
+}
+
+fn head(extra: &str) -> String {
+    format!("GET / HTTP/1.1\r\nHost: h\r\n{extra}\r\n")
+}
+
+/// Sends a request on a kept connection and returns its answer; empty if the connection is closed.
+async fn ask(stream: &mut TcpStream, extra: &str) -> String {
+    let mut bytes = vec![0; 4096];
+    if stream.write_all(head(extra).as_bytes()).await.is_err() {
+        return String::new();
+    }
+    let read = timeout(MAX_WAIT, stream.read(&mut bytes)).await;
+    let n = read.expect("answered in time").unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..n]).into_owned()
+}
+
+/// Reads until the connection is closed.
+async fn read_all(stream: &mut TcpStream) -> String {
     let mut bytes = Vec::new();
-    let read = stream.read_to_end(&mut bytes);
-    let _ = timeout(MAX_WAIT, read).await.expect("closed in time");
-    String::from_utf8(bytes).unwrap()
+    let read = timeout(MAX_WAIT, stream.read_to_end(&mut bytes));
+    let _ = read.await.expect("closed in time");
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 async fn panics() -> &'static str {
@@ -49,9 +87,9 @@
 
 #[tokio::test]
 async fn panic_in_a_handler_is_answered() {
-    let addr = start(Router::new().route("/", get(panics))).await;
+    let server = Server::start(Router::new().route("/", get(panics))).await;
 
-    let answer = exchange(addr, "/").await;
+    let answer = ask(&mut server.connect().await, "").await;
 
     assert!(answer.starts_with("HTTP/1.1 502 "), "{answer:?}");
 }
@@ -65,10 +103,115 @@
             Some((Ok::<_, std::io::Error>("event"), n + 1))
         }))
     };
-    let addr = start(Router::new().route("/", get(body))).await;
+    let server = Server::start(Router::new().route("/", get(body))).await;
+    let mut stream = server.connect().await;
+    stream.write_all(head("").as_bytes()).await.unwrap();
 
-    let answer = exchange(addr, "/").await;
+    let answer = read_all(&mut stream).await;
 
     assert!(answer.contains("event"), "{answer:?}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer:?}");
 }
+
+#[tokio::test]
+async fn raised_idle_time_holds_for_open_connections() {
+    let server = Server::start_with(fine(), SHORT, 100).await;
+    let mut stream = server.connect().await;
+    ask(&mut stream, "").await;
+
+    server.limits.lock().idle = LONG;
+    sleep(SHORT * 3).await;
+
+    let answer = ask(&mut stream, "").await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+}
+
+#[tokio::test]
+async fn lowered_idle_time_holds_for_open_connections() {
+    let server = Server::start(fine()).await;
+    let mut stream = server.connect().await;
+    ask(&mut stream, "").await;
+
+    server.limits.lock().idle = SHORT;
+
+    let closed = timeout(Duration::from_secs(3), read_all(&mut stream)).await;
+    assert_eq!(closed.expect("closed in time"), "");
+}
+
+#[tokio::test]
+async fn changed_header_limit_holds_for_open_connections() {
+    let server = Server::start(fine()).await;
+    let mut stream = server.connect().await;
+    ask(&mut stream, "").await;
+    let large = format!("X-Large: {}\r\n", "x".repeat(20_000));
+
+    server.limits.lock().headers = 64 * 1024;
+    let raised = ask(&mut stream, &large).await;
+    server.limits.lock().headers = 8 * 1024;
+    let lowered = ask(&mut stream, &large).await;
+
+    assert!(raised.starts_with("HTTP/1.1 200 "), "{raised:?}");
+    assert!(lowered.starts_with("HTTP/1.1 431 "), "{lowered:?}");
+}
+
+#[tokio::test]
+async fn slow_sender_of_a_head_is_cut_off() {
+    let server = Server::start_with(fine(), SHORT, 100).await;
+    let (mut reader, mut writer) = server.connect().await.into_split();
+    let sending = tokio::spawn(async move {
+        while writer.write_all(b"G").await.is_ok() {
+            sleep(SHORT / 6).await;
+        }
+    });
+
+    let closed = timeout(SHORT * 6, reader.read(&mut [0; 16])).await;
+
+    assert!(!matches!(closed, Ok(Ok(1..)) | Err(_)), "{closed:?}");
+    sending.await.unwrap();
+}
+
+/// Connections on which a request is written while the runtime is blocked, so that the server sees
+/// it together with the end of a time limit.
+fn write_blocked(streams: &mut [std::net::TcpStream], block: Duration) {
+    for stream in streams {
+        stream.write_all(head("").as_bytes()).unwrap();
+    }
+    std::thread::sleep(block);
+}
+
+/// Number of connections that got an answer.
+async fn answered(streams: Vec<std::net::TcpStream>) -> usize {
+    let mut count = 0;
+    for stream in streams {
+        stream.set_nonblocking(true).unwrap();
+        let mut stream = TcpStream::from_std(stream).unwrap();
+        let mut bytes = [0; 1024];
+        let read = timeout(MAX_WAIT, stream.read(&mut bytes)).await;
+        count += usize::from(matches!(read, Ok(Ok(1..))));
+    }
+    count
+}
+
+/// Opens kept connections that have each been used once.
+async fn used(server: &Server, count: usize) -> Vec<std::net::TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..count {
+        let mut stream = server.connect().await;
+        ask(&mut stream, "").await;
+        let stream = stream.into_std().unwrap();
+        stream.set_nonblocking(false).unwrap();
+        streams.push(stream);
+    }
+    streams
+}
+
+#[tokio::test]
+async fn request_that_arrives_as_the_idle_time_ends_is_served() {
+    let server = Server::start_with(fine(), SHORT, 100).await;
+    let mut streams = used(&server, 16).await;
+    sleep(SHORT / 2).await;
+
+    write_blocked(&mut streams, SHORT);
+
+    assert_eq!(answered(streams).await, 16);
+}
