Serve what has arrived when the listener and idle connections close

At the end of the linger time of a shutdown each kept connection was closed without a look at its socket, whatever had just arrived on it, also in the middle of a head; the listener was closed with connections in its queue; and the process ended while connections were still open. Callers saw a reset or an end without an answer beside a SIGTERM.

The loop that accepts now goes first, the queue is emptied after the last look, and an HTTP/1 connection ends by the same rule as at any other time, with short limits: idle for 200 ms, or an incomplete head after 1 s. The server waits for all connections within the drain time. The linger time counts from the shutdown, not from the opening of a connection.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -17,6 +17,15 @@
 /// Interval at which an open connection looks at the limits in force.
 const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a connection without a running request stays open.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct IdleLimits {
+    /// Between two requests.
+    pub(crate) idle: Duration,
+    /// From the first byte of a head to its last.
+    pub(crate) head: Duration,
+}
+
 /// What happens on a connection.
 #[derive(Debug)]
 struct Activity {
@@ -69,27 +78,30 @@
     }
 
     /// When the connection is to be closed; `None` while a request runs.
-    fn deadline(&self, limit: Duration) -> Option<Instant> {
+    fn deadline(&self, limits: IdleLimits) -> Option<Instant> {
         let activity = self.activity.lock();
-        let since = activity.head_since.unwrap_or(activity.idle_since);
-        (activity.running == 0).then_some(since + limit)
+        let at = match activity.head_since {
+            Some(since) => since + limits.head,
+            None => activity.idle_since + limits.idle,
+        };
+        (activity.running == 0).then_some(at)
     }
 
     /// Waits until the connection has been idle, or the head of its next request incomplete, for
-    /// the present value of `limit`. The socket must be polled before this in the same task.
-    pub(crate) async fn idle_end(&self, limit: impl Fn() -> Duration) {
+    /// the present value of `limits`. The socket must be polled before this in the same task.
+    pub(crate) async fn idle_end(&self, limits: impl Fn() -> IdleLimits) {
         loop {
             let now = Instant::now();
-            match self.deadline(limit()) {
+            match self.deadline(limits()) {
                 Some(at) if at <= now => {
                     // The runtime looks for bytes that have just arrived.
                     yield_now().await;
-                    if self.deadline(limit()).is_some_and(|at| at <= now) {
+                    if self.deadline(limits()).is_some_and(|at| at <= now) {
                         return;
                     }
                 }
                 at => {
-                    let next = now + LIMITS_INTERVAL;
+                    let next = now + LIMITS_INTERVAL.min(limits().idle);
                     sleep_until(at.map_or(next, |at| at.min(next))).await;
                 }
             }
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -10,6 +10,7 @@
 use axum::Router;
 use axum::extract::Request;
 use axum::response::IntoResponse;
+use futures_util::FutureExt as _;
 use http::StatusCode;
 use http::header::CONNECTION;
 use hyper::body::Incoming;
@@ -19,9 +20,12 @@
 use hyper_util::service::TowerToHyperService;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
-use super::connection::{Connection, Socket};
+use super::connection::{Connection, IdleLimits, Socket};
 use super::open::{OpenRequests, track};
 use crate::settings::Limits;
 
@@ -32,6 +36,10 @@
 /// Time without a new connection or request after which the listener may close.
 const QUIET_PERIOD: Duration = Duration::from_secs(1);
 
+/// Idle time after which a connection is closed once [`MIN_LINGER`] has passed: a caller's next
+/// request may follow an answer at once.
+const LAST_IDLE: Duration = Duration::from_millis(200);
+
 /// Smallest limit of the bytes of a head.
 const MIN_HEAD: usize = 8 * 1024;
 
@@ -75,6 +83,11 @@
         self.begun.get().map(Instant::elapsed)
     }
 
+    /// Whether idle connections stay open: until [`MIN_LINGER`] after the shutdown began.
+    fn lingers(&self) -> bool {
+        self.since().is_none_or(|since| since < MIN_LINGER)
+    }
+
     /// Waits until the shutdown begins.
     pub async fn begun(&self) {
         while !self.draining() {
@@ -116,37 +129,38 @@
     max_drain: Duration,
 ) {
     let slots = Arc::new(Semaphore::new(limits().connections));
-    let accepting = accept(&listener, &router, limits, &drain, &slots);
+    let connections = TaskTracker::new();
+    let open = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
+        drain.record_arrival();
+        let served = serve_connection(stream, router.clone(), limits.clone(), Arc::clone(&drain));
+        connections.spawn(async move {
+            served.await;
+            drop(permit);
+        });
+    };
+    let accepting = async {
+        loop {
+            let permit = Arc::clone(&slots).acquire_owned().await.ok();
+            match listener.accept().await {
+                Ok((stream, _)) => open(stream, permit),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+    };
     tokio::select! {
+        biased;
         () = accepting => {}
         () = drained(&drain, max_drain) => {}
     }
-}
-
-async fn accept(
-    listener: &TcpListener,
-    router: &Router,
-    limits: impl Fn() -> Limits + Clone + Send + Sync + 'static,
-    drain: &Arc<Drain>,
-    slots: &Arc<Semaphore>,
-) {
-    loop {
-        let Ok(permit) = Arc::clone(slots).acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        drain.record_arrival();
-        let router = router.clone();
-        let drain = Arc::clone(drain);
-        let limits = limits.clone();
-        tokio::spawn(async move {
-            serve_connection(stream, router, limits, drain).await;
-            drop(permit);
-        });
+    // Connections that wait in the queue of the listener may carry requests.
+    yield_now().await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        open(stream, None);
     }
+    drop(listener);
+    connections.close();
+    let left = max_drain.saturating_sub(drain.since().unwrap_or_default());
+    let _ = timeout(left, connections.wait()).await;
 }
 
 async fn serve_connection(
@@ -160,7 +174,16 @@
     let _ = stream.set_nodelay(true);
     let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
     let limits = Arc::new(limits);
-    let idle = || limits().idle;
+    let idle = || match drain.lingers() {
+        true => IdleLimits {
+            idle: limits().idle,
+            head: limits().idle,
+        },
+        false => IdleLimits {
+            idle: LAST_IDLE,
+            head: QUIET_PERIOD,
+        },
+    };
     let http2 = tokio::select! {
         biased;
         http2 = is_http2(&stream) => http2,
@@ -203,7 +226,8 @@
     let linger = async {
         drain.begun().await;
         if !http2 {
-            tokio::time::sleep(MIN_LINGER).await;
+            let left = MIN_LINGER.saturating_sub(drain.since().unwrap_or_default());
+            tokio::time::sleep(left).await;
         }
     };
     tokio::select! {
@@ -212,8 +236,16 @@
         () = idle_end => return,
         () = linger => {}
     }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    if http2 {
+        served.as_mut().graceful_shutdown();
+        let _ = served.await;
+        return;
+    }
+    tokio::select! {
+        biased;
+        _ = served.as_mut() => {}
+        () = connection.idle_end(idle) => {}
+    }
 }
 
 /// Size of a request's head on an HTTP/1 connection.
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -14,10 +14,14 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
+/// After this time a draining server closes idle connections and its listener.
+const LINGER: Duration = Duration::from_secs(3);
+
 const SHORT: Duration = Duration::from_millis(300);
 
 const LONG: Duration = Duration::from_secs(60);
@@ -25,6 +29,8 @@
 struct Server {
     addr: SocketAddr,
     limits: Arc<Mutex<Limits>>,
+    drain: Arc<Drain>,
+    serving: JoinHandle<()>,
 }
 
 impl Server {
@@ -45,8 +51,13 @@
         let drain = Arc::<Drain>::default();
         let current = Arc::clone(&limits);
         let current = move || *current.lock();
-        tokio::spawn(serve(listener, router, current, drain, MAX_WAIT));
-        Self { addr, limits }
+        let serving = serve(listener, router, current, Arc::clone(&drain), MAX_WAIT);
+        Self {
+            addr,
+            limits,
+            drain,
+            serving: tokio::spawn(serving),
+        }
     }
 
     async fn connect(&self) -> TcpStream {
@@ -215,3 +226,74 @@
 
     assert_eq!(answered(streams).await, 16);
 }
+
+#[tokio::test]
+async fn request_on_a_kept_connection_as_the_server_stops_is_served() {
+    let server = Server::start(fine()).await;
+    let mut streams = used(&server, 16).await;
+    server.drain.begin();
+    sleep(LINGER - SHORT).await;
+
+    write_blocked(&mut streams, SHORT * 2);
+
+    assert_eq!(answered(streams).await, 16);
+}
+
+#[tokio::test]
+async fn request_in_the_accept_queue_as_the_server_stops_is_served() {
+    let mut servers = Vec::new();
+    for _ in 0..8 {
+        servers.push(Server::start(fine()).await);
+        servers.last().unwrap().drain.begin();
+    }
+    sleep(LINGER - SHORT).await;
+    let connect = |s: &Server| std::net::TcpStream::connect(s.addr).unwrap();
+    let mut streams: Vec<_> = servers.iter().map(connect).collect();
+
+    write_blocked(&mut streams, SHORT * 2);
+
+    assert_eq!(answered(streams).await, 8);
+}
+
+#[tokio::test]
+async fn server_stops_after_the_last_byte_of_a_slow_reader() {
+    const SIZE: usize = 16 * 1024 * 1024;
+    let body = || async { vec![b'x'; SIZE] };
+    let server = Server::start(Router::new().route("/", get(body))).await;
+    let mut stream = server.connect().await;
+    stream
+        .write_all(head("Connection: close\r\n").as_bytes())
+        .await
+        .unwrap();
+    sleep(SHORT).await;
+    server.drain.begin();
+
+    sleep(LINGER + Duration::from_secs(2)).await;
+    assert!(!server.serving.is_finished());
+
+    assert!(read_all(&mut stream).await.len() > SIZE);
+    timeout(MAX_WAIT, server.serving).await.unwrap().unwrap();
+    assert_eq!(server.drain.running(), 0);
+}
+
+#[tokio::test]
+async fn head_that_arrives_slowly_as_the_server_stops_is_served() {
+    let server = Server::start(fine()).await;
+    let mut streams = [server.connect().await, server.connect().await];
+    ask(&mut streams[0], "").await;
+    server.drain.begin();
+    sleep(LINGER - SHORT).await;
+    for stream in &mut streams {
+        stream.write_all(&head("").as_bytes()[..9]).await.unwrap();
+    }
+
+    sleep(SHORT * 2).await;
+
+    for stream in &mut streams {
+        stream.write_all(&head("").as_bytes()[9..]).await.unwrap();
+    }
+    for stream in &mut streams {
+        let answer = read_all(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    }
+}
