Answer calls that are still open as the process ends

A call accepted before a SIGTERM with more time left than the drain was cut off at the exit, when its target was silent until then: its caller saw the connection end without an answer. Streams that had not begun got 502 in time, plain calls did not.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -126,14 +126,15 @@
         request.service.clone(),
         request.rules,
     );
-    let reply = match request.route.kind {
-        Kind::Stream { .. } => {
-            tokio::select! {
-                reply = stream::run(relay, request, open_request) => reply,
-                () = front.drain_expiring() => FinalReply::local(LocalReply::lost("shutting down")),
-            }
+    let running = async {
+        match request.route.kind {
+            Kind::Stream { .. } => stream::run(relay, request, open_request).await,
+            Kind::Idempotent | Kind::Once => call::run(relay, &request).await,
         }
-        Kind::Idempotent | Kind::Once => call::run(relay, &request).await,
+    };
+    let reply = tokio::select! {
+        reply = running => reply,
+        () = front.drain_expiring() => FinalReply::local(LocalReply::lost("shutting down")),
     };
     let (id, route, service, rules) = fields;
     let stage = match reply.attempts {
