--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -3,19 +3,30 @@
 //! The number of connections is limited. During a drain the listener stays open until the load
 //! balancer has stopped sending new connections and the last request has ended.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use axum::Router;
+use axum::extract::Request;
+use axum::response::IntoResponse;
+use futures_util::FutureExt as _;
+use http::StatusCode;
+use http::header::CONNECTION;
+use hyper::body::Incoming;
+use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::service::TowerToHyperService;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
+use super::connection::{Connection, IdleLimits, Socket};
+use super::open::{OpenRequests, track};
 use crate::settings::Limits;
 
 /// Minimum time that the listener stays open after the instance reports that it is not ready, so
@@ -25,8 +36,15 @@
 /// Time without a new connection or request after which the listener may close.
 const QUIET_PERIOD: Duration = Duration::from_secs(1);
 
-/// Smallest buffer that the HTTP/1 library accepts, in bytes.
-const MIN_HTTP1_BUFFER: usize = 8 * 1024;
+/// Idle time after which a connection is closed once [`MIN_LINGER`] has passed: a caller's next
+/// request may follow an answer at once.
+const LAST_IDLE: Duration = Duration::from_millis(200);
+
+/// Smallest limit of the bytes of a head.
+const MIN_HEAD: usize = 8 * 1024;
+
+/// Bytes of a head that a connection can read at least, as the limit may rise while it is open.
+const HEAD_BUFFER: usize = 64 * 1024;
 
 /// Interval at which the first bytes of a connection are polled.
 const PEEK_INTERVAL: Duration = Duration::from_millis(5);
@@ -42,7 +60,7 @@
 pub struct Drain {
     draining: AtomicBool,
     begun: OnceLock<Instant>,
-    requests: AtomicUsize,
+    requests: Arc<OpenRequests>,
     last_arrival: Mutex<Option<Instant>>,
 }
 
@@ -65,6 +83,11 @@
         self.begun.get().map(Instant::elapsed)
     }
 
+    /// Whether idle connections stay open: until [`MIN_LINGER`] after the shutdown began.
+    fn lingers(&self) -> bool {
+        self.since().is_none_or(|since| since < MIN_LINGER)
+    }
+
     /// Waits until the shutdown begins.
     pub async fn begun(&self) {
         while !self.draining() {
@@ -72,21 +95,19 @@
         }
     }
 
-    /// Number of running requests.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        self.requests.load(Ordering::Acquire)
+    /// The requests that are not completely answered yet.
+    pub(crate) fn requests(&self) -> &Arc<OpenRequests> {
+        &self.requests
     }
 
-    /// Counts a request as running until the guard is dropped.
+    /// Number of requests that are not completely answered yet.
     #[must_use]
-    pub(crate) fn enter(self: &Arc<Self>) -> Running {
-        self.requests.fetch_add(1, Ordering::AcqRel);
-        self.record_arrival();
-        Running(Arc::clone(self))
+    pub fn running(&self) -> usize {
+        self.requests.len()
     }
 
-    fn record_arrival(&self) {
+    /// Notes that a request or a connection has arrived: callers still use this instance.
+    pub(crate) fn record_arrival(&self) {
         if self.draining() {
             *self.last_arrival.lock() = Some(Instant::now());
         }
@@ -98,92 +119,154 @@
     }
 }
 
-/// Guard that counts one running request.
-#[derive(Debug)]
-pub(crate) struct Running(Arc<Drain>);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.requests.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Serves `router` on `listener` until [`Drain::begin`] has been called and the last request has
-/// ended, or `max_drain` has passed since. Each new connection uses the current `limits`.
+/// ended, or `max_drain` has passed since. Open connections follow the current `limits`.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
-    limits: impl Fn() -> Limits,
+    limits: impl Fn() -> Limits + Clone + Send + Sync + 'static,
     drain: Arc<Drain>,
     max_drain: Duration,
 ) {
     let slots = Arc::new(Semaphore::new(limits().connections));
-    let accepting = accept(&listener, &router, limits, &drain, &slots);
+    let connections = TaskTracker::new();
+    let open = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
+        drain.record_arrival();
+        let served = serve_connection(stream, router.clone(), limits.clone(), Arc::clone(&drain));
+        connections.spawn(async move {
+            served.await;
+            drop(permit);
+        });
+    };
+    let accepting = async {
+        loop {
+            let permit = Arc::clone(&slots).acquire_owned().await.ok();
+            match listener.accept().await {
+                Ok((stream, _)) => open(stream, permit),
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+    };
     tokio::select! {
+        biased;
         () = accepting => {}
         () = drained(&drain, max_drain) => {}
     }
-}
-
-async fn accept(
-    listener: &TcpListener,
-    router: &Router,
-    limits: impl Fn() -> Limits,
-    drain: &Arc<Drain>,
-    slots: &Arc<Semaphore>,
-) {
-    loop {
-        let Ok(permit) = Arc::clone(slots).acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        drain.record_arrival();
-        let router = router.clone();
-        let drain = Arc::clone(drain);
-        let limits = limits();
-        tokio::spawn(async move {
-            connection(stream, router, limits, drain).await;
-            drop(permit);
-        });
+    // Connections that wait in the queue of the listener may carry requests.
+    yield_now().await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        open(stream, None);
     }
+    drop(listener);
+    connections.close();
+    let left = max_drain.saturating_sub(drain.since().unwrap_or_default());
+    let _ = timeout(left, connections.wait()).await;
 }
 
-async fn connection(stream: TcpStream, router: Router, limits: Limits, drain: Arc<Drain>) {
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    limits: impl Fn() -> Limits + Send + Sync + 'static,
+    drain: Arc<Drain>,
+) {
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let Ok(http2) = timeout(limits.idle, is_http2(&stream)).await else {
-        return;
+    let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+    let limits = Arc::new(limits);
+    let idle = || match drain.lingers() {
+        true => IdleLimits {
+            idle: limits().idle,
+            head: limits().idle,
+        },
+        false => IdleLimits {
+            idle: LAST_IDLE,
+            head: QUIET_PERIOD,
+        },
+    };
+    let http2 = tokio::select! {
+        biased;
+        http2 = is_http2(&stream) => http2,
+        () = connection.idle_end(idle) => return,
     };
+    let opened = limits();
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.headers.max(MIN_HTTP1_BUFFER));
+        .header_read_timeout(None)
+        .max_buf_size(opened.headers.max(HEAD_BUFFER));
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(limits.headers as u32)
-        .keep_alive_interval(Some(limits.idle));
-    let service = TowerToHyperService::new(router);
-    let served = builder.serve_connection(TokioIo::new(stream), service);
+        .max_header_list_size(opened.headers.max(HEAD_BUFFER) as u32)
+        .keep_alive_interval(Some(opened.idle));
+    let socket = Socket {
+        stream,
+        connection: Arc::clone(&connection),
+    };
+    let tracked = Arc::clone(&connection);
+    let current = Arc::clone(&limits);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let fits = head_bytes(&request) <= current().headers.max(MIN_HEAD);
+        let router = TowerToHyperService::new(match fits {
+            true => router.clone(),
+            false => Router::new().fallback(head_too_large),
+        });
+        track(request, Arc::clone(&tracked), move |r| router.call(r))
+    });
+    let served = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(served);
+    let idle_end = async {
+        match http2 {
+            true => std::future::pending().await,
+            false => connection.idle_end(idle).await,
+        }
+    };
     let linger = async {
         drain.begun().await;
         if !http2 {
-            tokio::time::sleep(MIN_LINGER).await;
+            let left = MIN_LINGER.saturating_sub(drain.since().unwrap_or_default());
+            tokio::time::sleep(left).await;
         }
     };
     tokio::select! {
+        biased;
         _ = served.as_mut() => return,
+        () = idle_end => return,
         () = linger => {}
     }
-    served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    if http2 {
+        served.as_mut().graceful_shutdown();
+        let _ = served.await;
+        return;
+    }
+    tokio::select! {
+        biased;
+        _ = served.as_mut() => {}
+        () = connection.idle_end(idle) => {}
+    }
+}
+
+/// Size of a request's head on an HTTP/1 connection.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    /// Separators of a header, and what surrounds the path in the first line.
+    const SEPARATORS: usize = ": \r\n".len();
+    const FIRST_LINE: usize = "  HTTP/1.1\r\n\r\n".len();
+    let headers = request.headers().iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum();
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |p| p.as_str().len());
+    request.method().as_str().len() + path + FIRST_LINE + headers
+}
+
+async fn head_too_large() -> impl IntoResponse {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    (status, [(CONNECTION, "close")])
 }
 
 /// Whether the caller uses HTTP/2, where GOAWAY stops new streams at once. An HTTP/1 connection
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -31,7 +31,7 @@
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
 use super::successor::{Mover, Successor};
-use crate::caller::Running;
+use crate::caller::OpenRequest;
 use crate::ident::TargetKey;
 use crate::quarantine::BEGIN_WINDOW;
 use crate::routing::{Lease, Work};
@@ -129,7 +129,7 @@
     target: SmolStr,
     /// Whether the run is the trial of a quarantine that is over.
     trial: bool,
-    _running: Option<Running>,
+    open_request: Option<OpenRequest>,
 }
 
 /// Outcome of one read from the stream.
@@ -143,7 +143,7 @@
 pub(crate) async fn run(
     relay: &Arc<Relay>,
     request: CallerRequest,
-    running: Running,
+    open_request: Option<OpenRequest>,
 ) -> FinalReply {
     let last = request.ask.last_event;
     let digest = request.digest();
@@ -176,7 +176,7 @@
         avoid_domains: Vec::new(),
         target: SmolStr::default(),
         trial: false,
-        _running: Some(running),
+        open_request,
     };
     let (response, reason) = match stream.next_step().await {
         Step::Event(bytes) => {
@@ -260,6 +260,9 @@
                     StreamError::Target(_) => "engine failed",
                 };
                 self.log_end(0, reason);
+                if let Some(open) = &self.open_request {
+                    open.will_abort(reason);
+                }
                 Some(Err(std::io::Error::other(reason)))
             }
         }
--- a/src/relay/successor.rs
+++ b/src/relay/successor.rs
@@ -70,7 +70,7 @@
                 (Place::Prompt(lease), key, addr)
             }
         };
-        let connection = self.relay.pool.acquire(key, addr, Duration::ZERO).await;
+        let connection = self.relay.pool.acquire(key, addr, None).await;
         let connection = connection.map_err(|_| "the next target could not be reached")?;
         let service = &self.request.service;
         if !self.relay.take_spare_retry(service, share).await {
