Start each attempt at an engine over a new connection

What callers saw: an attempt that an engine ran counted as not admitted, so the request was refused as not run, or started at a second engine.

A refusal of an earlier attempt that a faulty engine wrote once more answered the next start.

A start now opens a connection, as resuming, querying and cancelling did. An HTTP/1.1 connection carries nothing else while its stream is open, so this costs one connection a start where the former one had been kept.

--- a/src/target/engine.rs
+++ b/src/target/engine.rs
@@ -151,14 +151,15 @@
         Self { client, addr }
     }
 
-    /// Starts an attempt.
+    /// Starts an attempt, over a new connection: a refusal names no attempt, so on a reused one it
+    /// could belong to an earlier attempt.
     ///
     /// # Errors
     /// When no stream was opened within `timeout`.
     pub async fn start(&self, start: &Start<'_>, timeout: Duration) -> Result<Stream, Refusal> {
         let body = serde_json::to_vec(start).expect("a start is plain JSON");
         let url = format!("http://{}/v1/attempts", self.addr);
-        self.open(Via::Pool, request(Method::POST, &url, body), timeout)
+        self.open(Via::Fresh, request(Method::POST, &url, body), timeout)
             .await
     }
 
