Query the status of an unfinished action over a new connection

What callers saw: an action whose answer was lost was recorded with the outcome of another action, and its repeats got that.

Cause: the answer to a status call names no action, and the sweeper used the pool of connections. An earlier answer that a faulty service wrote once more answered the next status call. The attempt itself used new connections before.

The sweeper makes one status call for each unfinished action over a connection of its own. The test passes.

--- a/src/action/sweep.rs
+++ b/src/action/sweep.rs
@@ -230,6 +230,8 @@
         tokio::time::sleep(Duration::from_secs_f64(1.0 / share)).await;
     }
 
+    /// Makes the status call over a new connection: its answer names no action, so on a reused one
+    /// it could belong to an earlier call.
     async fn query_status(&self, record: &Record) -> Option<Outcome> {
         let target_query = TargetQuery {
             service: &record.service,
@@ -240,7 +242,7 @@
         let pick = (self.choose)(target_query, &[])?;
         let url = format!("http://{}{}", pick.addr, record.check.as_deref()?);
         let req = request(Method::GET, &url, Bytes::new());
-        let answer = self.http.send(Via::Pool, req, STATUS_TIMEOUT).await.ok()?;
+        let answer = self.http.send(Via::Fresh, req, STATUS_TIMEOUT).await.ok()?;
         Outcome::from_status(&answer)
     }
 
--- a/tests/action/main.rs
+++ b/tests/action/main.rs
@@ -9,11 +9,15 @@
 #[path = "../../examples/standin/plain/mod.rs"]
 mod plain;
 
+#[path = "../support/kept.rs"]
+mod kept;
+
 mod contract;
 mod cost;
 mod faults;
 mod fixture;
 mod history;
+mod kept_status;
 mod partition;
 mod safe;
 mod state_machine;
