Add a test: an action gets no answer to an earlier one

A call of a plain service that may run only once uses a connection that carries nothing else, so an earlier answer that a faulty service writes once more can't answer it.

--- a/tests/action/kept_status.rs
+++ b/tests/action/kept_status.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use endivefork::action::{
-    CLAIM_KIND, ChooseTarget, ChosenTarget, LiveInstances, Record, Retention, Stage, Sweeper,
+    Actions, CLAIM_KIND, ChooseTarget, ChosenTarget, LiveInstances, Record, Retention, Stage,
+    Sweeper,
 };
 use serde_json::json;
 
-use crate::fixture::{World, call_with_status, label, until};
+use crate::fixture::{World, call, call_with_status, label, limits, until};
 use crate::kept::{PAUSE, answer, target};
 
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -50,3 +51,18 @@
 
     assert_eq!(done().await, (1, 2));
 }
+
+/// Guards against an answer to one caller that reaches another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_an_earlier_action_does_not_answer_the_next() {
+    let world = World::start().await;
+    let addr = target(answer("200 OK", "\"one\""), answer("200 OK", "\"two\"")).await;
+    let choose: ChooseTarget = Arc::new(move |_, _| Some(ChosenTarget::new(addr)));
+    let entry = Actions::new("a".into(), world.client(), choose, limits());
+
+    for (key, body) in [("k1", "\"one\""), ("k2", "\"two\"")] {
+        let outcome = entry.run(call(key)).await.unwrap();
+        assert_eq!(outcome.body, body);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
