Let idle callers' connections give way to new ones

When all places were taken by idle connections, a new caller was not accepted until one of them timed out, which may take minutes: after many callers came back at once, their calls ended without being read.

A new connection that finds no place now closes the one that has been idle for longest, at least 100 ms and with a last look at its socket.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
@@ -17,6 +18,10 @@
 /// Interval at which an open connection looks at the limits in force.
 const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Idle time after which a connection may give way to a new one: the first request of a connection
+/// arrives sooner.
+const MIN_EVICTION_IDLE: Duration = Duration::from_millis(100);
+
 /// How long a connection without a running request stays open.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct IdleLimits {
@@ -44,6 +49,7 @@
     /// Requests whose answer was produced and is not written yet.
     unwritten: Mutex<Vec<RequestKey>>,
     activity: Mutex<Activity>,
+    evicted: Notify,
 }
 
 impl Connection {
@@ -56,6 +62,7 @@
                 idle_since: Instant::now(),
                 head_since: None,
             }),
+            evicted: Notify::new(),
         }
     }
 
@@ -87,8 +94,26 @@
         (activity.running == 0).then_some(at)
     }
 
+    /// Since when no request runs and no bytes of one have arrived.
+    fn idle_since(&self) -> Option<Instant> {
+        let activity = self.activity.lock();
+        let idle = activity.running == 0 && activity.head_since.is_none();
+        idle.then_some(activity.idle_since)
+    }
+
+    /// Closes the connection that has been idle for longest, the least likely one to be used again.
+    pub(crate) fn evict_longest_idle(connections: impl Iterator<Item = Arc<Self>>) {
+        let idle = connections.filter_map(|c| Some((c.idle_since()?, c)));
+        let longest = idle.min_by_key(|(since, _)| *since);
+        if let Some((since, connection)) = longest
+            && since.elapsed() >= MIN_EVICTION_IDLE
+        {
+            connection.evicted.notify_one();
+        }
+    }
+
     /// Waits until the connection has been idle, or the head of its next request incomplete, for
-    /// the present value of `limits`. The socket must be polled before this in the same task.
+    /// the present value of `limits`, or is to give way while it is idle. The socket must be polled before this in the same task.
     pub(crate) async fn idle_end(&self, limits: impl Fn() -> IdleLimits) {
         loop {
             let now = Instant::now();
@@ -102,7 +127,15 @@
                 }
                 at => {
                     let next = now + LIMITS_INTERVAL.min(limits().idle);
-                    sleep_until(at.map_or(next, |at| at.min(next))).await;
+                    tokio::select! {
+                        () = sleep_until(at.map_or(next, |at| at.min(next))) => {}
+                        () = self.evicted.notified() => {
+                            yield_now().await;
+                            if self.idle_since().is_some() {
+                                return;
+                            }
+                        }
+                    }
                 }
             }
         }
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -3,8 +3,8 @@
 //! The number of connections is limited. During a drain the listener stays open until the load
 //! balancer has stopped sending new connections and the last request has ended.
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -18,6 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::service::TowerToHyperService;
+use indexmap::IndexMap;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -52,9 +53,15 @@
 /// Interval at which tasks poll for a shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which a connection that waits for a place asks an idle one to give way.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Delay after a failed accept, for instance when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The open connections of a server.
+type Connections = Arc<Mutex<IndexMap<u64, Weak<Connection>>>>;
+
 /// The state of a shutdown, shared by the server, its handlers and the readiness check.
 #[derive(Debug, Default)]
 pub struct Drain {
@@ -129,20 +136,27 @@
     max_drain: Duration,
 ) {
     let slots = Arc::new(Semaphore::new(limits().connections));
-    let connections = TaskTracker::new();
+    let tasks = TaskTracker::new();
+    let connections = Connections::default();
+    let last = AtomicU64::new(0);
     let open = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         drain.record_arrival();
-        let served = serve_connection(stream, router.clone(), limits.clone(), Arc::clone(&drain));
-        connections.spawn(async move {
+        let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+        let key = last.fetch_add(1, Ordering::Relaxed);
+        connections.lock().insert(key, Arc::downgrade(&connection));
+        let (limits, drain) = (limits.clone(), Arc::clone(&drain));
+        let served = serve_connection(stream, connection, router.clone(), limits, drain);
+        let connections = Arc::clone(&connections);
+        tasks.spawn(async move {
             served.await;
+            connections.lock().swap_remove(&key);
             drop(permit);
         });
     };
     let accepting = async {
         loop {
-            let permit = Arc::clone(&slots).acquire_owned().await.ok();
             match listener.accept().await {
-                Ok((stream, _)) => open(stream, permit),
+                Ok((stream, _)) => open(stream, place(&slots, &connections).await),
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
@@ -158,13 +172,28 @@
         open(stream, None);
     }
     drop(listener);
-    connections.close();
+    tasks.close();
     let left = max_drain.saturating_sub(drain.since().unwrap_or_default());
-    let _ = timeout(left, connections.wait()).await;
+    let _ = timeout(left, tasks.wait()).await;
+}
+
+/// Waits for a place for a new connection. Idle connections give way to it.
+async fn place(slots: &Arc<Semaphore>, open: &Connections) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(permit) = Arc::clone(slots).try_acquire_owned() {
+            return Some(permit);
+        }
+        Connection::evict_longest_idle(open.lock().values().filter_map(Weak::upgrade));
+        let freed = timeout(EVICTION_INTERVAL, Arc::clone(slots).acquire_owned());
+        if let Ok(permit) = freed.await {
+            return permit.ok();
+        }
+    }
 }
 
 async fn serve_connection(
     stream: TcpStream,
+    connection: Arc<Connection>,
     router: Router,
     limits: impl Fn() -> Limits + Send + Sync + 'static,
     drain: Arc<Drain>,
@@ -172,7 +201,6 @@
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
     let limits = Arc::new(limits);
     let idle = || match drain.lingers() {
         true => IdleLimits {
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -1,6 +1,6 @@
 //! Connections of callers, with handlers of the test.
 
-use std::io::Write as _;
+use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -297,3 +297,20 @@
         assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn idle_connections_give_way_to_new_ones() {
+    let server = Server::start_with(fine(), LONG, 8).await;
+    let mut kept = used(&server, 8).await;
+
+    let asked = async { ask(&mut server.connect().await, "").await };
+    let answer = timeout(Duration::from_secs(1), asked).await;
+
+    assert!(
+        answer
+            .expect("accepted in time")
+            .starts_with("HTTP/1.1 200 ")
+    );
+    kept[0].set_nonblocking(true).unwrap();
+    assert_eq!(kept[0].read(&mut [0]).unwrap(), 0, "the oldest is closed");
+}
