Do not count silences of live targets as lost targets of a generation

What callers saw: a generation ended with 'targets_lost' once its targets had been silent eight times, though each of them went on.

Cause: a probe without an answer counted like a crash towards the limit of lost targets, over the whole generation. Such an attempt is still continued elsewhere at once, but only other losses count towards the limit; silences cost at least the time of a probe each and are bounded by the deadline.

--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -150,6 +150,7 @@
     silence_timeout: Duration,
     deadline: Instant,
     losses: u32,
+    silences: u32,
     engine_errors: u32,
     refusals: u32,
     disconnects: u32,
@@ -172,6 +173,7 @@
             silence_timeout: QUEUE_PROBE_INTERVAL,
             deadline,
             losses: 0,
+            silences: 0,
             engine_errors: 0,
             refusals: 0,
             disconnects: 0,
@@ -424,6 +426,7 @@
 
     fn lose(&mut self, loss: Loss, now: Instant, commands: &mut Vec<Command>) {
         self.losses += 1;
+        self.silences += u32::from(loss == Loss::Silent);
         self.disconnects = 0;
         commands.push(Command::ReportLost(loss));
         commands.push(Command::Cancel(self.attempt));
@@ -434,7 +437,8 @@
             Duration::ZERO
         };
         self.phase = Phase::Choosing(now + wait);
-        if self.losses >= MAX_LOSSES {
+        // A silent target may be sound, and the deadline bounds such losses.
+        if self.losses - self.silences >= MAX_LOSSES {
             let failure = Failure::failed(
                 502,
                 "targets_lost",
