Decode the entries of a list one by one

What was seen: one entry of a list that can't be read (200 levels deep, 1e999, a revision of 23 digits, bytes that are not UTF-8) failed the list or watch of its kind, again and again. An instance that started beside one did not become ready; a running one no longer followed changes.

Cause: lists, watches and the instance list were decoded as a whole, in both API formats, so an error in one entry was an error of the response.

Fix: a response is split into its entries by quotes and brackets, without recursion, and each entry is decoded by itself. One that can't be decoded has the value null, so that it replaces a sound one: a registration names no target, rules stay as they were. It is logged and counted once for a revision. An entry without a readable name is left out; a page without any name, with more pages to come, is an error of the call instead of a list that silently ends. The metadata is decoded in full, so that an entry whose finalizers can't be read is refused too; before, such an entry was used.

--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -68,8 +68,8 @@
             .call_all::<_, Reply>(Tag::Config, &Message::List, CALL_TIMEOUT)
             .await;
         let lists = replies.into_iter().filter_map(|(_, r)| r.list);
-        let lists = lists.filter_map(|text| serde_json::from_str::<InstanceList>(&text).ok());
-        if let Some(list) = lists.max_by_key(|list| list.rev) {
+        let lists = lists.filter_map(|text| InstanceList::read(text.as_bytes()).ok());
+        if let Some((list, _)) = lists.max_by_key(|(list, _)| list.rev) {
             info!(self.log, "fleet: received the instance list from a peer"; "rev" => list.rev);
             self.apply_list(list);
         }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -104,7 +104,8 @@
         let generations = Generations::new(hooks, Client::new());
         generations.join(&peers);
         let views = LoadViews::new(balance::poller(&settings));
-        let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout);
+        let platform = platform::Client::new(settings.platform.addr, settings.platform.timeout)
+            .with_log(log.clone());
         let config = Arc::<config::Store>::default();
         let choose = act::chooser(&settings.instance, &config, &router, &recorder, &moves);
         generations.set_admission(generate::admission(&config, &gate, &budget, &metrics));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod ident;
 pub mod instance;
+pub mod json;
 pub mod listen;
 pub mod peer;
 pub mod platform;
--- a/src/platform/api_format.rs
+++ b/src/platform/api_format.rs
@@ -6,11 +6,11 @@
 
 use http::Method;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use super::{Changes, Expect, List, Object, PAGE_LIMIT};
+use super::{Changes, EntryFormat, Expect, List, Object, PAGE_LIMIT};
 use crate::http::encode;
+use crate::json::decode;
 
 /// The page of a list that one call requests.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +27,7 @@
 pub type Page = (List, bool);
 
 /// Functions that encode the calls and decode the responses of one API. Decoders return the reason
-/// when a body does not have the expected format.
+/// when a body as a whole does not have the expected format; entries are decoded one by one.
 #[derive(Clone, Copy)]
 pub struct ApiFormat {
     /// Path of an object.
@@ -63,6 +63,19 @@
     rev: u64,
 }
 
+const NATIVE_LIST: EntryFormat = EntryFormat {
+    entries: "items",
+    rev: "rev",
+    object: |entry| Some(entry),
+    identity: |object| Some(object),
+    object_rev: "rev",
+};
+
+const NATIVE_CHANGES: EntryFormat = EntryFormat {
+    entries: "events",
+    ..NATIVE_LIST
+};
+
 impl ApiFormat {
     /// The API documented in docs/interfaces.md.
     pub const NATIVE: Self = Self {
@@ -87,21 +100,16 @@
             let kind = encode(kind);
             format!("/v1/watch/{kind}?from={from}&wait_ms={}", wait.as_millis())
         },
-        read_object: |_, body| json(body),
-        read_list: |_, body, limit| {
-            let list: List = json(body)?;
-            let more = list.items.len() >= limit.min(PAGE_LIMIT);
-            Ok((list, more))
+        read_object: |_, body| decode(body),
+        read_list: |kind, body, limit| {
+            let (list, count) = NATIVE_LIST.read_list(kind, body, decode)?;
+            Ok((list, count >= limit.min(PAGE_LIMIT)))
         },
-        read_changes: |_, body| json(body),
-        read_revision: |body| json::<WriteResponse>(body).map(|w| w.rev),
+        read_changes: |kind, body| NATIVE_CHANGES.read_changes(kind, body, decode, |_| false),
+        read_revision: |body| decode::<WriteResponse>(body).map(|w| w.rev),
     };
 }
 
 fn object_path(kind: &str, name: &str) -> String {
     format!("/v1/objects/{}/{}", encode(kind), encode(name))
 }
-
-fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
-    serde_json::from_slice(body).map_err(|e| e.to_string())
-}
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,9 +9,11 @@
 use http::{Method, StatusCode};
 use parking_lot::Mutex;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
+use slog::Logger;
+use smol_str::SmolStr;
 
 use super::calls::{Calls, Op};
+use super::entries::Reports;
 use super::{ApiFormat, Changes, Error, Expect, InstanceList, List, Object, Page, PageRequest};
 use crate::http::{Answer, Client as Http, Error as HttpError, Via, request};
 
@@ -32,6 +34,7 @@
     format: ApiFormat,
     http: Arc<Mutex<Pool>>,
     calls: Arc<Calls>,
+    reports: Arc<Reports>,
 }
 
 /// The connection pool in use. After a timeout it is replaced as a whole, since a connection that
@@ -62,9 +65,22 @@
             format,
             http: Arc::new(Mutex::new(pool)),
             calls: Arc::default(),
+            reports: Arc::default(),
         }
     }
 
+    /// Logs the entries that can't be read to `log`.
+    #[must_use]
+    pub fn with_log(self, log: Logger) -> Self {
+        let reports = Arc::new(Reports::new(log));
+        Self { reports, ..self }
+    }
+
+    /// Reports an entry whose value can't be used, once for each revision.
+    pub(crate) fn report(&self, kind: &str, name: &str, rev: u64, cause: &str) {
+        self.reports.add(kind, name, Some(rev), &cause);
+    }
+
     /// Maximum wait for a response.
     #[must_use]
     pub fn timeout(&self) -> Duration {
@@ -143,15 +159,23 @@
             limit: PAGE_LIMIT,
         };
         let (mut all, mut more) = self.list_page(kind, first).await?;
+        let mut after = SmolStr::default();
         while more {
-            let after = all.items.last().map(|o| o.name.clone());
-            let after = after.unwrap_or_default();
+            let last = all.items.last().map(|o| &o.name);
+            after = match last {
+                Some(last) if *last != after => last.clone(),
+                _ => {
+                    return Err(Error::Unknown(
+                        "could not continue the list: no entry of a page has a name".into(),
+                    ));
+                }
+            };
             let request = PageRequest {
                 after: &after,
                 ..first
             };
             let (next, has_more) = self.list_page(kind, request).await?;
-            more = has_more && !next.items.is_empty();
+            more = has_more && !(next.items.is_empty() && next.unreadable.is_empty());
             all.items.extend(next.items);
         }
         Ok(all)
@@ -181,7 +205,9 @@
         let answer = self
             .send(Op::List, Method::GET, &path, Bytes::new())
             .await?;
-        read(&answer, |b| (self.format.read_list)(kind, b, request.limit))
+        let page = read(&answer, |b| (self.format.read_list)(kind, b, request.limit))?;
+        self.reports.add_all(kind, &page.0.unreadable);
+        Ok(page)
     }
 
     /// Long-polls up to `wait` for changes to objects of a kind after revision `from`.
@@ -194,7 +220,9 @@
         let answer = self
             .send_within(Op::Watch, Method::GET, &path, Bytes::new(), limit)
             .await?;
-        read(&answer, |b| (self.format.read_changes)(kind, b))
+        let changes = read(&answer, |b| (self.format.read_changes)(kind, b))?;
+        self.reports.add_all(kind, &changes.unreadable);
+        Ok(changes)
     }
 
     /// Reads the instance list.
@@ -205,7 +233,9 @@
         let answer = self
             .send(Op::Instances, Method::GET, "/v1/instances", Bytes::new())
             .await?;
-        decode(&answer)
+        let (list, unreadable) = read(&answer, InstanceList::read)?;
+        self.reports.add_all("instances", &unreadable);
+        Ok(list)
     }
 
     fn read_revision(&self, answer: &Answer) -> Result<u64, Error> {
@@ -281,12 +311,6 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(answer: &Answer) -> Result<T, Error> {
-    read(answer, |b| {
-        serde_json::from_slice(b).map_err(|e| e.to_string())
-    })
-}
-
 fn read<T>(answer: &Answer, decode: impl FnOnce(&[u8]) -> Result<T, String>) -> Result<T, Error> {
     match answer.status {
         StatusCode::NOT_FOUND => Err(Error::Rejected("404 Not Found".into())),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,11 +4,13 @@
 mod api_format;
 mod calls;
 mod client;
+mod entries;
 mod error;
 mod model;
 
 pub use api_format::{ApiFormat, Page, PageRequest};
 pub use calls::{Calls, Counts};
 pub use client::{Client, PAGE_LIMIT, VALUE_LIMIT};
+pub use entries::{EntryFormat, Unreadable};
 pub use error::Error;
 pub use model::{Changes, Event, Expect, InstanceEntry, InstanceList, List, Object, Role, State};
--- a/src/platform/model.rs
+++ b/src/platform/model.rs
@@ -7,6 +7,9 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 
+use super::Unreadable;
+use crate::json::{decode, elements, field, required};
+
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Expect {
@@ -56,8 +59,11 @@
 pub struct List {
     /// Latest revision when the list was started: a watch from here misses no change.
     pub rev: u64,
-    /// The objects, sorted by name.
+    /// The objects, sorted by name. One that can't be decoded has the value null.
     pub items: Vec<Object>,
+    /// The entries that can't be decoded.
+    #[serde(skip)]
+    pub unreadable: Vec<Unreadable>,
 }
 
 /// A change of one object.
@@ -78,8 +84,11 @@
 pub struct Changes {
     /// Revision to watch from next.
     pub rev: u64,
-    /// The changes, ordered by revision.
+    /// The changes, ordered by revision. A value that can't be decoded is null.
     pub events: Vec<Event>,
+    /// The entries that can't be decoded.
+    #[serde(skip)]
+    pub unreadable: Vec<Unreadable>,
 }
 
 /// The role of an instance.
@@ -140,3 +149,30 @@
     /// The entries.
     pub items: Vec<InstanceEntry>,
 }
+
+impl InstanceList {
+    /// Decodes a list, without the entries that can't be decoded, and returns the reasons for those.
+    ///
+    /// # Errors
+    /// When the list as a whole has another format.
+    pub fn read(body: &[u8]) -> Result<(Self, Vec<Unreadable>), String> {
+        let rev = required(body, "rev").map_err(|e| e.to_string())?;
+        let items = required(body, "items").and_then(elements);
+        let mut list = Self {
+            rev: decode(rev)?,
+            items: Vec::new(),
+        };
+        let mut unreadable = Vec::new();
+        for item in items.map_err(|e| e.to_string())? {
+            match decode(item) {
+                Ok(entry) => list.items.push(entry),
+                Err(cause) => unreadable.push(Unreadable {
+                    name: field(item, "name").and_then(|n| decode(n).ok()),
+                    rev: None,
+                    cause,
+                }),
+            }
+        }
+        Ok((list, unreadable))
+    }
+}
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -119,12 +119,14 @@
     }
 
     fn apply_rules_text(&self, sources: Sources, text: &str, from: &str) {
-        match serde_json::from_str(text) {
-            Ok(value) => {
-                self.apply_rules(sources, &value, from);
+        let value = serde_json::from_str(text).map_err(|e| e.to_string());
+        let read = value.and_then(|value| Ok(((sources.read_rules)(&value)?, value)));
+        match read {
+            Ok((rules, value)) => {
+                self.put_rules(rules, &value, from);
             }
             Err(e) => warn!(self.decisions.log, "rules: could not parse the rules of a peer";
-                "peer" => from, "error" => %e),
+                "peer" => from, "error" => e),
         }
     }
 
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -172,31 +172,43 @@
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
             let list = self.platform.list(kind, "").await?;
-            let found = list.items.iter().find(|o| o.name == name);
-            if let Some(object) = found {
-                self.apply_rules(sources, &object.value, "platform");
+            for object in list.items.iter().filter(|o| o.name == name) {
+                self.apply_rules(sources, object.rev, &object.value);
             }
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, WATCH_TIMEOUT).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
-        if let Some(value) = matching.filter_map(|e| e.value.as_ref()).next_back()
-            && self.apply_rules(sources, value, "platform")
-        {
-            self.forward(PlatformUpdate::Rules(value.to_string()));
+        for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
+            if self.apply_rules(sources, rev, value) {
+                self.forward(PlatformUpdate::Rules(value.to_string()));
+            }
         }
         Ok(changes.rev)
     }
 
-    pub(crate) fn apply_rules(&self, sources: Sources, value: &Value, source: &str) -> bool {
-        let rules = match (sources.read_rules)(value) {
-            Ok(rules) => rules,
+    /// Applies rules read from the platform. The previous ones stay in force when they can't be
+    /// parsed.
+    fn apply_rules(&self, sources: Sources, rev: u64, value: &Value) -> bool {
+        match (sources.read_rules)(value) {
+            Ok(rules) => self.put_rules(rules, value, "platform"),
             Err(e) => {
-                warn!(self.decisions.log, "rules: could not be parsed; the previous version stays in force";
-                    "error" => e);
-                return false;
+                let (kind, name) = sources.rules;
+                self.report_entry((kind, name, rev), value, &e);
+                false
             }
-        };
+        }
+    }
+
+    /// Reports an entry that could not be parsed. One without a value was reported when it was read.
+    fn report_entry(&self, (kind, name, rev): (&str, &str, u64), value: &Value, error: &str) {
+        if !value.is_null() {
+            self.platform.report(kind, name, rev, error);
+        }
+    }
+
+    /// Puts rules in force unless the same or newer ones are.
+    pub(crate) fn put_rules(&self, rules: Rules, value: &Value, source: &str) -> bool {
         let version = rules.version;
         let routes = rules.routes().count();
         let is_newer = self.catalog.lock().apply_rules(rules);
@@ -283,8 +295,7 @@
                 Some(info)
             }
             Err(e) => {
-                warn!(self.decisions.log, "target: registration ignored; could not be parsed";
-                    "target" => name.as_str(), "rev" => rev, "error" => e);
+                self.report_entry((sources.targets, name, rev), value, &e);
                 None
             }
         }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -155,7 +155,8 @@
         settings.platform_addr,
         PLATFORM_TIMEOUT,
         platform.api_format,
-    );
+    )
+    .with_log(log.clone());
     let record = DecisionLog::new(log);
     let relay = Relay::new(settings, platform.dialect, record, client, peers);
     let relay = Arc::new(relay);
