Decode stored runs one by one

What would be seen: one run that cannot be read in the object of an instance cost all runs stored in it, whose prompts are then read again after a loss of all instances. The log line named no revision and came with each read.

Cause: the object was decoded as a whole, as lists of the platform were.

Fix: each run is decoded by itself; one that cannot be read is reported like an entry of a list.

A second test shows that what is written is read back.

--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -201,7 +201,12 @@
     }
 
     /// Reports an entry that could not be parsed. One without a value was reported when it was read.
-    fn report_entry(&self, (kind, name, rev): (&str, &str, u64), value: &Value, error: &str) {
+    pub(super) fn report_entry(
+        &self,
+        (kind, name, rev): (&str, &str, u64),
+        value: &Value,
+        error: &str,
+    ) {
         if !value.is_null() {
             self.platform.report(kind, name, rev, error);
         }
--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -21,8 +22,9 @@
 const WRITE_PERIOD: Duration = Duration::from_millis(1200);
 
 #[derive(Debug, Serialize, Deserialize)]
-struct Stored {
-    runs: Vec<StoredRun>,
+pub(super) struct Stored {
+    /// Each a [`StoredRun`], if it can be read.
+    runs: Vec<Value>,
 }
 
 /// A run's location with its digest as text, since JSON numbers can't hold 128 bits.
@@ -34,23 +36,27 @@
 }
 
 impl Stored {
-    fn of(locations: Vec<RunLocation>) -> Self {
-        let runs = locations.into_iter().map(|location| StoredRun {
-            digest: format!("{:032x}", location.digest),
-            location: RunLocation {
-                digest: 0,
-                ..location
-            },
+    pub(super) fn of(locations: Vec<RunLocation>) -> Self {
+        let runs = locations.into_iter().map(|location| {
+            json!(StoredRun {
+                digest: format!("{:032x}", location.digest),
+                location: RunLocation {
+                    digest: 0,
+                    ..location
+                },
+            })
         });
         Self {
             runs: runs.collect(),
         }
     }
 
-    fn locations(self) -> impl Iterator<Item = RunLocation> {
-        self.runs.into_iter().filter_map(|stored| {
-            let digest = u128::from_str_radix(&stored.digest, 16).ok()?;
-            Some(RunLocation {
+    /// The location of each run, or why it can't be read.
+    pub(super) fn locations(self) -> impl Iterator<Item = Result<RunLocation, String>> {
+        self.runs.into_iter().map(|run| {
+            let stored = StoredRun::deserialize(run).map_err(|e| e.to_string())?;
+            let digest = u128::from_str_radix(&stored.digest, 16).map_err(|e| e.to_string())?;
+            Ok(RunLocation {
                 digest,
                 ..stored.location
             })
@@ -95,16 +101,19 @@
         let now = Instant::now();
         let mut count = 0;
         for object in &list.items {
+            let id = (OBJECT_KIND, object.name.as_str(), object.rev);
             match object.decode::<Stored>() {
                 Ok(stored) => {
                     let mut runs = self.runs.lock();
-                    stored.locations().for_each(|location| {
-                        count += 1;
-                        runs.insert(location, false, now);
+                    stored.locations().for_each(|read| match read {
+                        Ok(location) => {
+                            count += 1;
+                            runs.insert(location, false, now);
+                        }
+                        Err(e) => self.report_entry(id, &object.value, &e),
                     });
                 }
-                Err(e) => warn!(self.decisions.log, "runs: could not decode stored runs";
-                    "name" => object.name.as_str(), "error" => %e),
+                Err(e) => self.report_entry(id, &object.value, &e.to_string()),
             }
         }
         info!(self.decisions.log, "runs: loaded from the platform"; "runs" => count);
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -10,5 +10,6 @@
 mod pacing;
 mod retries;
 mod rules;
+mod run_store;
 mod runs;
 mod stall_timeouts;
