--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -10,6 +10,7 @@
 mod pacing;
 mod retries;
 mod rules;
+mod run_store;
 mod runs;
 mod silence;
 mod stall_timeouts;
