Rule out no engine for a copy because the run's engine was silent

What callers saw: nothing yet; after a silence of over a second a run had no copy any more, so that a later loss of its engine made the prompt be read again, and the stream paused for a second or more.

Cause: a request for a copy without an answer within a second counted against the engine that was to hold the copy, for the life of the run. The same class as runs that are given up at silent targets: evidence about one engine is held against another, for good.

Only an answer that refuses the copy rules its engine out now; no answer, and an earlier copy that is still under way, do not.

--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use parking_lot::Mutex;
 use slog::info;
 use smol_str::SmolStr;
@@ -127,7 +128,7 @@
             }
         };
         let is_refreshed = match holder {
-            Some(at) => request_copy(&relay, &source, at).await.is_some(),
+            Some(at) => request_copy(&relay, &source, at).await.is_ok(),
             None => match place_copy(&relay, &source, &mut failed).await {
                 Some(new) => {
                     relay.record_run(&source, Some(&new));
@@ -168,10 +169,14 @@
     let lease = relay.choose(wanted)?;
     let handle = request_copy(relay, source, lease.addr).await;
     info!(relay.decisions.log, "copy: requested at another engine";
-        "id" => source.id.as_str(), "at" => lease.name().as_str(), "done" => handle.is_some());
-    let Some(handle) = handle else {
-        failed.push(lease.key);
-        return None;
+        "id" => source.id.as_str(), "at" => lease.name().as_str(), "done" => handle.is_ok());
+    let handle = match handle {
+        Ok(handle) => handle,
+        Err(CopyError::Refused) => {
+            failed.push(lease.key);
+            return None;
+        }
+        Err(CopyError::Pending) => return None,
     };
     let copied = CopyRef {
         addr: source.engine.addr,
@@ -180,12 +185,28 @@
     Some(RunCopy::new(lease, copied))
 }
 
+/// Why a copy was not made.
+enum CopyError {
+    /// The run's engine refused, as when the other one has no room.
+    Refused,
+    /// The run's engine did not answer in time or is busy with an earlier copy, which says nothing
+    /// about the other one.
+    Pending,
+}
+
 /// Asks the run's engine to copy the run to `at`, or to refresh the copy there.
-async fn request_copy(relay: &Arc<Relay>, source: &CopySource, at: SocketAddr) -> Option<SmolStr> {
-    let request = (relay.dialect.copy_request)(&source.id, at)?;
+async fn request_copy(
+    relay: &Arc<Relay>,
+    source: &CopySource,
+    at: SocketAddr,
+) -> Result<SmolStr, CopyError> {
+    let request = (relay.dialect.copy_request)(&source.id, at).ok_or(CopyError::Refused)?;
     let engine = &source.engine;
     let sent = relay.request(engine.key, engine.addr, request, Purpose::Copy);
-    let answer = timeout(COPY_TIMEOUT, sent).await.ok().flatten()?;
+    let answer = timeout(COPY_TIMEOUT, sent).await.ok().flatten();
+    let answer = answer.filter(|a| a.status() != StatusCode::CONFLICT);
+    let answer = answer.ok_or(CopyError::Pending)?;
     let handle = (relay.dialect.parse_handle)(answer.body());
-    handle.filter(|_| answer.status().is_success())
+    let handle = handle.filter(|_| answer.status().is_success());
+    handle.ok_or(CopyError::Refused)
 }
