Let a stream that has begun wait for a retry until its deadline

What callers saw: a stream whose run was lost while the shared retry budget was spent for a moment was cut at once, with seconds of its time left.

Cause: a denied retry was final for a stream that has begun, although its caller can get no other answer and the budget grows with each request.

It asks again every 250 ms while at least that much time is left.

--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -9,7 +9,7 @@
 use http::StatusCode;
 use http::response::Parts;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::sequence::Sequence;
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
@@ -35,6 +35,10 @@
 /// lost and return within about a second.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 
+/// Interval at which a stream asks again for a retry that was denied: the budget grows with each
+/// request.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Why an attempt did not open a run.
 enum AttemptError {
     Retry,
@@ -64,7 +68,7 @@
             }
             let successor = self.successor.lock().take();
             let has_retry = attempts == 0 || successor.is_some();
-            if !has_retry && !self.relay.take_retry(&self.request.service).await {
+            if !has_retry && !self.take_retry().await {
                 return Err(self.give_up("retry budget spent"));
             }
             let copy = self.copy.take();
@@ -111,6 +115,24 @@
         }
     }
 
+    /// Takes a retry. A stream that has begun waits for one until its deadline, as there is no other
+    /// answer left for its caller.
+    async fn take_retry(&self) -> bool {
+        let service = &self.request.service;
+        while !self.relay.take_retry(service).await {
+            if !self.has_begun() || Instant::now() + RETRY_INTERVAL >= self.request.deadline {
+                return false;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Whether the caller has got an event.
+    fn has_begun(&self) -> bool {
+        self.last_id != self.request.ask.last_event
+    }
+
     fn log_placement(&self, lease: &Lease, from_copy: bool) {
         let backup = self.backup.as_ref().map(|c| c.lease.name());
         let now = std::time::Instant::now();
@@ -292,7 +314,7 @@
             return Err(self.record_lost(&lease, Loss::Broken(reason), now));
         }
         self.runs += 1;
-        if self.last_id == self.request.ask.last_event {
+        if !self.has_begun() {
             (self.relay.dialect.strip_response)(&mut parts.headers);
             self.head = Some(parts);
         }
@@ -357,11 +379,10 @@
         mut parts: Parts,
         body: Incoming,
     ) -> AttemptError {
-        let has_begun = self.last_id != self.request.ask.last_event;
         let may_retry = parts.status.is_server_error()
             && self.request.route.kind.is_repeatable()
             && self.runs + 1 < self.request.route.max_attempts;
-        if has_begun || may_retry {
+        if self.has_begun() || may_retry {
             return self.record_lost(lease, Loss::Broken("engine failed"), Instant::now());
         }
         let left = self.request.left(Instant::now());
