Wake the requests at targets that are no longer listed

Callers saw a call or a stream at a target that had left the list (removed, or listed with other values) and then died without a reset wait until its deadline: a 504, or a stream cut at its deadline, although another target could have answered.

Cause: a lease keeps the entry of its target, and Router::mark_dead wakes the entry in the table only. Since a silent target's run waits until the target is found dead, such a run had nothing left that ended it, unless a spare retry could be had; before, an attempt ended by itself after a silence.

The router remembers entries that a sync drops while they have requests, by weak references, and wakes those of the same key too. One with another address than the present entry is left alone: the probe was of the present address.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -3,8 +3,8 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
@@ -63,6 +63,8 @@
     costs: Costs,
     base: Instant,
     table: RwLock<Arc<Table>>,
+    /// Entries that are no longer in the table and still have requests.
+    departed: Mutex<Vec<Weak<Entry>>>,
     next_turn: AtomicUsize,
     peer_targets: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
     capacities: RwLock<IndexMap<SmolStr, EngineCapacity>>,
@@ -87,6 +89,7 @@
             costs,
             base: Instant::now(),
             table: RwLock::default(),
+            departed: Mutex::default(),
             next_turn: AtomicUsize::new(0),
             peer_targets: Mutex::default(),
             capacities: RwLock::default(),
@@ -101,7 +104,17 @@
     /// A target's state is kept unless something other than its leaving changed.
     pub fn sync(&self, targets: Vec<Target>) {
         let mut table = self.table.write();
-        *table = Arc::new(Table::build(targets, &table, self.base));
+        let next = Arc::new(Table::build(targets, &table, self.base));
+        let is_kept = |old: &Arc<Entry>| {
+            let new = next.entry(old.target.key);
+            new.is_some_and(|new| Arc::ptr_eq(new, old))
+        };
+        let departed = table.entries().filter(|old| !is_kept(old));
+        let departed: Vec<_> = departed.map(Arc::downgrade).collect();
+        *table = next;
+        let mut all = self.departed.lock();
+        all.extend(departed);
+        all.retain(|entry| entry.strong_count() > 0);
     }
 
     /// Sets the capacity of one engine of a service, by which queries with work are placed.
@@ -268,6 +281,18 @@
             entry.state.lock().health.mark_dead(now);
             entry.lost.notify_waiters();
         });
+        self.wake_departed(key);
+    }
+
+    /// Wakes the requests at a dead target that were sent before its entry was removed or replaced.
+    fn wake_departed(&self, key: TargetKey) {
+        let table = self.table();
+        let addr = table.entry(key).map(|e| e.target.addr);
+        let departed = self.departed.lock();
+        let departed = departed.iter().filter_map(Weak::upgrade);
+        departed
+            .filter(|e| e.target.key == key && addr.is_none_or(|addr| addr == e.target.addr))
+            .for_each(|e| e.lost.notify_waiters());
     }
 
     /// Records that the target answered a request sent at `since`.
