Bound the time after which a call is sent to a second target from below

Callers of an idempotent route without target_latency_ms (it is optional and counts as 0 then) had each call sent to two targets at once, which spends the shared retry budget that real losses need. Where no second target could be had, the call looked for one about every millisecond until its answer.

Cause: the time after which a second target is tried is twice the latency objective, and is also the interval between attempts to find one.

Without an objective the time is a quarter of the route's timeout, and it is 100 ms at least. Objectives of 50 ms and more are treated as before.

--- a/src/relay/call/second.rs
+++ b/src/relay/call/second.rs
@@ -14,13 +14,24 @@
 /// Multiple of the latency objective after which an idempotent call is sent to a second target too.
 const RETRY_FACTOR: u32 = 2;
 
+/// Same as a part of the route's timeout, when the route states no latency objective.
+const TIMEOUT_PARTS: u32 = 4;
+
+/// Shortest time after which a call is sent to a second target, and interval between attempts to.
+const STALL_TIME_MIN: Duration = Duration::from_millis(100);
+
 /// Interval between probes of a target that owes an answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Call<'_> {
     /// Time after which an idempotent call is sent to a second target.
     pub(super) fn stall_time(&self) -> Duration {
-        self.request.route.latency_objective * RETRY_FACTOR
+        let route = &self.request.route;
+        let time = match route.latency_objective.is_zero() {
+            true => route.timeout / TIMEOUT_PARTS,
+            false => route.latency_objective * RETRY_FACTOR,
+        };
+        time.max(STALL_TIME_MIN)
     }
 
     /// Whether another attempt is allowed while one is under way, besides `others`.
