Let idle HTTP/1 connections give way beside an idle HTTP/2 one

With all places for connections taken, one of them by an idle HTTP/2 connection that had been idle for longest, a new caller's connection was not served although other connections were idle.

Cause: the connection that has been idle for longest is asked to give way, again and again. HTTP/2 connections never act on that, as they are not closed for being idle.

Only HTTP/1 connections are asked now.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -40,6 +40,8 @@
     idle_since: Instant,
     /// Arrival of the first bytes of a head that is not complete.
     head_since: Option<Instant>,
+    /// Whether it speaks HTTP/2, where it is not closed for being idle.
+    is_http2: bool,
 }
 
 /// State of a connection, shared by its socket and its requests.
@@ -61,6 +63,7 @@
                 running: 0,
                 idle_since: Instant::now(),
                 head_since: None,
+                is_http2: false,
             }),
             evicted: Notify::new(),
         }
@@ -70,6 +73,11 @@
         &self.requests
     }
 
+    /// Notes that the connection speaks HTTP/2.
+    pub(crate) fn set_http2(&self) {
+        self.activity.lock().is_http2 = true;
+    }
+
     /// Notes that the head of a request is complete.
     pub(crate) fn begin(&self) {
         let mut activity = self.activity.lock();
@@ -94,11 +102,11 @@
         (activity.running == 0).then_some(at)
     }
 
-    /// Since when no request runs and no bytes of one have arrived.
+    /// Since when no request runs and no bytes of one have arrived; `None` on HTTP/2 too.
     fn idle_since(&self) -> Option<Instant> {
         let activity = self.activity.lock();
         let idle = activity.running == 0 && activity.head_since.is_none();
-        idle.then_some(activity.idle_since)
+        (idle && !activity.is_http2).then_some(activity.idle_since)
     }
 
     /// Closes the connection that has been idle for longest, the least likely one to be used again.
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -217,6 +217,9 @@
         http2 = is_http2(&stream) => http2,
         () = connection.idle_end(idle) => return,
     };
+    if http2 {
+        connection.set_http2();
+    }
     let opened = limits();
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- /dev/null
+++ b/tests/idle_http2.rs
@@ -0,0 +1,71 @@
+//! Idle HTTP/2 connections of callers beside HTTP/1 ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::get;
+use bytes::Bytes;
+use endivefork::caller::{Drain, serve};
+use endivefork::settings::Limits;
+use http_body_util::Empty;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+const LONG: Duration = Duration::from_secs(60);
+
+const CONNECTIONS: usize = 4;
+
+async fn ask(stream: &mut TcpStream) -> String {
+    let mut bytes = vec![0; 4096];
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        .await
+        .unwrap();
+    let n = stream.read(&mut bytes).await.unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..n]).into_owned()
+}
+
+#[tokio::test]
+async fn idle_http1_connection_gives_way_beside_an_older_http2_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let limits = Limits {
+        headers: 8 * 1024,
+        body: 1024,
+        receive: LONG,
+        idle: LONG,
+        connections: CONNECTIONS,
+    };
+    let router = Router::new().route("/", get(|| async { "fine" }));
+    let drain = Arc::<Drain>::default();
+    tokio::spawn(serve(listener, router, move || limits, drain, LONG));
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+            .await
+            .unwrap();
+    tokio::spawn(connection);
+    // The settings are acknowledged before the second request.
+    for _ in 0..2 {
+        let request = http::Request::get(format!("http://{addr}/"));
+        let request = request.body(Empty::<Bytes>::new()).unwrap();
+        let answer = sender.send_request(request).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let mut kept = Vec::new();
+    for _ in 1..CONNECTIONS {
+        kept.push(TcpStream::connect(addr).await.unwrap());
+        ask(kept.last_mut().unwrap()).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let answer = timeout(Duration::from_secs(2), ask(&mut stream)).await;
+
+    let answer = answer.expect("accepted in time");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+}
