Ask for a spare retry before a silent run looks for its next target

Beside silent targets, each run that could not be moved because the retry budget was spent took a permit of the next target and opened a connection to it every 500 ms, and gave both up again. So a sound target got two connections a second for each silent run, each of which may hold a slot for a moment, and a target with a stated limit had less of it for requests that needed it. Idempotent calls that looked for a second target took permits in the same way.

Cause: the retry is taken last, as it is the scarcest, and its refusal was known only then.

Whether there is a spare retry is asked first, without taking one; it is taken last as before. Where a loan is allowed and instances lend to each other, the search goes on as before.

--- a/src/relay/call/second.rs
+++ b/src/relay/call/second.rs
@@ -8,7 +8,7 @@
 use super::{Call, Exchange, MAX_DECLINED, MAX_UNREACHABLE};
 use crate::relay::relay::TargetCriteria;
 use crate::relay::rules::Kind;
-use crate::relay::silence::RetryShare;
+use crate::relay::silence::{KEPT_FOR_LOSSES, RetryShare};
 use crate::routing::Lease;
 
 /// Multiple of the latency objective after which an idempotent call is sent to a second target too.
@@ -48,16 +48,20 @@
         if !relay.is_clear(&self.request.suspect_parts) {
             return Err("it may crash its targets");
         }
+        let service = &self.request.service;
+        let share = RetryShare::SpareOrLoan;
+        if !relay.may_have_spare_retry(service, share) {
+            return Err(KEPT_FOR_LOSSES);
+        }
         let lease = relay.choose_now(TargetCriteria {
-            service: &self.request.service,
+            service,
             excluded: &self.tried,
             ..TargetCriteria::default()
         });
         let lease = lease.ok_or("no other target takes it")?;
-        let share = RetryShare::SpareOrLoan;
-        match relay.take_spare_retry(&self.request.service, share).await {
+        match relay.take_spare_retry(service, share).await {
             true => Ok(lease),
-            false => Err("the retry budget is kept for losses"),
+            false => Err(KEPT_FOR_LOSSES),
         }
     }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -303,6 +303,15 @@
         own || share == RetryShare::SpareOrLoan && self.borrow_retry(service).await
     }
 
+    /// Whether [`Self::take_spare_retry`] may take a retry. Asked first, as a target's permit and a
+    /// connection to it would be wasted without one.
+    pub(crate) fn may_have_spare_retry(&self, service: &SmolStr, share: RetryShare) -> bool {
+        let members = self.peers.others() + 1;
+        let now = Instant::now();
+        let has_own = self.retries.lock().has_spare(service, members, now);
+        has_own || share == RetryShare::SpareOrLoan && self.peers.is_tiered()
+    }
+
     /// Probes a target.
     pub(crate) fn probe(&self, lease: &Lease) {
         if let Some(subject) = lease.probe_target() {
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -158,9 +158,22 @@
         self.take_share(SPARE_SHARE, service, members, now)
     }
 
+    /// Whether [`Self::take_spare`] would take a retry.
+    pub(crate) fn has_spare(&self, service: &SmolStr, members: usize, now: Instant) -> bool {
+        self.has_share(SPARE_SHARE, service, members, now)
+    }
+
     fn take_share(&mut self, usable: f64, service: &SmolStr, members: usize, now: Instant) -> bool {
+        let is_taken = self.has_share(usable, service, members, now);
+        if is_taken {
+            self.record_retry(service, now);
+        }
+        is_taken
+    }
+
+    fn has_share(&self, usable: f64, service: &SmolStr, members: usize, now: Instant) -> bool {
         let is_fresh = |s: &&FleetUsage| now.saturating_duration_since(s.at) < USAGE_TTL;
-        let is_taken = match self.fleet.as_ref().filter(is_fresh) {
+        match self.fleet.as_ref().filter(is_fresh) {
             Some(fleet) => {
                 let (_, recent) = self.count(&self.services, service, LAG_BUCKETS, now);
                 let share = LOCAL_SHARE * self.remaining(fleet, service) / fleet.members as f64;
@@ -176,11 +189,7 @@
                 let limit = usable * own * (self.allowance.ratio * f64::from(requests) + slack);
                 f64::from(retries) + 1.0 <= limit
             }
-        };
-        if is_taken {
-            self.record_retry(service, now);
         }
-        is_taken
     }
 
     /// Counts a retry that was taken from the local share or borrowed.
--- a/src/relay/silence.rs
+++ b/src/relay/silence.rs
@@ -8,6 +8,9 @@
 /// Silence from which a target is no longer expected to go on soon.
 const LONG_SILENCE: Duration = Duration::from_secs(3);
 
+/// Why a run stays although it may move.
+pub(crate) const KEPT_FOR_LOSSES: &str = "the retry budget is kept for losses";
+
 /// A run that waits for its silent target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Silence {
--- a/src/relay/successor.rs
+++ b/src/relay/successor.rs
@@ -11,7 +11,7 @@
 use super::connections::Connection;
 use super::copies::CopyTask;
 use super::relay::{Relay, TargetCriteria};
-use super::silence::Silence;
+use super::silence::{KEPT_FOR_LOSSES, Silence};
 use crate::ident::TargetKey;
 use crate::routing::{Lease, Work};
 
@@ -58,6 +58,10 @@
             attempts_left: self.attempts_left,
         };
         let share = silence.may_move()?;
+        let service = &self.request.service;
+        if !self.relay.may_have_spare_retry(service, share) {
+            return Err(KEPT_FOR_LOSSES);
+        }
         let (place, key, addr) = match self.copy.and_then(|c| c.holder(self.relay)) {
             Some((key, addr)) if self.relay.permit(key).await => (Place::Copy, key, addr),
             // Another prefill takes longer than a short silence.
@@ -72,9 +76,8 @@
         };
         let connection = self.relay.pool.acquire(key, addr, None).await;
         let connection = connection.map_err(|_| "the next target could not be reached")?;
-        let service = &self.request.service;
         if !self.relay.take_spare_retry(service, share).await {
-            return Err("the retry budget is kept for losses");
+            return Err(KEPT_FOR_LOSSES);
         }
         *self.found.lock() = Some(Successor {
             key,
