--- a/src/relay/call/second.rs
+++ b/src/relay/call/second.rs
@@ -8,19 +8,30 @@
 use super::{Call, Exchange, MAX_DECLINED, MAX_UNREACHABLE};
 use crate::relay::relay::TargetCriteria;
 use crate::relay::rules::Kind;
-use crate::relay::silence::RetryShare;
+use crate::relay::silence::{KEPT_FOR_LOSSES, RetryShare};
 use crate::routing::Lease;
 
 /// Multiple of the latency objective after which an idempotent call is sent to a second target too.
 const RETRY_FACTOR: u32 = 2;
 
+/// Same as a part of the route's timeout, when the route states no latency objective.
+const TIMEOUT_PARTS: u32 = 4;
+
+/// Shortest time after which a call is sent to a second target, and interval between attempts to.
+const STALL_TIME_MIN: Duration = Duration::from_millis(100);
+
 /// Interval between probes of a target that owes an answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Call<'_> {
     /// Time after which an idempotent call is sent to a second target.
     pub(super) fn stall_time(&self) -> Duration {
-        self.request.route.latency_objective * RETRY_FACTOR
+        let route = &self.request.route;
+        let time = match route.latency_objective.is_zero() {
+            true => route.timeout / TIMEOUT_PARTS,
+            false => route.latency_objective * RETRY_FACTOR,
+        };
+        time.max(STALL_TIME_MIN)
     }
 
     /// Whether another attempt is allowed while one is under way, besides `others`.
@@ -37,16 +48,20 @@
         if !relay.is_clear(&self.request.suspect_parts) {
             return Err("it may crash its targets");
         }
+        let service = &self.request.service;
+        let share = RetryShare::SpareOrLoan;
+        if !relay.may_have_spare_retry(service, share) {
+            return Err(KEPT_FOR_LOSSES);
+        }
         let lease = relay.choose_now(TargetCriteria {
-            service: &self.request.service,
+            service,
             excluded: &self.tried,
             ..TargetCriteria::default()
         });
         let lease = lease.ok_or("no other target takes it")?;
-        let share = RetryShare::SpareOrLoan;
-        match relay.take_spare_retry(&self.request.service, share).await {
+        match relay.take_spare_retry(service, share).await {
             true => Ok(lease),
-            false => Err("the retry budget is kept for losses"),
+            false => Err(KEPT_FOR_LOSSES),
         }
     }
 
