--- a/tests/action/kept_status.rs
+++ b/tests/action/kept_status.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use endivefork::action::{
-    Actions, CLAIM_KIND, ChooseTarget, ChosenTarget, LiveInstances, Record, Retention, Stage,
+    Actions, CLAIM_KIND, Call, ChooseTarget, ChosenTarget, LiveInstances, Record, Retention, Stage,
     Sweeper,
 };
+use endivefork::config::Repeat;
 use serde_json::json;
 
 use crate::fixture::{World, call, call_with_status, label, limits, until};
@@ -66,3 +67,22 @@
         tokio::time::sleep(PAUSE).await;
     }
 }
+
+/// The same for calls that may be repeated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_an_earlier_safe_call_does_not_answer_the_next() {
+    let world = World::start().await;
+    let addr = target(answer("200 OK", "\"one\""), answer("200 OK", "\"two\"")).await;
+    let choose: ChooseTarget = Arc::new(move |_, _| Some(ChosenTarget::new(addr)));
+    let entry = Actions::new("a".into(), world.client(), choose, limits());
+
+    for (key, body) in [("k1", "\"one\""), ("k2", "\"two\"")] {
+        let call = Call {
+            repeat: Repeat::Safe,
+            ..call(key)
+        };
+        let outcome = entry.run(call).await.unwrap();
+        assert_eq!(outcome.body, body);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
