--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -121,7 +121,8 @@
     }
 
     /// Waits until the connection has been idle, or the head of its next request incomplete, for
-    /// the present value of `limits`, or is to give way while it is idle. The socket must be polled before this in the same task.
+    /// the present value of `limits`, or is to give way while it is idle. The socket must be polled
+    /// before this in the same task.
     pub(crate) async fn idle_end(&self, limits: impl Fn() -> IdleLimits) {
         loop {
             let now = Instant::now();
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -188,17 +188,10 @@
             return stream.into_reply();
         }
         Step::Error(StreamError::Local(reply)) => (reply.into(), reply.reason),
-        Step::Error(StreamError::Target(response)) => {
-            let is_success = response.status().is_success();
-            (
-                response,
-                if is_success {
-                    "answered"
-                } else {
-                    "engine failed"
-                },
-            )
-        }
+        Step::Error(StreamError::Target(response)) => match response.status().is_success() {
+            true => (response, "answered"),
+            false => (response, "engine failed"),
+        },
     };
     stream.respond(response, reason)
 }
