Serve a stream whose first id is above one

Cause: the check of a run's first event assumed that ids begin with 0 or 1.

Once a stream has begun, or for a caller that resumes, the next id is checked as before.

--- a/src/relay/stream/sequence.rs
+++ b/src/relay/stream/sequence.rs
@@ -3,9 +3,6 @@
 use crate::relay::events::Event;
 use crate::relay::stall::Loss;
 
-/// Highest id that a stream may begin with.
-const FIRST_ID_MAX: u64 = 1;
-
 /// What is done with an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Next {
@@ -58,7 +55,8 @@
             None => return Err(Loss::Broken("event without an id")),
         };
         let next = self.last.or(received).map(|last| last.saturating_add(1));
-        if id > next.unwrap_or(FIRST_ID_MAX) {
+        // The first event of a stream may have any id.
+        if next.is_some_and(|next| id > next) {
             return Err(Loss::Broken("an event is missing"));
         }
         if self.last.is_some_and(|last| id <= last) {
