Tell peers which incarnation of a target is leaving

Instances tell each other leaving targets by name. A target that starts anew under its name was taken for the one that left at each instance that had the new registration before its peers: it got no requests for 10 s from the last of their reports.

A departure now names the incarnation, and counts only for the target that has it. The interface of endivefork's own targets does not tell starts apart and has incarnation 0 throughout, as before.

Checks: routing_rules compares departures where it compared names.

--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -24,6 +24,9 @@
     pub key: TargetKey,
     /// Name, unique in the fleet.
     pub name: SmolStr,
+    /// Identifies one start of the target among those of the same name; zero if its starts are not
+    /// told apart.
+    pub incarnation: u64,
     /// Address of its HTTP interface.
     pub addr: SocketAddr,
     /// Failure domain.
@@ -195,6 +198,7 @@
         let target = Target {
             key,
             name: entry.name.clone(),
+            incarnation: 0,
             addr: entry.addr,
             domain: entry.domain.clone(),
             region: entry.region.clone(),
--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -47,7 +47,8 @@
         self.views
             .apply_peer_view(&self.router, from, view, Instant::now());
         let loads = view.loads.iter().filter(|l| l.leaving);
-        let leaving = loads.map(|l| &l.target).chain(&view.peer_report.leaving);
+        let departures = view.peer_report.leaving.iter().map(|d| &d.target);
+        let leaving = loads.map(|l| &l.target).chain(departures);
         for name in leaving {
             self.fleet.mark_leaving(name);
         }
--- a/src/relay/aggregate.rs
+++ b/src/relay/aggregate.rs
@@ -6,6 +6,7 @@
 //! replies with the sums over all other instances that have changed since the instance's last
 //! report.
 
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -13,7 +14,7 @@
 use smol_str::SmolStr;
 
 use super::retries::Usage;
-use crate::routing::{InflightCount, PeerReport, Work};
+use crate::routing::{Departure, InflightCount, PeerReport, Work};
 
 /// Lifetime of a report or summary that is not replaced.
 const REPORT_TTL: Duration = Duration::from_millis(2_500);
@@ -57,7 +58,7 @@
     /// Targets whose load has changed; a count of 0 means that the target has become idle.
     counts: Vec<InflightCount>,
     dead: Vec<SmolStr>,
-    leaving: Vec<SmolStr>,
+    leaving: Vec<Departure>,
     pub(crate) usage: Vec<Usage>,
     /// Number of reporting instances in the fleet.
     pub(crate) members: u32,
@@ -291,9 +292,9 @@
     matches!(origin, Origin::Member(_))
 }
 
-fn union<'a>(names: impl Iterator<Item = &'a SmolStr>) -> Vec<SmolStr> {
-    let names: IndexSet<_> = names.collect();
-    names.into_iter().cloned().collect()
+fn union<'a, T: Clone + Eq + Hash + 'a>(all: impl Iterator<Item = &'a T>) -> Vec<T> {
+    let distinct: IndexSet<_> = all.collect();
+    distinct.into_iter().cloned().collect()
 }
 
 fn total_usage<'a>(summaries: impl Iterator<Item = &'a LoadSummary>) -> Vec<Usage> {
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -288,6 +288,7 @@
         let target = |info: &TargetInfo, key| Target {
             key,
             name: info.name.clone(),
+            incarnation: info.incarnation,
             addr: info.addr,
             domain: info.domain.clone(),
             region: region(&info.domain),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -19,7 +19,7 @@
 
 pub use lease::{Lease, ProbeTarget};
 pub use load::{LoadReport, Work};
-pub use peer_report::{InflightCount, PeerReport};
+pub use peer_report::{Departure, InflightCount, PeerReport};
 pub use policy::{Costs, EngineCapacity, Policy};
 pub use poll::{LoadViews, PeerView, PollOutcome, Poller, TargetLoad, poll};
 pub use router::{Query, Router, ServingCapacity};
--- a/src/routing/peer_report.rs
+++ b/src/routing/peer_report.rs
@@ -16,6 +16,15 @@
     pub work: Work,
 }
 
+/// A target that is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Departure {
+    /// Name of the target.
+    pub target: SmolStr,
+    /// Its incarnation: another one under the same name may stay.
+    pub incarnation: u64,
+}
+
 /// One instance's report about targets. It replaces the earlier report of the same instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerReport {
@@ -23,8 +32,8 @@
     pub counts: Vec<InflightCount>,
     /// Targets that the instance itself found dead.
     pub dead: Vec<SmolStr>,
-    /// Targets that reported to the instance that they are leaving.
-    pub leaving: Vec<SmolStr>,
+    /// Targets that told the instance that they are leaving.
+    pub leaving: Vec<Departure>,
 }
 
 impl PeerReport {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -17,7 +17,7 @@
 use super::lease::{Lease, ProbeTarget};
 use super::load::{LoadReport, Work};
 use super::outage::Outages;
-use super::peer_report::{InflightCount, PeerReport};
+use super::peer_report::{Departure, InflightCount, PeerReport};
 use super::policy::{Costs, EngineCapacity, Policy, Selection, sample_fraction};
 use super::table::{Entry, Table};
 use crate::fleet::Target;
@@ -340,7 +340,10 @@
                 report.dead.push(name.clone());
             }
             if state.health.reported_leaving() {
-                report.leaving.push(name.clone());
+                report.leaving.push(Departure {
+                    target: name.clone(),
+                    incarnation: entry.target.incarnation,
+                });
             }
         }
         report
@@ -375,7 +378,11 @@
                 .record_loss(&entry.target.domain, entry.target.key, now);
             entry.state.lock().health.mark_peer_dead(now);
         }
-        for entry in report.leaving.iter().filter_map(|name| table.by_name(name)) {
+        let leaving = report.leaving.iter().filter_map(|left| {
+            let entry = table.by_name(&left.target)?;
+            (entry.target.incarnation == left.incarnation).then_some(entry)
+        });
+        for entry in leaving {
             entry.state.lock().health.mark_peer_leaving(now);
         }
     }
--- a/tests/relay_placing.rs
+++ b/tests/relay_placing.rs
@@ -89,6 +89,7 @@
     let target = |n: u32| Target {
         key: TargetKey(n),
         name: format!("engine-{n}").into(),
+        incarnation: 0,
         addr: SocketAddr::from(([127, 0, 0, 1], 1000 + n as u16)),
         domain: domain(n).into(),
         region: domain(n).into(),
--- a/tests/removed_targets.rs
+++ b/tests/removed_targets.rs
@@ -13,6 +13,7 @@
     Target {
         key: KEY,
         name: "engine".into(),
+        incarnation: 0,
         addr: ([127, 0, 0, 1], 9000).into(),
         domain: "a".into(),
         region: "a".into(),
--- a/tests/routing_policy.rs
+++ b/tests/routing_policy.rs
@@ -98,6 +98,7 @@
             Target {
                 key: TargetKey(key),
                 name: format!("engine-{key}").into(),
+                incarnation: 0,
                 addr: ([127, 0, 0, 1], 9000).into(),
                 domain: region.into(),
                 region: region.into(),
--- a/tests/routing_rules.rs
+++ b/tests/routing_rules.rs
@@ -5,7 +5,7 @@
 use endivefork::fleet::Target;
 use endivefork::ident::TargetKey;
 use endivefork::routing::{
-    Costs, InflightCount, LoadReport, PeerReport, Policy, Query, Router, Work,
+    Costs, Departure, InflightCount, LoadReport, PeerReport, Policy, Query, Router, Work,
 };
 use proptest::prelude::*;
 
@@ -22,6 +22,7 @@
     Target {
         key: TargetKey(key),
         name: format!("engine-{key}").into(),
+        incarnation: 0,
         addr: ([127, 0, 0, 1], 9000).into(),
         domain: domain.into(),
         region: domain.into(),
@@ -31,6 +32,13 @@
     }
 }
 
+fn departure(target: &str) -> Departure {
+    Departure {
+        target: target.into(),
+        incarnation: 0,
+    }
+}
+
 fn fleet(size: u32) -> Vec<Target> {
     (0..size)
         .map(|key| target(key, ["a", "b", "c"][key as usize % 3]))
@@ -260,7 +268,7 @@
     router.apply_load_report(TargetKey(0), report(0, 8, 2 * SECOND), now + SECOND);
 
     assert!(router.choose(&query(None, &[]), now + SECOND).is_none());
-    assert_eq!(router.peer_report(now).leaving, ["engine-0"]);
+    assert_eq!(router.peer_report(now).leaving, [departure("engine-0")]);
     // A newer report of the target itself, as after a restart, clears it.
     router.apply_load_report(TargetKey(0), report(0, 8, SECOND), now + 3 * SECOND);
     assert!(router.choose(&query(None, &[]), now + 3 * SECOND).is_some());
@@ -271,7 +279,7 @@
     let router = router(Policy::Cost, fleet(1));
     let now = Instant::now();
     let report = PeerReport {
-        leaving: vec!["engine-0".into()],
+        leaving: vec![departure("engine-0")],
         ..PeerReport::default()
     };
 
--- a/tests/routing_speed.rs
+++ b/tests/routing_speed.rs
@@ -20,6 +20,7 @@
         Target {
             key: TargetKey(key),
             name: format!("engine-{key}").into(),
+            incarnation: 0,
             addr: ([127, 0, 0, 1], 9000).into(),
             domain: domain.into(),
             region: domain.into(),
--- a/tests/routing_views.rs
+++ b/tests/routing_views.rs
@@ -28,6 +28,7 @@
             Target {
                 key: TargetKey(key),
                 name: format!("engine-{key}").into(),
+                incarnation: 0,
                 addr: ([127, 0, 0, 1], 9000).into(),
                 domain: domain.into(),
                 region: domain.into(),
