Heed what targets say of leaving and of quiet in their answers

A target that leaves may say so in any answer, and one that refuses with 503 may say for how long it wants no requests. No instance read either: requests went on to reach it until its registration changed, and for as long as it was busy.

Both are parts of the target's health, which every choice asks, and hold for its incarnation, also while it is not listed for a time. A request that was placed before the target said so goes elsewhere. Requests that find only quiet targets wait in the line of limited ones if their turn comes in time, and are refused at once otherwise. The return is spread out, by a random time between instances and an interval within one.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -78,6 +78,8 @@
     Declined,
     Misdirected,
     Unsent,
+    /// The target said after it was chosen that it takes no further requests.
+    Withheld,
     Lost(&'static str),
     /// No answer by the request's deadline.
     TimedOut,
@@ -280,6 +282,10 @@
                 self.relay.probe(&lease);
                 "could not connect"
             }
+            AttemptResult::Withheld => {
+                self.unreachable += 1;
+                "target takes no further requests"
+            }
             AttemptResult::Lost(reason) => {
                 self.runs += 1;
                 self.report_loss(&lease, ended.trial);
@@ -332,9 +338,13 @@
     /// Chooses a target that has not been tried. If there is none, a call that failed may be sent
     /// to a target again.
     async fn choose(&self) -> Result<Lease, PlaceError> {
+        // One that asked for quiet may take the request afterwards.
+        let mut excluded = self.tried.clone();
+        let now = Instant::now().into_std();
+        excluded.retain(|key| !self.relay.router.is_returning(*key, now));
         let wanted = TargetCriteria {
             service: &self.request.service,
-            excluded: &self.tried,
+            excluded: &excluded,
             ..TargetCriteria::default()
         };
         let patience = Patience::of(self.request);
@@ -372,7 +382,8 @@
                 LocalReply::unavailable(wait, "targets are at their limits")
             }
             (None, 0) if self.declined > 0 => {
-                LocalReply::unavailable(retry_after, "targets are full")
+                let wait = self.relay.return_time(self.request).unwrap_or_default();
+                LocalReply::unavailable(wait.max(retry_after), "targets are full")
             }
             (None, 0) => LocalReply::unavailable(retry_after, "no target can be reached"),
             (None, _) if timed_out => LocalReply::timed_out(),
@@ -422,7 +433,11 @@
             backup: None,
             resume_from: None,
         };
+        if !self.relay.still_takes(lease.key) {
+            return AttemptResult::Withheld;
+        }
         self.relay.record_sent(lease.key, self.purpose);
+        let sent = Instant::now();
         let response = match connection.send(request.attempt(dialect, &attempt)).await {
             Ok(response) => response,
             Err(SendError::Unsent) => return AttemptResult::Unsent,
@@ -431,7 +446,8 @@
         let (mut parts, body) = response.into_parts();
         let head = (dialect.parse_response)(&request.ask.id, parts.status, &parts.headers);
         let success = parts.status.is_success();
-        self.relay.observe_limit(lease.probe_target(), &head);
+        self.relay
+            .observe_notice(lease, &head, &connection, sent.into_std());
         match head {
             head if head.mismatched => return AttemptResult::Lost("answer to another request"),
             // It may be a late response to an earlier request on this connection.
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -65,6 +65,26 @@
     pub resume_from: Option<&'a CopyRef>,
 }
 
+/// How long a busy target wants no requests from the instance that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuietTime {
+    /// For this time.
+    For(Duration),
+    /// It states a time that can't be read.
+    Unreadable,
+}
+
+/// What a target says with an answer about the requests that it takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Rate at which it takes requests of all instances together, if it states one.
+    pub limit: Option<Rate>,
+    /// It is shutting down and takes no new requests.
+    pub leaving: bool,
+    /// Time for which it wants no requests, if it states one.
+    pub quiet: Option<QuietTime>,
+}
+
 /// Head of a target's response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -86,8 +106,8 @@
     pub close: bool,
     /// Keep-alive time of the idle connection, if stated.
     pub keep_alive: Option<Duration>,
-    /// Rate at which the target takes requests of all instances together, if it states one.
-    pub limit: Option<Rate>,
+    /// What the target says about the requests that it takes.
+    pub notice: Notice,
 }
 
 /// Protocol functions of one deployment.
@@ -103,8 +123,8 @@
     pub write_attempt: fn(&mut HeaderMap, &AttemptHead<'_>),
     /// Parses the head of a target's response to the request with this id.
     pub parse_response: fn(&str, StatusCode, &HeaderMap) -> ResponseHead,
-    /// Rate at which a target takes requests of all instances together, if an answer states one.
-    pub stated_limit: fn(&HeaderMap) -> Option<Rate>,
+    /// Parses what a target says with an answer about the requests that it takes.
+    pub parse_notice: fn(StatusCode, &HeaderMap) -> Notice,
     /// Name of the target that responded to a health check.
     pub target_name: fn(&HeaderMap) -> Option<SmolStr>,
     /// Builds the request to copy a run's KV cache to another engine or to update that copy.
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -370,16 +370,19 @@
         known.map(|t| t.next_permit(now)).min()
     }
 
-    /// Expected time until a request gets a permit for one of `targets`, with `ahead` requests
-    /// before it.
+    /// Expected time until one of `targets` takes a request with `ahead` requests before it: those
+    /// with a limit by their permits, and `others`, each of which takes its next request at a time
+    /// and then one in each interval.
     pub(crate) fn expected_wait(
         &self,
         targets: &[ProbeTarget],
+        others: &[(Instant, Duration)],
         ahead: usize,
         now: Instant,
     ) -> Duration {
         let known = targets.iter().filter_map(|t| self.targets.get(&t.key));
-        let mut next: Vec<_> = known.map(|t| (t.next_permit(now), t.interval)).collect();
+        let known = known.map(|t| (t.next_permit(now), t.interval));
+        let mut next: Vec<_> = known.chain(others.iter().copied()).collect();
         let mut at = now;
         for _ in 0..=ahead {
             let Some((earliest, interval)) = next.iter_mut().min_by_key(|(at, _)| *at) else {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod gossip;
 mod limits;
 mod local_reply;
+mod notices;
 mod pacing;
 mod permits;
 mod placing;
@@ -51,7 +52,7 @@
 mod tests;
 
 pub use catalog::{Registration, TargetInfo};
-pub use dialect::{AttemptHead, CopyRef, Dialect, RequestHead, ResponseHead};
+pub use dialect::{AttemptHead, CopyRef, Dialect, Notice, QuietTime, RequestHead, ResponseHead};
 pub use limits::Rate;
 pub use platform_watch::Sources;
 pub use progress::EngineReport;
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -14,7 +14,6 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::dialect::ResponseHead;
 use super::limits::{Ask, Permits, Purpose, Rate, Statement};
 use super::relay::Relay;
 use crate::ident::TargetKey;
@@ -65,18 +64,8 @@
             });
     }
 
-    /// Applies the limit that a target states in the head of an answer.
-    pub(crate) fn observe_limit(&self, target: Option<ProbeTarget>, head: &ResponseHead) {
-        let is_authentic = head.has_id && !head.mismatched && !head.misdirected;
-        // Only a signed answer can take a limit back: others may come from a failing target, or
-        // from the path to it.
-        let is_statement = is_authentic && (head.limit.is_some() || head.signed);
-        if let Some(target) = target.filter(|_| is_statement) {
-            self.apply_limit(&target, head.limit);
-        }
-    }
-
-    fn apply_limit(&self, target: &ProbeTarget, stated: Option<Rate>) {
+    /// Applies the limit that a target states in an answer.
+    pub(super) fn apply_limit(&self, target: &ProbeTarget, stated: Option<Rate>) {
         let now = Instant::now().into_std();
         let is_changed = self.limits.lock().observe(target, stated, now);
         if is_changed {
@@ -86,7 +75,7 @@
     }
 
     /// Sends one of the relay's own requests to a target, if there is a permit for it, and applies
-    /// the limit that the answer states.
+    /// what the target says with its answer.
     pub(crate) async fn request(
         self: &Arc<Self>,
         key: TargetKey,
@@ -101,13 +90,13 @@
         }
         self.record_sent(limited, purpose);
         let answer = self.pool.request(key, addr, request).await?;
-        let stated = (self.dialect.stated_limit)(answer.headers());
+        let notice = (self.dialect.parse_notice)(answer.status(), answer.headers());
         let target = match (self.dialect.target_name)(answer.headers()) {
             Some(sender) => self.router.probe_target_named(&sender),
             None => self.router.probe_target(limited),
         };
-        if let (Some(target), Some(_)) = (target, stated) {
-            self.apply_limit(&target, stated);
+        if let Some(target) = target {
+            self.apply_notice(&target, notice);
         }
         Some(answer)
     }
--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -1,5 +1,6 @@
 //! Places requests at targets that may get them: those without a limit, and those for which this
-//! instance has a permit. When all are at their limits, requests wait in line or are refused.
+//! instance has a permit. When all are at their limits or want no requests for a time, requests wait
+//! in line or are refused.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 use super::permits::ASK_TIMEOUT;
 use super::relay::{Relay, TargetCriteria};
 use crate::ident::TargetKey;
-use crate::routing::{Lease, ProbeTarget};
+use crate::routing::{Lease, ProbeTarget, RETURN_INTERVAL};
 
 /// Latest time at which a refused caller is told to return. What lies further ahead depends on
 /// callers that may not return.
@@ -38,17 +39,32 @@
     }
 }
 
+/// Targets that are expected to take a request later.
+#[derive(Debug, Default)]
+struct LaterTargets {
+    /// Those with a limit.
+    limited: Vec<ProbeTarget>,
+    /// When each of those that want no requests takes its next one.
+    returns: Vec<Instant>,
+}
+
+impl LaterTargets {
+    fn is_empty(&self) -> bool {
+        self.limited.is_empty() && self.returns.is_empty()
+    }
+}
+
 /// Why a request got no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PlaceError {
     /// No target is available.
     Unavailable,
-    /// All available targets are at their limits; one is expected to take a request after this
-    /// time.
+    /// All available targets are at their limits or want no requests; one is expected to take a
+    /// request after this time.
     AtLimit(Duration),
 }
 
-/// Requests to one service that wait for a permit, in their order of arrival.
+/// Requests to one service that wait for a permit or for a target to return, in their order of arrival.
 #[derive(Debug, Default)]
 pub(crate) struct WaitLine {
     head: tokio::sync::Mutex<()>,
@@ -91,20 +107,25 @@
         if wait < left.min(RETURN_MAX) {
             returns.push_back(now + wait);
         }
-        wait.min(RETURN_MAX)
+        // Behind nobody, the wait depends on no other caller.
+        wait.min(RETURN_MAX.max(expected(0)))
     }
 }
 
 impl Relay {
     /// Chooses a target for a request, among those without a limit and those for which there is a
-    /// permit that no earlier request waits for.
+    /// permit, unless an earlier request waits for it.
     pub(crate) fn choose_now(self: &Arc<Self>, wanted: TargetCriteria<'_>) -> Option<Lease> {
-        if self.limits.lock().is_empty() {
+        let is_waited_for = self.wait_line(wanted.service).len() > 0;
+        if !is_waited_for && self.limits.lock().is_empty() {
             return self.choose(wanted);
         }
         let limited = self.limited_targets(wanted);
-        if self.wait_line(wanted.service).len() > 0 {
-            let keys = limited.iter().map(|t| t.key);
+        if is_waited_for {
+            let now = Instant::now().into_std();
+            let returning = self.router.returning(wanted.service, now);
+            let returning = returning.into_iter().map(|(target, _)| target.key);
+            let keys = limited.iter().map(|t| t.key).chain(returning);
             let excluded: Vec<_> = wanted.excluded.iter().copied().chain(keys).collect();
             let unlimited = TargetCriteria {
                 excluded: &excluded,
@@ -133,8 +154,8 @@
         limits.take(lease.key, now).then_some(lease)
     }
 
-    /// Chooses a target for a request, and waits for a permit when all available targets are at
-    /// their limits.
+    /// Chooses a target for a request, and waits when all available targets are at their limits or
+    /// want no requests.
     pub(crate) async fn place(
         self: &Arc<Self>,
         wanted: TargetCriteria<'_>,
@@ -143,18 +164,18 @@
         if let Some(lease) = self.choose_now(wanted) {
             return Ok(lease);
         }
-        let limited = self.limited_targets(wanted);
-        if limited.is_empty() {
+        let later = self.later_targets(wanted);
+        if later.is_empty() {
             return Err(PlaceError::Unavailable);
         }
         let deadline = Instant::now() + patience.wait;
         let line = self.wait_line(wanted.service);
-        if self.expected_wait(&limited, line.len()) > patience.wait {
-            return Err(self.refuse(&line, &limited, patience));
+        if self.expected_wait(&later, line.len()) > patience.wait {
+            return Err(self.refuse(&line, &later, patience));
         }
         let _place = Place::enter(&line);
         let Ok(_head) = timeout_at(deadline, line.head.lock()).await else {
-            return Err(self.refuse(&line, &limited, patience));
+            return Err(self.refuse(&line, &later, patience));
         };
         loop {
             let changed = self.permits_changed.notified();
@@ -163,22 +184,25 @@
             if let Some(lease) = self.choose_permitted(wanted) {
                 return Ok(lease);
             }
-            let limited = self.limited_targets(wanted);
-            if limited.is_empty() {
+            let later = self.later_targets(wanted);
+            if later.is_empty() {
                 return Err(PlaceError::Unavailable);
             }
-            self.ask_permits(&limited, line.len() as u32);
-            if !self.wait_for_permit(&limited, changed, deadline).await {
-                return Err(self.refuse(&line, &limited, patience));
+            self.ask_permits(&later.limited, line.len() as u32);
+            if !self.wait_for_turn(&later, changed, deadline).await {
+                return Err(self.refuse(&line, &later, patience));
             }
         }
     }
 
     /// Waits until a request may be sent to a given target. `false` if there is no permit within
-    /// the time of one ask.
+    /// the time of one ask, or if the target wants no requests.
     pub(crate) async fn permit(self: &Arc<Self>, key: TargetKey) -> bool {
         let deadline = Instant::now() + ASK_TIMEOUT;
         loop {
+            if self.router.is_quiet(key, Instant::now().into_std()) {
+                return false;
+            }
             let changed = self.permits_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
@@ -188,25 +212,33 @@
             let Some(target) = self.router.probe_target(key) else {
                 return false;
             };
-            let target = [target];
-            self.ask_permits(&target, 1);
-            if !self.wait_for_permit(&target, changed, deadline).await {
+            let target = LaterTargets {
+                limited: vec![target],
+                returns: Vec::new(),
+            };
+            self.ask_permits(&target.limited, 1);
+            if !self.wait_for_turn(&target, changed, deadline).await {
                 return false;
             }
         }
     }
 
-    /// Waits until a permit for one of the targets may be had or asked for. `false` if that is not
-    /// before the deadline.
-    async fn wait_for_permit(
+    /// Waits until a permit for one of the targets may be had or asked for, or one of them takes
+    /// requests again. `false` if that is not before the deadline.
+    async fn wait_for_turn(
         &self,
-        targets: &[ProbeTarget],
+        later: &LaterTargets,
         changed: impl Future<Output = ()>,
         deadline: Instant,
     ) -> bool {
         let now = Instant::now();
-        let next = self.limits.lock().next_permit(targets, now.into_std());
-        let wake = match next.map(Instant::from_std) {
+        let permit = self
+            .limits
+            .lock()
+            .next_permit(&later.limited, now.into_std());
+        let times = later.returns.iter().copied();
+        let next = times.chain(permit.map(Instant::from_std)).min();
+        let wake = match next {
             Some(at) if at > now => at,
             // An ask under way is answered, or has failed, by then.
             _ => deadline.min(now + ASK_TIMEOUT),
@@ -219,16 +251,35 @@
         true
     }
 
-    fn refuse(&self, line: &WaitLine, limited: &[ProbeTarget], patience: Patience) -> PlaceError {
+    fn refuse(&self, line: &WaitLine, later: &LaterTargets, patience: Patience) -> PlaceError {
         metrics::counter!("endivefork_limit_refusals_total").increment(1);
         PlaceError::AtLimit(
-            line.return_after(patience.left, |ahead| self.expected_wait(limited, ahead)),
+            line.return_after(patience.left, |ahead| self.expected_wait(later, ahead)),
         )
     }
 
-    fn expected_wait(&self, limited: &[ProbeTarget], ahead: usize) -> Duration {
+    /// Time after which a request that was refused may be placed; `None` if a target takes requests
+    /// now, or if it is not known when one will.
+    pub(crate) fn return_time(&self, request: &CallerRequest) -> Option<Duration> {
+        let wanted = TargetCriteria {
+            service: &request.service,
+            ..TargetCriteria::default()
+        };
+        let later = self.later_targets(wanted);
+        let is_later = !later.is_empty() && self.preferred(wanted).is_none();
+        let line = self.wait_line(wanted.service);
+        let left = request.left(Instant::now());
+        is_later.then(|| line.return_after(left, |ahead| self.expected_wait(&later, ahead)))
+    }
+
+    fn expected_wait(&self, later: &LaterTargets, ahead: usize) -> Duration {
         let now = Instant::now().into_std();
-        self.limits.lock().expected_wait(limited, ahead, now)
+        let returns = later.returns.iter();
+        let returns: Vec<_> = returns
+            .map(|at| (at.into_std().max(now), RETURN_INTERVAL))
+            .collect();
+        let limits = self.limits.lock();
+        limits.expected_wait(&later.limited, &returns, ahead, now)
     }
 
     fn wait_line(&self, service: &str) -> Arc<WaitLine> {
@@ -236,6 +287,24 @@
         Arc::clone(lines.entry(service.into()).or_default())
     }
 
+    /// Targets that a request may use later.
+    fn later_targets(&self, wanted: TargetCriteria<'_>) -> LaterTargets {
+        let limited = self.limited_targets(wanted);
+        let mut returning = self
+            .router
+            .returning(wanted.service, Instant::now().into_std());
+        returning.retain(|(t, _)| {
+            !wanted.excluded.contains(&t.key)
+                && !wanted.avoid_domains.contains(&t.domain)
+                && !limited.iter().any(|l| l.key == t.key)
+        });
+        let returns = returning.into_iter().map(|(_, at)| Instant::from_std(at));
+        LaterTargets {
+            returns: returns.collect(),
+            limited,
+        }
+    }
+
     /// Available targets with a limit that a request may use.
     fn limited_targets(&self, wanted: TargetCriteria<'_>) -> Vec<ProbeTarget> {
         let mut limited = self.limits.lock().limited(wanted.service);
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -150,7 +150,9 @@
     fn give_up(&self, reason: &'static str) -> StreamError {
         StreamError::Local(match self.runs {
             0 => {
-                LocalReply::unavailable(retry_after(RETRY_AFTER_MIN, &self.request.ask.id), reason)
+                let least = retry_after(RETRY_AFTER_MIN, &self.request.ask.id);
+                let wait = self.relay.return_time(&self.request).unwrap_or_default();
+                LocalReply::unavailable(wait.max(least), reason)
             }
             _ => LocalReply::lost(reason),
         })
@@ -233,6 +235,13 @@
             self.relay.probe(&lease);
             return Err(self.record_declined(&lease, "could not connect"));
         };
+        if !self.relay.still_takes(lease.key) {
+            return Err(self.record_declined(&lease, "target takes no further requests"));
+        }
+        let holder = self.backup.as_ref().map(|c| c.lease.key);
+        if holder.is_some_and(|key| !self.relay.still_takes(key)) {
+            self.backup = None;
+        }
         let now = Instant::now();
         let name = lease.name();
         let attempt = AttemptHead {
@@ -288,7 +297,8 @@
         let (mut parts, body) = response.into_parts();
         let head =
             (self.relay.dialect.parse_response)(&self.request.ask.id, parts.status, &parts.headers);
-        self.relay.observe_limit(lease.probe_target(), &head);
+        self.relay
+            .observe_notice(&lease, &head, &connection, now.into_std());
         let violation = match parts.status {
             _ if head.mismatched => Some("answer to another request"),
             _ if head.encoded => Some("encoded answer"),
--- a/src/relay/tests/limits.rs
+++ b/src/relay/tests/limits.rs
@@ -121,7 +121,7 @@
     limits.grant(KEY, none, now, now);
 
     let waits: Vec<_> = (0..3)
-        .map(|ahead| limits.expected_wait(&[target()], ahead, now).as_secs())
+        .map(|ahead| limits.expected_wait(&[target()], &[], ahead, now).as_secs())
         .collect();
 
     assert_eq!(waits, [1, 2, 3]);
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -17,6 +17,16 @@
 /// Age up to which evidence of life, own or a peer's, overrides a peer's report of death.
 const ALIVE_TTL: Duration = Duration::from_secs(1);
 
+/// Longest time for which a target gets no requests on its own word. One that wants none for longer
+/// says so again.
+const QUIET_MAX: Duration = Duration::from_secs(300);
+
+/// Interval between two requests to a target that has asked for quiet and takes requests again.
+pub(crate) const RETURN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after its quiet until which the requests to a target keep that interval.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+
 /// Suspicion score from which a target is avoided while there is another.
 const SUSPECT_SCORE: f64 = 0.5;
 
@@ -36,11 +46,35 @@
     Unavailable,
 }
 
+/// Time for which a target asked for no requests.
+#[derive(Clone, Copy, Debug)]
+struct Quiet {
+    until: Instant,
+    /// Earliest time of the next request after that.
+    next: Instant,
+    /// Whether the target has taken a request that was sent after that.
+    is_over: bool,
+}
+
+impl Quiet {
+    /// Whether the target takes requests as usual again.
+    fn is_past(self, now: Instant) -> bool {
+        self.is_over && now >= self.until + RETURN_TIME
+    }
+}
+
+/// What a target said about the requests it takes. It holds for one incarnation of the target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Notices {
+    leaving: Option<Instant>,
+    quiet: Option<Quiet>,
+}
+
 /// Health of one target.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     listed_leaving: bool,
-    reported_leaving: Option<Instant>,
+    notices: Notices,
     peer_leaving: Option<Instant>,
     suspicion: f64,
     last_fault: Option<Instant>,
@@ -56,15 +90,69 @@
         self.listed_leaving = leaving;
     }
 
-    /// The target reported that it is leaving. The roster may lag behind this.
+    /// What the target said to this instance.
+    pub(crate) fn notices(&self) -> Notices {
+        self.notices
+    }
+
+    /// Restores what the target said to this instance before its entry was replaced.
+    pub(crate) fn restore(&mut self, notices: Notices) {
+        self.notices = notices;
+    }
+
+    /// The target said that it is leaving. The roster may lag behind this.
     pub(crate) fn mark_leaving(&mut self, now: Instant) {
-        self.reported_leaving = Some(now);
+        self.notices.leaving = Some(now);
+    }
+
+    /// The target asked for no requests of this instance during `time`. Answers may arrive in
+    /// another order than they were sent, so the latest end holds.
+    pub(crate) fn mark_quiet(&mut self, time: Duration, now: Instant) {
+        let until = now + time.min(QUIET_MAX);
+        let until = self.notices.quiet.map_or(until, |q| q.until.max(until));
+        let next = self.notices.quiet.map_or(until, |q| q.next.max(until));
+        self.notices.quiet = Some(Quiet {
+            until,
+            next,
+            is_over: false,
+        });
+    }
+
+    /// The target took a request sent at `since`.
+    pub(crate) fn mark_taken(&mut self, since: Instant) {
+        if let Some(quiet) = &mut self.notices.quiet {
+            quiet.is_over |= since >= quiet.until;
+        }
+    }
+
+    /// A request is sent to the target.
+    pub(crate) fn record_sent(&mut self, now: Instant) {
+        match &mut self.notices.quiet {
+            Some(quiet) if quiet.is_past(now) => {
+                self.notices.quiet = None;
+            }
+            Some(quiet) => quiet.next = quiet.next.max(now + RETURN_INTERVAL),
+            None => {}
+        }
+    }
+
+    /// Whether the target has asked for no requests at `now`.
+    pub(crate) fn is_quiet(&self, now: Instant) -> bool {
+        self.notices.quiet.is_some_and(|q| q.until > now)
+    }
+
+    /// When a target that asked for quiet takes its next request; `None` if it has not asked, takes
+    /// requests as usual again, or has another reason to get none.
+    pub(crate) fn returns_at(&self, now: Instant) -> Option<Instant> {
+        let returning = self.notices.quiet.filter(|q| !q.is_past(now));
+        let returning = returning.filter(|_| !self.leaving(now) && !self.blocked(now));
+        returning.map(|q| q.next)
     }
 
     /// The target reported that it was not leaving at `at`, as after a restart. A later report of
     /// leaving stays in force.
     pub(crate) fn clear_leaving(&mut self, at: Instant) {
-        self.reported_leaving = self.reported_leaving.filter(|reported| *reported >= at);
+        self.notices.leaving = self.notices.leaving.filter(|reported| *reported >= at);
     }
 
     /// A peer reported that the target is leaving.
@@ -72,9 +160,9 @@
         self.peer_leaving = Some(now);
     }
 
-    /// Whether the target itself reported to this instance that it is leaving.
+    /// Whether the target itself told this instance that it is leaving.
     pub(crate) fn reported_leaving(&self) -> bool {
-        self.reported_leaving.is_some()
+        self.notices.leaving.is_some()
     }
 
     fn leaving(&self, now: Instant) -> bool {
@@ -150,8 +238,16 @@
     pub(crate) fn availability(&self, now: Instant) -> Availability {
         match () {
             () if self.leaving(now) || self.blocked(now) => Availability::Unavailable,
+            () if self
+                .notices
+                .quiet
+                .is_some_and(|q| q.next > now && !q.is_past(now)) =>
+            {
+                Availability::Unavailable
+            }
             () if self.suspicion_score(now) >= SUSPECT_SCORE => Availability::Suspected,
             () if self.blocked_until.is_some() => Availability::HalfOpen,
+            () if self.notices.quiet.is_some_and(|q| !q.is_over) => Availability::HalfOpen,
             () => Availability::Healthy,
         }
     }
--- a/src/routing/lease.rs
+++ b/src/routing/lease.rs
@@ -56,7 +56,10 @@
 impl Lease {
     /// Counts a request at `entry` that comes from `region`.
     pub(crate) fn new(entry: &Arc<Entry>, region: &str, work: Work, now: Instant) -> Self {
-        entry.state.lock().load.start(work, now);
+        let mut state = entry.state.lock();
+        state.load.start(work, now);
+        state.health.record_sent(now);
+        drop(state);
         Self {
             key: entry.target.key,
             addr: entry.target.addr,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod health;
 mod lease;
 mod load;
+mod notices;
 mod outage;
 mod peer_report;
 mod policy;
@@ -17,6 +18,7 @@
 mod router;
 mod table;
 
+pub(crate) use health::RETURN_INTERVAL;
 pub use lease::{Lease, ProbeTarget};
 pub use load::{LoadReport, Work};
 pub use peer_report::{Departure, InflightCount, PeerReport};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -63,7 +63,7 @@
     costs: Costs,
     base: Instant,
     table: RwLock<Arc<Table>>,
-    /// Entries that are no longer in the table and still have requests.
+    /// Entries that are no longer in the table and may still have requests.
     departed: Mutex<Vec<Weak<Entry>>>,
     next_turn: AtomicUsize,
     peer_targets: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
@@ -312,11 +312,6 @@
         self.with_entry(key, |entry| entry.state.lock().health.confirm_alive(at));
     }
 
-    /// Records that the target reported that it is leaving.
-    pub fn mark_leaving(&self, key: TargetKey, now: Instant) {
-        self.with_entry(key, |entry| entry.state.lock().health.mark_leaving(now));
-    }
-
     /// Removes a peer that is gone.
     pub fn remove_peer(&self, origin: &str) {
         self.peer_targets.lock().swap_remove(origin);
@@ -455,7 +450,7 @@
         Some(estimate)
     }
 
-    fn table(&self) -> Arc<Table> {
+    pub(super) fn table(&self) -> Arc<Table> {
         Arc::clone(&self.table.read())
     }
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -1,7 +1,7 @@
 //! The targets of one fleet snapshot, indexed by service, version and failure domain.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -9,11 +9,15 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::health::Health;
+use super::health::{Health, Notices};
 use super::load::{HoldTime, Load};
 use crate::fleet::Target;
 use crate::ident::TargetKey;
 
+/// Time for which the entry of a target that is no longer listed is kept with what the target said: it
+/// may be listed again, as after an outage of the platform. Keys are reused later than that.
+const UNLISTED_TTL: Duration = Duration::from_secs(300);
+
 /// Points of each target on a group's hash ring.
 const RING_POINTS: u64 = 8;
 
@@ -38,8 +42,9 @@
 }
 
 impl Entry {
-    fn new(target: Target, hold_time: Arc<HoldTime>, base: Instant) -> Self {
+    fn new(target: Target, hold_time: Arc<HoldTime>, base: Instant, notices: Notices) -> Self {
         let mut health = Health::default();
+        health.restore(notices);
         health.set_listed_leaving(target.leaving);
         Self {
             hash: xxh3_64(target.name.as_bytes()),
@@ -98,6 +103,8 @@
     entries: Vec<Option<Arc<Entry>>>,
     names: IndexMap<SmolStr, TargetKey>,
     services: IndexMap<SmolStr, IndexMap<SmolStr, Pool>>,
+    /// Targets that are no longer listed, and since when.
+    unlisted: IndexMap<TargetKey, (Arc<Entry>, Instant)>,
 }
 
 impl Table {
@@ -111,6 +118,7 @@
         for target in targets {
             table.insert(target, old, base);
         }
+        table.unlisted = table.unlisted_since(old);
         let entries = &table.entries;
         let pools = table.services.values_mut().flat_map(IndexMap::values_mut);
         pools
@@ -135,6 +143,25 @@
         self.services.get(service)?.get(version)
     }
 
+    /// Targets of `old`, listed there or not, that are not listed in this table.
+    fn unlisted_since(&self, old: &Self) -> IndexMap<TargetKey, (Arc<Entry>, Instant)> {
+        let now = Instant::now();
+        let removed = old.entries().map(|e| (Arc::clone(e), now));
+        let unlisted = removed.chain(old.unlisted.values().cloned());
+        let kept = unlisted.filter(|(entry, since)| {
+            let is_recent = now.saturating_duration_since(*since) < UNLISTED_TTL;
+            is_recent && self.entry(entry.target.key).is_none()
+        });
+        let by_key = kept.map(|(entry, since)| (entry.target.key, (entry, since)));
+        by_key.collect()
+    }
+
+    /// A target that is listed, or was until lately.
+    pub(crate) fn known(&self, key: TargetKey) -> Option<&Arc<Entry>> {
+        let unlisted = || self.unlisted.get(&key).map(|(entry, _)| entry);
+        self.entry(key).or_else(unlisted)
+    }
+
     fn hold_time(&self, target: &Target) -> Arc<HoldTime> {
         let pool = self.pool(&target.service, &target.version);
         pool.map_or_else(Arc::default, |pool| Arc::clone(&pool.hold_time))
@@ -170,15 +197,21 @@
 /// Reuses the old entry of a target that did not change, or of which only `leaving` changed, so
 /// that its counts are kept.
 fn reuse_entry(target: Target, hold_time: Arc<HoldTime>, old: &Table, base: Instant) -> Arc<Entry> {
+    let new = |target: Target| {
+        let known = old.known(target.key);
+        let notices = known.map(|e| e.state.lock().health.notices());
+        let notices = notices.unwrap_or_default();
+        Arc::new(Entry::new(target, Arc::clone(&hold_time), base, notices))
+    };
     let Some(entry) = old.entry(target.key) else {
-        return Arc::new(Entry::new(target, hold_time, base));
+        return new(target);
     };
     let unchanged = Target {
         leaving: entry.target.leaving,
         ..target.clone()
     } == entry.target;
     if !unchanged {
-        return Arc::new(Entry::new(target, hold_time, base));
+        return new(target);
     }
     entry.state.lock().health.set_listed_leaving(target.leaving);
     Arc::clone(entry)
