Report a departure that names its start for 1.5 s

Every instance repeated each leaving target in all its reports, five a second in a large fleet, for as long as the target stayed listed. With the header each instance hears it from every target that it uses, and a roll of the whole fleet would fill the control budget.

A start that is named does not come back, so a peer's word of it holds without being repeated, for 300 s, and is told in the reports of 1.5 s. departures_fit_the_control_budget_at_295_instances: under 2.5 kB/s where all 331 targets are replaced within a minute. Departures without a named start are repeated as before.

--- a/src/relay/tests/aggregate.rs
+++ b/src/relay/tests/aggregate.rs
@@ -10,7 +10,7 @@
 use crate::relay::aggregate::{Aggregate, LoadReplica, LoadSummary, Origin, Version};
 use crate::relay::exchange::{RecentFailures, Reporter};
 use crate::relay::retries::Usage;
-use crate::routing::{InflightCount, PeerReport, Work};
+use crate::routing::{DEPARTURE_NEWS_TIME, Departure, InflightCount, PeerReport, Work};
 
 const RUN: Work = Work {
     prompt: 8_000,
@@ -243,3 +243,23 @@
         assert!(max_pending <= 49, "{work} ms: {max_pending} in flight");
     }
 }
+
+/// Every target of the fleet is replaced within a minute, and each instance hears it from each.
+#[test]
+fn departures_fit_the_control_budget_at_295_instances() {
+    const TARGETS: f64 = 331.0;
+    const ROLL_SECONDS: f64 = 60.0;
+    /// Reports of an instance to its aggregator.
+    const REPORTS_PER_SECOND: f64 = 5.0;
+    let departure = Departure {
+        target: "i-7f3a91c2d4".into(),
+        incarnation: 1_764_900_000_000,
+    };
+
+    let bytes = crate::peer::encode(&departure).len() as f64;
+    let reports = DEPARTURE_NEWS_TIME.as_secs_f64() * REPORTS_PER_SECOND;
+    // Once in the report and once in its reply.
+    let spent = TARGETS / ROLL_SECONDS * reports * 2.0 * bytes;
+
+    assert!(spent < 2_500.0, "{spent} bytes a second");
+}
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -14,6 +14,13 @@
 /// How long a peer's report that a target is leaving holds unless it is repeated.
 const PEER_LEAVING_TTL: Duration = Duration::from_secs(10);
 
+/// How long a peer's report holds that names the leaving start of a target: that one does not come
+/// back.
+const PEER_DEPARTURE_TTL: Duration = Duration::from_secs(300);
+
+/// How long an instance reports such a departure to its peers: several reports.
+pub(crate) const DEPARTURE_NEWS_TIME: Duration = Duration::from_millis(1500);
+
 /// Age up to which evidence of life, own or a peer's, overrides a peer's report of death.
 const ALIVE_TTL: Duration = Duration::from_secs(1);
 
@@ -63,10 +70,12 @@
     }
 }
 
-/// What a target said about the requests it takes. It holds for one incarnation of the target.
+/// What a target said about the requests it takes, to this instance or a peer. It holds for one incarnation of the target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Notices {
     leaving: Option<Instant>,
+    /// Until when a peer's report holds that the target is leaving.
+    peer_leaving: Option<Instant>,
     quiet: Option<Quiet>,
 }
 
@@ -75,7 +84,6 @@
 pub(crate) struct Health {
     listed_leaving: bool,
     notices: Notices,
-    peer_leaving: Option<Instant>,
     suspicion: f64,
     last_fault: Option<Instant>,
     blocked_until: Option<Instant>,
@@ -155,9 +163,18 @@
         self.notices.leaving = self.notices.leaving.filter(|reported| *reported >= at);
     }
 
-    /// A peer reported that the target is leaving.
-    pub(crate) fn mark_peer_leaving(&mut self, now: Instant) {
-        self.peer_leaving = Some(now);
+    /// A peer reported that the target is leaving; `named` if it named the target's present start.
+    pub(crate) fn mark_peer_leaving(&mut self, named: bool, now: Instant) {
+        let ttl = match named {
+            true => PEER_DEPARTURE_TTL,
+            false => PEER_LEAVING_TTL,
+        };
+        self.notices.peer_leaving = self.notices.peer_leaving.max(Some(now + ttl));
+    }
+
+    /// When the target first told this instance that it is leaving.
+    pub(crate) fn leaving_since(&self) -> Option<Instant> {
+        self.notices.leaving
     }
 
     /// Whether the target itself told this instance that it is leaving.
@@ -166,9 +183,7 @@
     }
 
     fn leaving(&self, now: Instant) -> bool {
-        let peer = self
-            .peer_leaving
-            .is_some_and(|at| at + PEER_LEAVING_TTL > now);
+        let peer = self.notices.peer_leaving.is_some_and(|until| until > now);
         self.listed_leaving || self.reported_leaving() || peer
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,6 +18,8 @@
 mod router;
 mod table;
 
+#[cfg(test)]
+pub(crate) use health::DEPARTURE_NEWS_TIME;
 pub(crate) use health::RETURN_INTERVAL;
 pub use lease::{Lease, ProbeTarget};
 pub use load::{LoadReport, Work};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use smol_str::SmolStr;
 
-use super::health::Availability;
+use super::health::{Availability, DEPARTURE_NEWS_TIME};
 use super::lease::{Lease, ProbeTarget};
 use super::load::{LoadReport, Work};
 use super::outage::Outages;
@@ -334,10 +334,15 @@
             if state.health.found_dead(now) {
                 report.dead.push(name.clone());
             }
-            if state.health.reported_leaving() {
+            let incarnation = entry.target.incarnation;
+            // Without a name for the start, the report holds only while it is repeated.
+            let is_due = |since| {
+                incarnation == 0 || now.saturating_duration_since(since) < DEPARTURE_NEWS_TIME
+            };
+            if state.health.leaving_since().is_some_and(is_due) {
                 report.leaving.push(Departure {
                     target: name.clone(),
-                    incarnation: entry.target.incarnation,
+                    incarnation,
                 });
             }
         }
@@ -378,7 +383,8 @@
             (entry.target.incarnation == left.incarnation).then_some(entry)
         });
         for entry in leaving {
-            entry.state.lock().health.mark_peer_leaving(now);
+            let named = entry.target.incarnation != 0;
+            entry.state.lock().health.mark_peer_leaving(named, now);
         }
     }
 
