Send each call that may be repeated over a new connection

What callers saw: on the own interface, a caller whose call may be repeated got the answer to another caller's earlier call, when a faulty target wrote that answer once more on a kept connection.

Cause: the first send of such a call used an idle connection. Answers of plain services name no call. The target writes the earlier answer after it has read the next call, so looking for unexpected bytes before a call or after an answer cannot tell the two apart; waiting for more after each answer would only make it rarer.

Fix: each call gets a connection of its own, as actions, starts of attempts and status calls do already. It costs a round trip inside the failure domain. A target that writes a wrong answer on a new connection is not covered.

There is no kept connection any more.

--- a/src/action/safe.rs
+++ b/src/action/safe.rs
@@ -1,10 +1,12 @@
 //! Calls that may be repeated: on failure they are retried at another target, within the retry
-//! budget.
+//! budget. Each is sent over a new connection: an answer names no call, so one to an earlier call
+//! on a kept connection would be taken for it.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use http::Method;
+use http::header::CONNECTION;
+use http::{HeaderValue, Method};
 
 use super::{Actions, Call, ChosenTarget, Outcome, TargetResult};
 use crate::failure::Failure;
@@ -35,7 +37,7 @@
             };
             excluded.push(pick.addr);
             let send_timeout = send_timeout(remaining, MAX_SENDS - sent);
-            match self.send_safe(&call, pick, send_timeout, sent).await {
+            match self.send_safe(&call, pick, send_timeout).await {
                 Ok(answer) => return Ok(Outcome::from_answer(answer)),
                 Err(failure) => last_failure = failure,
             }
@@ -56,14 +58,14 @@
         call: &Call,
         pick: ChosenTarget,
         send_timeout: Duration,
-        sent: usize,
     ) -> Result<Answer, Failure> {
         let url = format!("http://{}{}", pick.addr, call.path);
         let mut req = request(call.method.clone(), &url, call.body.clone());
         *req.headers_mut() = plain::forwarded(&call.headers);
-        // A retry uses a new connection, since a pooled one may be dead without having been closed.
-        let via = if sent == 0 { Via::Pool } else { Via::Fresh };
-        match self.inner.http.send(via, req, send_timeout).await {
+        // Lets the target close first, so that this instance keeps its port for later connections.
+        let close = HeaderValue::from_static("close");
+        req.headers_mut().insert(CONNECTION, close);
+        match self.inner.http.send(Via::Fresh, req, send_timeout).await {
             Ok(answer) if is_retryable(&answer) => {
                 (pick.report)(TargetResult::Answered(answer.status.as_u16()));
                 Err(Failure::failed(
