Keep a silent run until its successor has begun

Callers saw: streams cut 0.6 s after their request, with most of their time left, at an engine that was silent for 1.3 s and went on.

Cause: a run at a silent engine was ended as soon as its successor had a permit, a connection and a retry. The next engine may still decline (no copy, no free place). Then the stream had no run left: six refusals within a few milliseconds ended it with "no attempt left", and with few retries it waited for one until its deadline.

The silent run is now set aside with its connection open, and goes on if the successor declines or finds no place. Such a refusal does not count towards the stream's refusals, which are for losses.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -4,6 +4,7 @@
 
 mod open;
 mod sequence;
+mod silent;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 use crate::routing::{Lease, Work};
 use crate::telemetry::Stage;
 use sequence::{Next, Rest, Sequence};
+use silent::SilentRun;
 
 /// Output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 1024;
@@ -64,8 +66,8 @@
 #[derive(Debug)]
 struct Upstream {
     lease: Lease,
-    /// Closed when the upstream is dropped, which makes the engine cancel the run.
-    _connection: Connection,
+    /// Closed when it is dropped, which makes the engine cancel the run.
+    connection: Option<Connection>,
     body: Incoming,
     splitter: EventSplitter,
     timeouts: StallTimeouts,
@@ -102,6 +104,8 @@
     request: CallerRequest,
     digest: u128,
     upstream: Option<Upstream>,
+    /// The run before, until the current one has begun.
+    silent: Option<SilentRun>,
     /// Engine that is to receive the copy of the current run's KV cache; moved to `copy_task` with
     /// the first event.
     backup: Option<RunCopy>,
@@ -158,6 +162,7 @@
         relay: Arc::clone(relay),
         request,
         upstream: None,
+        silent: None,
         digest,
         backup: None,
         copy_task: None,
@@ -292,7 +297,9 @@
                     if self.upstream.as_ref().is_some_and(is_cut) {
                         self.rest = Rest::Cut;
                     }
-                    if let Some(error) = self.end_run(loss) {
+                    if loss == Loss::Stalled {
+                        self.set_aside();
+                    } else if let Some(error) = self.end_run(loss) {
                         return Step::Error(error);
                     }
                 }
@@ -381,6 +388,12 @@
 
     /// Excludes an engine that lost a run, and its domain, from the next run.
     fn exclude(&mut self, lease: &Lease, loss: Loss, progress: RunProgress) {
+        self.excluded.push(lease.key);
+        self.avoid_domains = vec![lease.domain()];
+        self.record_loss(lease, loss, progress);
+    }
+
+    fn record_loss(&self, lease: &Lease, loss: Loss, progress: RunProgress) {
         let name = lease.name();
         let elapsed = progress.last_seen.elapsed();
         self.relay.decisions.attempt_failed(&FailedAttempt {
@@ -392,8 +405,6 @@
         if loss == Loss::Stalled {
             count_abandoned(loss.reason());
         }
-        self.excluded.push(lease.key);
-        self.avoid_domains = vec![lease.domain()];
         if loss == Loss::DeadlineExceeded || loss == Loss::Quarantined {
             return;
         }
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::sequence::Sequence;
+use super::silent::{DECLINE_WAIT, SilentRun};
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
 use crate::relay::connections::{Connection, SendError};
@@ -46,9 +47,21 @@
 }
 
 impl Stream {
+    /// Opens a run. A silent run that was set aside for it goes on if it does not begin.
+    pub(super) async fn open(&mut self) -> Result<(), StreamError> {
+        let opened = self.open_next().await;
+        match opened {
+            Err(_) if self.silent.is_some() && self.restore_silent() => Ok(()),
+            opened => {
+                self.drop_silent();
+                opened
+            }
+        }
+    }
+
     /// Opens a run, from the copy of the lost run if there is one, otherwise by prefilling the
     /// prompt.
-    pub(super) async fn open(&mut self) -> Result<(), StreamError> {
+    async fn open_next(&mut self) -> Result<(), StreamError> {
         loop {
             match self.relay.admit_suspect(&self.request).await {
                 Ok(trial) => self.trial = trial,
@@ -104,12 +117,15 @@
             self.log_placement(&lease, copied.is_some());
             self.relay.gossip_wakeup.notify_one();
             let connection = connection.filter(|_| key == Some(lease.key));
+            let runs = self.runs;
             match self.attempt(lease, copied, connection).await {
                 Ok(upstream) => {
                     self.upstream = Some(upstream);
                     return Ok(());
                 }
                 Err(AttemptError::Fatal(error)) => return Err(error),
+                Err(AttemptError::Retry) if self.runs > runs => self.drop_silent(),
+                Err(AttemptError::Retry) if self.restore_silent() => return Ok(()),
                 Err(AttemptError::Retry) => {}
             }
         }
@@ -274,7 +290,19 @@
             _ => Purpose::Retry,
         };
         self.relay.record_sent(lease.key, purpose);
-        let sent = stall.watch(connection.send(request)).await;
+        let mut silent = self.silent.take();
+        let sent = {
+            let sent = stall.watch(connection.send(request));
+            tokio::pin!(sent);
+            match timeout(DECLINE_WAIT, sent.as_mut()).await {
+                Ok(sent) => sent,
+                Err(_) => {
+                    silent.iter_mut().for_each(SilentRun::end);
+                    sent.await
+                }
+            }
+        };
+        self.silent = silent;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Unsent)) => {
@@ -289,6 +317,9 @@
         let head =
             (self.relay.dialect.parse_response)(&self.request.ask.id, parts.status, &parts.headers);
         self.relay.observe_limit(lease.probe_target(), &head);
+        if !head.not_run && !head.misdirected {
+            self.silent.iter_mut().for_each(SilentRun::end);
+        }
         let violation = match parts.status {
             _ if head.mismatched => Some("answer to another request"),
             _ if head.encoded => Some("encoded answer"),
@@ -320,7 +351,7 @@
         }
         Ok(Upstream {
             lease,
-            _connection: connection,
+            connection: Some(connection),
             body,
             splitter: EventSplitter::default(),
             timeouts,
