Keep half of a fleet's retries for losses beside silences

Callers saw: with several instances beside silent services, streams and calls at engines that were really lost wait for a retry or are answered 502, because runs that only might need one took it.

Cause: with the fleet's usage known, a run at a silent target took half of its instance's share of what remained, again every two seconds, so what remained shrank towards zero within a window; and loans, which most losses of a large fleet depend on, were given for silences without any reserve. Only an instance that does not know the fleet's usage kept a reserve.

Spare retries now come from a half of the allowance, and a loan says whether it is one.

--- a/src/relay/queries.rs
+++ b/src/relay/queries.rs
@@ -10,6 +10,7 @@
 
 use super::dialect::CopyRef;
 use super::relay::Relay;
+use super::retries::Loan;
 use crate::peer::{Member, Tag};
 
 /// Timeout of a query for a run's copy: twice the network delay between regions.
@@ -25,9 +26,8 @@
     /// Registers the handlers of these queries.
     pub(crate) fn handle_queries(self: &Arc<Self>) {
         let me = Arc::clone(self);
-        self.peers.on(Tag::Usage, move |_, service: SmolStr| {
-            ready(me.lend_retry(&service))
-        });
+        self.peers
+            .on(Tag::Usage, move |_, loan: Loan| ready(me.lend_retry(&loan)));
         let me = Arc::clone(self);
         self.peers.on(Tag::Run, move |_, digest: u128| {
             ready(me.runs.lock().take(digest, Instant::now()))
@@ -36,25 +36,29 @@
 
     /// Borrows a retry from an aggregator: first that of this failure domain, then others, those of
     /// this region first.
-    pub(crate) async fn borrow_retry(&self, service: &SmolStr) -> bool {
+    pub(crate) async fn borrow_retry(&self, service: &SmolStr, spare: bool) -> bool {
         if !self.peers.is_tiered() {
             return false;
         }
+        let service = service.clone();
+        let loan = Loan { service, spare };
         for donor in self.donors() {
             let is_lent = match donor.name == self.settings.instance.name {
-                true => self.lend_retry(service),
-                false => self.request_loan(&donor.name, service).await,
+                true => self.lend_retry(&loan),
+                false => self.request_loan(&donor.name, &loan).await,
             };
             if is_lent {
-                self.retries.lock().record_retry(service, Instant::now());
+                self.retries
+                    .lock()
+                    .record_retry(&loan.service, Instant::now());
                 return true;
             }
         }
         false
     }
 
-    async fn request_loan(&self, donor: &str, service: &SmolStr) -> bool {
-        let call = self.peers.call(donor, Tag::Usage, service, LOAN_TIMEOUT);
+    async fn request_loan(&self, donor: &str, loan: &Loan) -> bool {
+        let call = self.peers.call(donor, Tag::Usage, loan, LOAN_TIMEOUT);
         call.await.unwrap_or_else(|e| {
             info!(self.decisions.log, "retry: could not ask an aggregator";
                 "aggregator" => donor, "error" => %e);
@@ -70,9 +74,9 @@
         local.chain(remote).take(DONORS_MAX).collect()
     }
 
-    fn lend_retry(&self, service: &SmolStr) -> bool {
+    fn lend_retry(&self, loan: &Loan) -> bool {
         let reporters = self.aggregate.lock().members();
-        self.retries.lock().lend(service, reporters, Instant::now())
+        self.retries.lock().lend(loan, reporters, Instant::now())
     }
 
     /// Asks aggregators for the location of a run's copy: first that of this failure domain, then
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -287,7 +287,7 @@
     pub(crate) async fn take_retry(&self, service: &SmolStr) -> bool {
         let members = self.peers.others() + 1;
         let own = self.retries.lock().take(service, members, Instant::now());
-        let taken = own || self.borrow_retry(service).await;
+        let taken = own || self.borrow_retry(service, false).await;
         if !taken {
             metrics::counter!("endivefork_retries_denied_total").increment(1);
         }
@@ -300,7 +300,7 @@
         let members = self.peers.others() + 1;
         let now = Instant::now();
         let own = self.retries.lock().take_spare(service, members, now);
-        own || share == RetryShare::SpareOrLoan && self.borrow_retry(service).await
+        own || self.may_borrow_spare(service, share) && self.borrow_retry(service, true).await
     }
 
     /// Whether [`Self::take_spare_retry`] may take a retry. Asked first, as a target's permit and a
@@ -309,7 +309,16 @@
         let members = self.peers.others() + 1;
         let now = Instant::now();
         let has_own = self.retries.lock().has_spare(service, members, now);
-        has_own || share == RetryShare::SpareOrLoan && self.peers.is_tiered()
+        has_own || self.may_borrow_spare(service, share)
+    }
+
+    fn may_borrow_spare(&self, service: &SmolStr, share: RetryShare) -> bool {
+        share == RetryShare::SpareOrLoan
+            && self.peers.is_tiered()
+            && self
+                .retries
+                .lock()
+                .may_borrow_spare(service, Instant::now())
     }
 
     /// Probes a target.
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -32,7 +32,7 @@
 /// instances that need more than their own share.
 const LOCAL_SHARE: f64 = 0.5;
 
-/// Part of this instance's share that may be spent on runs that may not need it.
+/// Part of the retries that may be spent on runs that may not need them.
 const SPARE_SHARE: f64 = 0.5;
 
 /// Number of buckets that the fleet's usage may not include yet: the present one and the one before
@@ -50,6 +50,14 @@
     pub(crate) retries: u32,
 }
 
+/// A retry that an instance asks another one for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Loan {
+    pub(crate) service: SmolStr,
+    /// Whether it is for a run that may not need it.
+    pub(crate) spare: bool,
+}
+
 /// Usage summed over all reporting instances.
 #[derive(Debug)]
 struct FleetUsage {
@@ -176,8 +184,9 @@
         match self.fleet.as_ref().filter(is_fresh) {
             Some(fleet) => {
                 let (_, recent) = self.count(&self.services, service, LAG_BUCKETS, now);
-                let share = LOCAL_SHARE * self.remaining(fleet, service) / fleet.members as f64;
-                recent < self.round(usable * share, service)
+                let remaining = self.remaining(usable, fleet, service);
+                let share = LOCAL_SHARE * remaining / fleet.members as f64;
+                recent < self.round(share, service)
             }
             None => {
                 let (requests, retries) = self.count(&self.services, service, BUCKETS, now);
@@ -192,6 +201,14 @@
         }
     }
 
+    /// Whether the fleet has retries left for runs that may not need them, so that one may be
+    /// borrowed.
+    pub(crate) fn may_borrow_spare(&self, service: &SmolStr, now: Instant) -> bool {
+        let is_fresh = |s: &&FleetUsage| now.saturating_duration_since(s.at) < USAGE_TTL;
+        let fleet = self.fleet.as_ref().filter(is_fresh);
+        fleet.is_some_and(|fleet| self.remaining(SPARE_SHARE, fleet, service) >= 1.0)
+    }
+
     /// Counts a retry that was taken from the local share or borrowed.
     pub(crate) fn record_retry(&mut self, service: &SmolStr, now: Instant) {
         self.bucket(service, now).retries += 1;
@@ -199,14 +216,19 @@
 
     /// Lends a retry to another instance. Loans are limited to the share of the `reporters`
     /// instances that report to this aggregator.
-    pub(crate) fn lend(&mut self, service: &SmolStr, reporters: usize, now: Instant) -> bool {
+    pub(crate) fn lend(&mut self, loan: &Loan, reporters: usize, now: Instant) -> bool {
+        let service = &loan.service;
+        let usable = match loan.spare {
+            true => SPARE_SHARE,
+            false => 1.0,
+        };
         let is_fresh = |s: &&FleetUsage| now.saturating_duration_since(s.at) < USAGE_TTL;
         let Some(fleet) = self.fleet.as_ref().filter(is_fresh) else {
             return false;
         };
         let (_, recent) = self.count(&self.lent, service, LAG_BUCKETS, now);
         let share = reporters as f64 / fleet.members as f64;
-        let limit = (1.0 - LOCAL_SHARE) * self.remaining(fleet, service) * share.min(1.0);
+        let limit = (1.0 - LOCAL_SHARE) * self.remaining(usable, fleet, service) * share.min(1.0);
         let is_lent = f64::from(recent) + 1.0 <= limit;
         if is_lent {
             let number = self.bucket_number(now);
@@ -215,12 +237,12 @@
         is_lent
     }
 
-    /// Remaining retries of the fleet, by its reported usage.
-    fn remaining(&self, fleet: &FleetUsage, service: &SmolStr) -> f64 {
+    /// Remaining retries of the fleet's `usable` part, by its reported usage.
+    fn remaining(&self, usable: f64, fleet: &FleetUsage, service: &SmolStr) -> f64 {
         let usage = fleet.usage.iter().find(|u| u.service == *service);
         let (requests, retries) = usage.map_or((0, 0), |u| (u.requests, u.retries));
         let slack = self.allowance.slack * fleet.reporting;
-        let limit = USABLE_SHARE * (self.allowance.ratio * f64::from(requests) + slack);
+        let limit = usable * USABLE_SHARE * (self.allowance.ratio * f64::from(requests) + slack);
         (limit - f64::from(retries)).max(0.0)
     }
 
--- a/src/relay/tests/retries.rs
+++ b/src/relay/tests/retries.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::relay::queries::DONORS_MAX;
-use crate::relay::retries::{Allowance, RetryBudget, Usage};
+use crate::relay::retries::{Allowance, Loan, RetryBudget, Usage};
 
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.8,
@@ -140,9 +140,13 @@
         let domains = Self::DOMAINS.min(reporting);
         let asked = (0..DONORS_MAX).map(|n| (who + n) % domains);
         let mut asked = asked.filter(|_| !own && who >= self.isolated);
+        let loan = Loan {
+            service: self.service.clone(),
+            spare: false,
+        };
         let lent = asked.any(|domain| {
             let near = (reporting - domain).div_ceil(domains);
-            self.all[self.isolated + domain].lend(&self.service, near, now)
+            self.all[self.isolated + domain].lend(&loan, near, now)
         });
         if lent {
             self.all[who].record_retry(&self.service, now);
