Let a stream whose events arrive outlive a refused connection to its engine

Callers saw: a stream whose events arrived every 40 ms ended at once when another request was refused a new connection by the same engine, as by one that is leaving and has closed its listener. Streams that may be resumed were moved, which cost an attempt and a retry each.

Cause: a probe that gets no new connection marks the target dead, which ended each run there, though an event had just come over the run's own connection.

A run that has begun is ended with its target only once it is silent for as long as it takes to probe the target. Its own probe then tells at once whether the target is really dead.

--- a/src/relay/stall.rs
+++ b/src/relay/stall.rs
@@ -87,7 +87,14 @@
             tokio::select! {
                 biased;
                 done = task.as_mut() => return Ok(done),
-                () = lost.as_mut() => return Err(Loss::Dead),
+                () = lost.as_mut() => {
+                    // A target that refuses new connections may still serve those it has.
+                    if !timeouts.has_started() || since.elapsed() >= timeouts.probe_after() {
+                        return Err(Loss::Dead);
+                    }
+                    lost.set(self.lease.lost());
+                    continue;
+                }
                 () = quarantined.as_mut(), if !timeouts.has_started() => {
                     if self.relay.quarantine_left(self.parts).is_some() {
                         return Err(Loss::Quarantined);
