Let a begun stream wait while no engine is available

A stream whose run broke off while its service listed no engine, or all were blocked, was aborted at once with seconds of its time left. Its caller has a part of the events and can get no other answer, so giving up is worth nothing.

It now looks for an engine until its deadline, before it takes a retry, so that a look costs none and a retry is counted when it is used. The same holds when all engines are at their limits; a retry taken for that is kept for a second at most. Streams that have not begun and calls are refused at once as before.

--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -39,6 +39,12 @@
 /// request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a stream without an engine looks for one.
+const ENGINE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest time between taking a retry and its use. The budget counts a retry when it is taken.
+const RETRY_LIFE: Duration = Duration::from_secs(1);
+
 /// Why an attempt did not open a run.
 enum AttemptError {
     Retry,
@@ -49,6 +55,7 @@
     /// Opens a run, from the copy of the lost run if there is one, otherwise by prefilling the
     /// prompt.
     pub(super) async fn open(&mut self) -> Result<(), StreamError> {
+        let mut holds_retry = false;
         loop {
             match self.relay.admit_suspect(&self.request).await {
                 Ok(trial) => self.trial = trial,
@@ -67,7 +74,11 @@
                 return Err(self.give_up("no attempt left"));
             }
             let successor = self.successor.lock().take();
-            let has_retry = attempts == 0 || successor.is_some();
+            if successor.is_none() && !self.engine_returns().await {
+                return Err(self.give_up("no engine can be reached"));
+            }
+            let has_retry =
+                attempts == 0 || successor.is_some() || std::mem::take(&mut holds_retry);
             if !has_retry && !self.take_retry().await {
                 return Err(self.give_up("retry budget spent"));
             }
@@ -86,10 +97,22 @@
             };
             let lease = match lease {
                 Ok(lease) => lease,
-                Err(PlaceError::Unavailable) => {
-                    return Err(self.give_up("no engine can be reached"));
+                Err(error) => {
+                    let wait = match error {
+                        PlaceError::Unavailable => ENGINE_INTERVAL,
+                        PlaceError::AtLimit(wait) => {
+                            wait.min(self.request.left(now) / 2).max(ENGINE_INTERVAL)
+                        }
+                    };
+                    if self.pause(wait).await {
+                        holds_retry = wait <= RETRY_LIFE;
+                        continue;
+                    }
+                    return Err(match error {
+                        PlaceError::Unavailable => self.give_up("no engine can be reached"),
+                        PlaceError::AtLimit(wait) => self.refuse_at_limit(wait),
+                    });
                 }
-                Err(PlaceError::AtLimit(wait)) => return Err(self.refuse_at_limit(wait)),
             };
             // It may have waited for a permit meanwhile.
             if !self.trial
@@ -115,19 +138,41 @@
         }
     }
 
-    /// Takes a retry. A stream that has begun waits for one until its deadline, as there is no other
-    /// answer left for its caller.
+    /// Takes a retry, for which a stream that has begun waits.
     async fn take_retry(&self) -> bool {
         let service = &self.request.service;
         while !self.relay.take_retry(service).await {
-            if !self.has_begun() || Instant::now() + RETRY_INTERVAL >= self.request.deadline {
+            if !self.pause(RETRY_INTERVAL).await {
                 return false;
             }
-            sleep(RETRY_INTERVAL).await;
         }
         true
     }
 
+    /// Waits, if the stream has begun, until an engine is available. `false` if none is in time.
+    async fn engine_returns(&self) -> bool {
+        let wanted = TargetCriteria {
+            service: &self.request.service,
+            ..TargetCriteria::default()
+        };
+        while self.has_begun() && self.relay.preferred(wanted).is_none() {
+            if !self.pause(ENGINE_INTERVAL).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Pauses a stream that has begun, as there is no other answer left for its caller. `false` at
+    /// once if it has not, or if its deadline comes first.
+    async fn pause(&self, time: Duration) -> bool {
+        let waits = self.has_begun() && Instant::now() + time < self.request.deadline;
+        if waits {
+            sleep(time).await;
+        }
+        waits
+    }
+
     /// Whether the caller has got an event.
     fn has_begun(&self) -> bool {
         self.last_id != self.request.ask.last_event
