Let a begun stream outlast engines that decline it

Six attempts that were declined, or that could not connect, ended a stream within milliseconds, also one that had begun. Engines that restart together do that for a second or two.

A stream that has begun makes another attempt each half second until its deadline, each with a retry of the budget, as it may arrive.

begun_stream_waits_while_all_engines_decline_it failed on ("no attempt left" 438 ms after the request, of 9 s, after six declined attempts) and passes.

--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -42,6 +42,9 @@
 /// Interval at which a stream without an engine looks for one.
 const ENGINE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Pause before another attempt of a stream that more than [`MAX_DECLINED`] attempts have declined.
+const DECLINED_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Longest time between taking a retry and its use. The budget counts a retry when it is taken.
 const RETRY_LIFE: Duration = Duration::from_secs(1);
 
@@ -70,7 +73,7 @@
             }
             let runs_left = self.runs < self.request.route.max_attempts.max(1);
             let attempts = self.runs + self.declined;
-            if !runs_left || self.declined > MAX_DECLINED {
+            if !runs_left || !self.may_follow_declined().await {
                 return Err(self.give_up("no attempt left"));
             }
             let successor = self.successor.lock().take();
@@ -149,6 +152,11 @@
         true
     }
 
+    /// Whether another attempt may follow those that were declined.
+    async fn may_follow_declined(&self) -> bool {
+        self.declined <= MAX_DECLINED || self.pause(DECLINED_INTERVAL).await
+    }
+
     /// Waits, if the stream has begun, until an engine is available. `false` if none is in time.
     async fn engine_returns(&self) -> bool {
         let wanted = TargetCriteria {
