--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -5,6 +5,7 @@
 mod open;
 mod sequence;
 mod silent;
+mod waits;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -9,10 +9,11 @@
 use http::StatusCode;
 use http::response::Parts;
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::sequence::Sequence;
 use super::silent::{DECLINE_WAIT, SilentRun};
+use super::waits::ENGINE_INTERVAL;
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
 use crate::relay::connections::{Connection, SendError};
@@ -29,23 +30,10 @@
 use crate::relay::successor::{Mover, Place};
 use crate::routing::{Lease, Work};
 
-/// Attempts that did not run the request before the stream is refused.
-const MAX_DECLINED: u32 = 5;
-
 /// Shortest `Retry-After` of a refused stream. Less than the prefill of a prompt, as engines are
 /// lost and return within about a second.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 
-/// Interval at which a stream asks again for a retry that was denied: the budget grows with each
-/// request.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Interval at which a stream without an engine looks for one.
-const ENGINE_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Pause before another attempt of a stream that more than [`MAX_DECLINED`] attempts have declined.
-const DECLINED_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Longest time between taking a retry and its use. The budget counts a retry when it is taken.
 const RETRY_LIFE: Duration = Duration::from_secs(1);
 
@@ -157,51 +145,6 @@
         }
     }
 
-    /// Takes a retry, for which a stream that has begun waits.
-    async fn take_retry(&self) -> bool {
-        let service = &self.request.service;
-        while !self.relay.take_retry(service).await {
-            if !self.pause(RETRY_INTERVAL).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Whether another attempt may follow those that were declined.
-    async fn may_follow_declined(&self) -> bool {
-        self.declined <= MAX_DECLINED || self.pause(DECLINED_INTERVAL).await
-    }
-
-    /// Waits, if the stream has begun, until an engine is available. `false` if none is in time.
-    async fn engine_returns(&self) -> bool {
-        let wanted = TargetCriteria {
-            service: &self.request.service,
-            ..TargetCriteria::default()
-        };
-        while self.has_begun() && self.relay.preferred(wanted).is_none() {
-            if !self.pause(ENGINE_INTERVAL).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Pauses a stream that has begun, as there is no other answer left for its caller. `false` at
-    /// once if it has not, or if its deadline comes first.
-    async fn pause(&self, time: Duration) -> bool {
-        let waits = self.has_begun() && Instant::now() + time < self.request.deadline;
-        if waits {
-            sleep(time).await;
-        }
-        waits
-    }
-
-    /// Whether the caller has got an event.
-    fn has_begun(&self) -> bool {
-        self.last_id != self.request.ask.last_event
-    }
-
     fn log_placement(&self, lease: &Lease, from_copy: bool) {
         let backup = self.backup.as_ref().map(|c| c.lease.name());
         let now = std::time::Instant::now();
