Count the attempts under way when a call ends at its deadline

A caller whose call had two attempts got 503, which promises that it was not run, if one was declined as the deadline came while the other was under way. Found by reading, by the reviewer; the call is idempotent, so no rule was broken, and there is no test of it. The attempts under way count as runs now, and the answer is 504.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -177,6 +177,8 @@
                         return answer;
                     }
                     if Instant::now() >= self.request.deadline {
+                        // Those under way may have run.
+                        self.runs += others;
                         break;
                     }
                 }
