Measure the capacity when the instance list is applied

What callers saw: an instance that had just become ready refused generations with no_target (503, retry_after_ms 7633 in the play) for up to 500 ms, though its engines were well.

Cause: readiness asks for the configuration and the instance list. The capacity is measured every 500 ms, from the start on. A measurement between the configuration and the list finds no targets and sets the capacity to zero, which holds until the next one, while the instance becomes ready.

Evidence: ready_instance_serves_though_its_list_came_late, with a list 700 ms late, fails on with that refusal and passes now. Found while looking for the failure of connections_of_callers_go_silent: one of 107 plays (5 s each, load 4 to 121) ended with "timed out waiting for: all streams run" and no other line, as refused callers would make it. That this race was its cause is not shown: the plays that print refusals did not fail.

Fix: the capacity is measured when a list has been applied and before the instance counts as ready. A change of the list shows in it at once as well.

--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    fn measure_capacity(&self) {
+    pub(super) fn measure_capacity(&self) {
         let now = Instant::now();
         let view = self.config.view();
         let roster = self.fleet.roster();
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -57,6 +57,8 @@
         self.fleet.sync(&list.items, Instant::now());
         self.router.sync(self.fleet.roster().targets.clone());
         self.list_peers();
+        // Measured without these targets, the capacity would refuse requests until the next time.
+        self.measure_capacity();
         *listing = Some(list);
         self.listed.store(true, Ordering::Release);
     }
