Fail no generation for a silence before its first token

A start without an answer for 600 ms, or a probe for 450 ms, gave the target up. Without a token yet the next attempt needs a retry of the budget and another target; without either the generation failed (503 retry_budget, no_target) at a sound target that was silent for a second.

Such a target is now given up only once another one is chosen and the retry is taken.

silence_before_the_first_token_fails_no_generation_without_another_attempt failed on the product code of (retry_budget after 600 ms, engine silent for 1.3 s) and passes for a start and a probe, each without a retry and without another target. generation_silence, _errors, _rules, _takeover, _poison and _engines pass.

--- a/src/generation/attempt.rs
+++ b/src/generation/attempt.rs
@@ -15,10 +15,10 @@
 use super::run::Run;
 use crate::target::engine::{Engine, Position, Refusal, Start, Stream};
 
-/// Maximum wait for the response head of an attempt's stream.
+/// Wait for the response head of an attempt's stream after which its target counts as silent.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Maximum wait for the answer to a probe or a resume over a new connection.
+/// The same for a probe or a resume over a new connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Maximum wait for the answer to a cancellation; long, so that a paused target still receives it.
@@ -46,6 +46,31 @@
     Position(Result<Position, Refusal>),
 }
 
+/// A pending engine call.
+pub(crate) struct Call {
+    pub(crate) answer: BoxFuture<'static, Answer>,
+    pub(crate) since: Instant,
+    /// When the target counts as silent.
+    pub(crate) limit: Instant,
+    /// Whether it asks for a position.
+    is_probe: bool,
+}
+
+impl Call {
+    /// Waits once more for the answer.
+    pub(crate) fn extend(&mut self) {
+        self.limit = Instant::now() + PROBE_TIMEOUT;
+    }
+
+    /// What stands in for the answer of a silent target.
+    pub(crate) fn silence(&self) -> Answer {
+        match self.is_probe {
+            true => Answer::Position(Err(Refusal::Silent)),
+            false => Answer::Stream(Err(Refusal::Silent)),
+        }
+    }
+}
+
 impl Attempt {
     pub(crate) fn new(
         location: AttemptLocation,
@@ -70,7 +95,7 @@
     }
 
     /// Starts the attempt with all tokens generated so far as prefix.
-    pub(crate) fn start(&self, run: Arc<Run>) -> BoxFuture<'static, Answer> {
+    pub(crate) fn start(&self, run: Arc<Run>) -> Call {
         let (engine, name) = (self.engine.clone(), self.name.clone());
         let prefix = run.tokens();
         let call = async move {
@@ -90,23 +115,38 @@
                 priority: run.request.priority + i64::from(!prefix.is_empty()),
                 deadline_ms: left.as_millis() as u64,
             };
-            Answer::Stream(engine.start(&start, OPEN_TIMEOUT).await)
+            Answer::Stream(engine.start(&start, left).await)
         };
-        call.boxed()
+        Call {
+            answer: call.boxed(),
+            since: Instant::now(),
+            limit: Instant::now() + OPEN_TIMEOUT,
+            is_probe: false,
+        }
     }
 
-    /// Reads the attempt's stream from index `from` over a new connection.
-    pub(crate) fn resume(&self, from: u64) -> BoxFuture<'static, Answer> {
+    /// Reads the attempt's stream from index `from` over a new connection, for `left` at most.
+    pub(crate) fn resume(&self, from: u64, left: Duration) -> Call {
         let (engine, name) = (self.engine.clone(), self.name.clone());
-        let call = async move { Answer::Stream(engine.resume(&name, from, PROBE_TIMEOUT).await) };
-        call.boxed()
+        let call = async move { Answer::Stream(engine.resume(&name, from, left).await) };
+        Call {
+            answer: call.boxed(),
+            since: Instant::now(),
+            limit: Instant::now() + PROBE_TIMEOUT,
+            is_probe: false,
+        }
     }
 
-    /// Requests the attempt's position over a new connection.
-    pub(crate) fn probe(&self) -> BoxFuture<'static, Answer> {
+    /// Requests the attempt's position over a new connection, for `left` at most.
+    pub(crate) fn probe(&self, left: Duration) -> Call {
         let (engine, name) = (self.engine.clone(), self.name.clone());
-        let call = async move { Answer::Position(engine.position(&name, PROBE_TIMEOUT).await) };
-        call.boxed()
+        let call = async move { Answer::Position(engine.position(&name, left).await) };
+        Call {
+            answer: call.boxed(),
+            since: Instant::now(),
+            limit: Instant::now() + PROBE_TIMEOUT,
+            is_probe: true,
+        }
     }
 
     /// Cancels the attempt in the background.
--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -4,15 +4,16 @@
 //! and then publishes them to the readers, and ends with the generation or when another instance
 //! takes it over.
 
+mod silence;
+
 use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::BoxFuture;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::attempt::{Answer, Attempt};
+use super::attempt::{Answer, Attempt, Call};
 use super::hooks::{Lease, Observation, TargetQuery};
 use super::journal::{AttemptLocation, Change};
 use super::replicator::ReplicaSet;
@@ -32,6 +33,7 @@
 enum Wakeup {
     Lines(bool),
     Answer(Answer),
+    Silence,
     Tick,
     Superseded,
     Abandoned,
@@ -46,7 +48,9 @@
     suspect: bool,
     attempt: Option<Attempt>,
     stream: Option<Stream>,
-    call: Option<BoxFuture<'static, Answer>>,
+    call: Option<Call>,
+    /// Target of the next attempt, secured before a silent one was given up.
+    successor: Option<Lease>,
     excluded: Vec<SmolStr>,
     lines: Vec<Line>,
     unpublished: Vec<SmolStr>,
@@ -71,6 +75,7 @@
             attempt: None,
             stream: None,
             call: None,
+            successor: None,
             excluded: Vec::new(),
             lines: Vec::new(),
             unpublished: Vec::new(),
@@ -90,6 +95,7 @@
             match self.wait().await {
                 Wakeup::Lines(open) => self.handle_lines(open),
                 Wakeup::Answer(answer) => self.handle_answer(answer),
+                Wakeup::Silence => self.handle_silence(),
                 Wakeup::Tick => self.apply(Input::Tick),
                 Wakeup::Superseded => return,
                 Wakeup::Abandoned => self.abandon(),
@@ -103,6 +109,7 @@
         let stream = &mut self.stream;
         let lines = &mut self.lines;
         let call = &mut self.call;
+        let limit = call.as_ref().map_or(wake, |c| c.limit);
         let read = async {
             match stream {
                 Some(stream) => stream.read(lines).await,
@@ -111,7 +118,7 @@
         };
         let answer = async {
             match call {
-                Some(call) => call.await,
+                Some(call) => (&mut call.answer).await,
                 None => pending().await,
             }
         };
@@ -121,6 +128,7 @@
             () = self.run.abandoned.cancelled() => Wakeup::Abandoned,
             open = read => Wakeup::Lines(open),
             answer = answer => Wakeup::Answer(answer),
+            () = tokio::time::sleep_until(limit), if limit < wake => Wakeup::Silence,
             () = tokio::time::sleep_until(wake) => Wakeup::Tick,
         }
     }
@@ -232,7 +240,8 @@
         if let Some(failure) = self.attempt_blocker(number) {
             return self.fail(failure);
         }
-        match self.choose() {
+        let secured = self.successor.take();
+        match secured.map_or_else(|| self.choose(), Ok) {
             Ok(lease) => self.open(number, lease),
             Err(failure) => {
                 self.excluded.clear();
@@ -252,7 +261,7 @@
             .status(&[self.key], Instant::now().into_std());
         self.suspect = status != SuspectStatus::Clear;
         let request = &self.run.request;
-        let again = number > 1 && self.state.next() == 0;
+        let again = number > 1 && self.state.next() == 0 && self.successor.is_none();
         match status {
             SuspectStatus::Quarantined(left) => Some(self.with_certainty(quarantined(left))),
             _ if self.state.next() < self.run.floor() => Some(Failure::failed(
@@ -347,14 +356,16 @@
     fn resume(&mut self) {
         self.stream = None;
         let from = self.state.next();
-        self.call = self.attempt.as_ref().map(|a| a.resume(from));
+        let left = self.left();
+        self.call = self.attempt.as_ref().map(|a| a.resume(from, left));
     }
 
     fn probe(&mut self) {
         if self.state.progress() > 0 {
             self.observe(Observation::Suspected);
         }
-        self.call = self.attempt.as_ref().map(Attempt::probe);
+        let left = self.left();
+        self.call = self.attempt.as_ref().map(|a| a.probe(left));
     }
 
     fn cancel(&self, number: u32) {
