Count no stall of an engine as a lost target

An engine that answers its probes and generates nothing for 3 s ended the attempt, which counted towards MAX_LOSSES. The eighth such stall failed the generation (502 targets_lost) at engines that were well.

Each stall follows a token, so the deadline and the answer's length bound them, as they bound silences. The attempt is still left after 3 s.

--- a/src/generation/state.rs
+++ b/src/generation/state.rs
@@ -426,7 +426,7 @@
 
     fn lose(&mut self, loss: Loss, now: Instant, commands: &mut Vec<Command>) {
         self.losses += 1;
-        self.silences += u32::from(loss == Loss::Silent);
+        self.silences += u32::from(matches!(loss, Loss::Silent | Loss::Stalled));
         self.disconnects = 0;
         commands.push(Command::ReportLost(loss));
         commands.push(Command::Cancel(self.attempt));
@@ -437,7 +437,7 @@
             Duration::ZERO
         };
         self.phase = Phase::Choosing(now + wait);
-        // A silent target may be sound, and the deadline bounds such losses.
+        // A silent or stalled target may be sound, and the deadline bounds such losses.
         if self.losses - self.silences >= MAX_LOSSES {
             let failure = Failure::failed(
                 502,
--- a/tests/generation_silence.rs
+++ b/tests/generation_silence.rs
@@ -12,7 +12,7 @@
     Command, Generation, Generations, Hooks, Input, Lease, Outcome, Target, TargetQuery,
 };
 use endivefork::http::Client;
-use endivefork::target::engine::Refusal;
+use endivefork::target::engine::{Phase, Position, Refusal};
 use engines::{Seen, read, start};
 use smol_str::format_smolstr;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -56,6 +56,36 @@
     assert!(failed(&generation.apply(0, Input::Tick, deadline)));
 }
 
+/// Starts an attempt, which brings one token, and lets it stall while its target reports its position.
+/// Returns whether the generation has failed.
+fn play_stall(generation: &mut Generation, now: Instant) -> bool {
+    let mut commands = generation.apply(0, Input::Tick, now);
+    let (attempt, next) = (generation.attempt(), generation.next());
+    let token = Input::Token(next, format_smolstr!(" t{next}"));
+    for input in [Input::Opened, token] {
+        commands.extend(generation.apply(attempt, input, now));
+    }
+    let later = now + Duration::from_secs(4);
+    commands.extend(generation.apply(attempt, Input::Tick, later));
+    let position = Position {
+        state: Phase::Running,
+        next: next + 1,
+    };
+    commands.extend(generation.apply(attempt, Input::Position(position), later));
+    failed(&commands)
+}
+
+#[test]
+fn stalls_do_not_count_as_lost_targets() {
+    let now = Instant::now();
+    let mut generation = Generation::new(0, now + Duration::from_secs(120), now);
+
+    let rounds = (0..ROUNDS).map(|n| now + Duration::from_secs(5 * n));
+    let ended = rounds.filter(|at| play_stall(&mut generation, *at)).count();
+
+    assert_eq!((ended, generation.next()), (0, ROUNDS));
+}
+
 /// Silence of an engine: longer than a start or a probe may take.
 const SILENCE: Duration = Duration::from_millis(1300);
 
