Name the unanswered requests of the own interface

`request: unanswered` had an empty id and route and no revision there, so the line could not be tied to a caller's request. It now has the digest of the account and the key, the service, the revision of the configuration when the request was accepted, and the one in force.

generation_cut_at_the_exit_is_logged_with_its_key_service_and_revision failed with the caller's interface of (id "", route "") and passes. Calls of plain services are described too, without a test.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -15,12 +15,13 @@
 use http_body::Frame;
 use http_body_util::StreamBody;
 use serde::Deserialize;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::answer::with_request_id;
 use super::event::{self, Api, Writer};
 use super::front::{Front, read_body};
 use super::identity;
+use super::open::OpenRequest;
 use crate::config::Kind;
 use crate::failure::Failure;
 use crate::generation::{Event, GenerationRequest, Reader};
@@ -113,6 +114,7 @@
     let view = instance.config.view();
     let caller = identity::authenticate(&view, headers)?;
     let cursor = identity::last_event(headers)?;
+    let open = request.extensions().get::<OpenRequest>().cloned();
     let bytes = read_body(front, request).await?;
     let body = parse(&bytes)?;
     let prompt = prompt(api, &body)?;
@@ -127,6 +129,9 @@
             Failure::not_run(404, "unknown_model", format!("no model is named {name}"))
         })?;
     let key = RequestKey::new(&caller.name, key);
+    if let Some(open) = open {
+        open.describe(&format_smolstr!("{key}"), name, view.rev);
+    }
     let version = instance.version(name, key);
     let model = service
         .value
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -39,8 +39,9 @@
 #[derive(Debug)]
 struct Entry {
     id: SmolStr,
+    /// Its route, or its service on the own interface.
     route: SmolStr,
-    /// Version of the rules in force when the request was accepted.
+    /// Version of the rules, or revision of the configuration, in force when the request was accepted.
     rules: u64,
     /// Status of the answer that has begun; zero before.
     status: u16,
--- a/src/caller/services.rs
+++ b/src/caller/services.rs
@@ -7,14 +7,16 @@
 use axum::response::{IntoResponse, Response};
 use http::header::{CONTENT_TYPE, HeaderName};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::answer::with_request_id;
 use super::front::{Front, read_body};
 use super::identity;
+use super::open::OpenRequest;
 use crate::action::{Call, Outcome};
 use crate::config::Kind;
 use crate::failure::Failure;
+use crate::ident::RequestKey;
 
 /// Time allowed for claims and retries in addition to the service's response timeout.
 const RETRY_TIME: Duration = Duration::from_secs(5);
@@ -38,7 +40,7 @@
         Err(failure) => return failure.into_response(),
     };
     let id = key.clone().unwrap_or_else(identity::random_key);
-    let response = match run(&front, service, path, key, request).await {
+    let response = match run(&front, service, path, key, &id, request).await {
         Ok(outcome) => outcome_response(outcome),
         Err(failure) => {
             front.instance.metrics.refused(failure.reason);
@@ -53,6 +55,7 @@
     service: SmolStr,
     path: String,
     key: Option<SmolStr>,
+    id: &str,
     request: Request,
 ) -> Result<Outcome, Failure> {
     let instance = &front.instance;
@@ -69,6 +72,10 @@
                 format!("no service is named {service}"),
             )
         })?;
+    if let Some(open) = request.extensions().get::<OpenRequest>() {
+        let id = RequestKey::new(&caller.name, id);
+        open.describe(&format_smolstr!("{id}"), &service, view.rev);
+    }
     let method = request.method().clone();
     let headers = forwarded_headers(request.headers());
     let path = full_path(&path, request.uri().query());
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -68,7 +68,6 @@
     let (log, _guard) = telemetry::logger(&settings.log);
     telemetry::log_panics(log.clone());
     let drain = Arc::<Drain>::default();
-    drain.requests().report_to(log.clone(), || 0);
     let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
@@ -96,7 +95,9 @@
 /// Serves on `listeners` until `drain` has begun and the last request has ended. Must be called
 /// within a runtime.
 pub async fn serve(settings: Settings, log: Logger, listeners: Listeners, drain: Arc<Drain>) {
-    let instance = Arc::new(Instance::new(settings, log, listeners.peer));
+    let instance = Arc::new(Instance::new(settings, log.clone(), listeners.peer));
+    let config = Arc::clone(&instance.config);
+    drain.requests().report_to(log, move || config.view().rev);
     instance.metrics.install();
     instance.start();
     let parts = admin::context(&instance, &drain);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc;
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 
+use parking_lot::Mutex;
+
 /// Timeout for the first output line, which contains the listen addresses.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -17,6 +19,7 @@
     child: Child,
     /// The first line of its output.
     pub banner: String,
+    lines: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -29,8 +32,11 @@
             .unwrap_or_else(|e| panic!("could not start {command:?}: {e}"));
         let out = BufReader::new(child.stdout.take().expect("stdout is piped"));
         let (send, receive) = mpsc::channel();
+        let lines = Arc::<Mutex<Vec<String>>>::default();
+        let written = Arc::clone(&lines);
         thread::spawn(move || {
             for line in out.lines().map_while(Result::ok) {
+                written.lock().push(line.clone());
                 let _ = send.send(line);
             }
         });
@@ -38,7 +44,16 @@
             let _ = child.kill();
             panic!("no first line from {command:?}: {e}")
         });
-        Self { child, banner }
+        Self {
+            child,
+            banner,
+            lines,
+        }
+    }
+
+    /// The lines that it has written to its standard output.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().clone()
     }
 
     /// The address that follows `label` in the first line.
