--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod health;
 mod lease;
 mod load;
+mod notices;
 mod outage;
 mod peer_report;
 mod policy;
@@ -17,9 +18,10 @@
 mod router;
 mod table;
 
+pub(crate) use health::RETURN_INTERVAL;
 pub use lease::{Lease, ProbeTarget};
 pub use load::{LoadReport, Work};
-pub use peer_report::{InflightCount, PeerReport};
+pub use peer_report::{Departure, InflightCount, PeerReport};
 pub use policy::{Costs, EngineCapacity, Policy};
 pub use poll::{LoadViews, PeerView, PollOutcome, Poller, TargetLoad, poll};
 pub use router::{Query, Router, ServingCapacity};
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -17,7 +17,7 @@
 use super::lease::{Lease, ProbeTarget};
 use super::load::{LoadReport, Work};
 use super::outage::Outages;
-use super::peer_report::{InflightCount, PeerReport};
+use super::peer_report::{Departure, InflightCount, PeerReport};
 use super::policy::{Costs, EngineCapacity, Policy, Selection, sample_fraction};
 use super::table::{Entry, Table};
 use crate::fleet::Target;
@@ -63,7 +63,7 @@
     costs: Costs,
     base: Instant,
     table: RwLock<Arc<Table>>,
-    /// Entries that are no longer in the table and still have requests.
+    /// Entries that are no longer in the table and may still have requests.
     departed: Mutex<Vec<Weak<Entry>>>,
     next_turn: AtomicUsize,
     peer_targets: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
@@ -312,11 +312,6 @@
         self.with_entry(key, |entry| entry.state.lock().health.confirm_alive(at));
     }
 
-    /// Records that the target reported that it is leaving.
-    pub fn mark_leaving(&self, key: TargetKey, now: Instant) {
-        self.with_entry(key, |entry| entry.state.lock().health.mark_leaving(now));
-    }
-
     /// Removes a peer that is gone.
     pub fn remove_peer(&self, origin: &str) {
         self.peer_targets.lock().swap_remove(origin);
@@ -340,7 +335,10 @@
                 report.dead.push(name.clone());
             }
             if state.health.reported_leaving() {
-                report.leaving.push(name.clone());
+                report.leaving.push(Departure {
+                    target: name.clone(),
+                    incarnation: entry.target.incarnation,
+                });
             }
         }
         report
@@ -375,7 +373,11 @@
                 .record_loss(&entry.target.domain, entry.target.key, now);
             entry.state.lock().health.mark_peer_dead(now);
         }
-        for entry in report.leaving.iter().filter_map(|name| table.by_name(name)) {
+        let leaving = report.leaving.iter().filter_map(|left| {
+            let entry = table.by_name(&left.target)?;
+            (entry.target.incarnation == left.incarnation).then_some(entry)
+        });
+        for entry in leaving {
             entry.state.lock().health.mark_peer_leaving(now);
         }
     }
@@ -448,7 +450,7 @@
         Some(estimate)
     }
 
-    fn table(&self) -> Arc<Table> {
+    pub(super) fn table(&self) -> Arc<Table> {
         Arc::clone(&self.table.read())
     }
 
