Go on after an entry whose end can't be told

Callers saw an instance that was not ready (all answers 503) or did not learn of targets that came or left: one entry with unclosed brackets or quotes (`{"a":]}`, a string that never ends) failed its whole list or watch, again and again.

Cause: a page was split as a whole, and any unclosed text was an error of the call.

What follows an unclosed entry is not guessed. A list goes on `after` its name, a watch from its revision, both read from the text before the fault. Without a revision the watch leads to a new list. When the page's own revision follows the fault, the list is read a second time and takes the revision that its last page had the first time, so that the watch misses nothing. A page that brings no new name is an error, as before: no loop of calls.

Open: an unclosed entry without a name still fails its list.

--- a/src/action/sweep.rs
+++ b/src/action/sweep.rs
@@ -191,7 +191,10 @@
                 self.process(object, watermarks).await?;
             }
             match page.items.last() {
-                Some(last) if page.items.len() >= limit => after = last.name.clone(),
+                Some(last) if last.name == after => return Ok(()),
+                Some(last) if page.is_cut || page.items.len() >= limit => {
+                    after = last.name.clone();
+                }
                 _ => return Ok(()),
             }
             self.throttle().await;
--- a/src/platform/api_format.rs
+++ b/src/platform/api_format.rs
@@ -103,7 +103,8 @@
         read_object: |_, body| decode(body),
         read_list: |kind, body, limit| {
             let (list, count) = NATIVE_LIST.read_list(kind, body, decode)?;
-            Ok((list, count >= limit.min(PAGE_LIMIT)))
+            let more = list.is_cut || count >= limit.min(PAGE_LIMIT);
+            Ok((list, more))
         },
         read_changes: |kind, body| NATIVE_CHANGES.read_changes(kind, body, decode, |_| false),
         read_revision: |body| decode::<WriteResponse>(body).map(|w| w.rev),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -153,12 +153,25 @@
     /// # Errors
     /// When the call for one of the pages fails.
     pub async fn list(&self, kind: &str, prefix: &str) -> Result<List, Error> {
+        let (list, rev) = self.list_pages(kind, prefix).await?;
+        if !list.is_cut || list.rev > 0 {
+            return Ok(list);
+        }
+        // The first page's revision is unknown: that of the last page holds for a list read now.
+        let (list, _) = self.list_pages(kind, prefix).await?;
+        Ok(List { rev, ..list })
+    }
+
+    /// Reads all pages, and returns the revision of the last one too. Only the first page tells
+    /// whether the list is cut.
+    async fn list_pages(&self, kind: &str, prefix: &str) -> Result<(List, u64), Error> {
         let first = PageRequest {
             prefix,
             after: "",
             limit: PAGE_LIMIT,
         };
         let (mut all, mut more) = self.list_page(kind, first).await?;
+        let mut rev = all.rev;
         let mut after = SmolStr::default();
         while more {
             let last = all.items.last().map(|o| &o.name);
@@ -166,7 +179,7 @@
                 Some(last) if *last != after => last.clone(),
                 _ => {
                     return Err(Error::Unknown(
-                        "could not continue the list: no entry of a page has a name".into(),
+                        "could not continue the list: no entry of a page has a new name".into(),
                     ));
                 }
             };
@@ -176,9 +189,10 @@
             };
             let (next, has_more) = self.list_page(kind, request).await?;
             more = has_more && !(next.items.is_empty() && next.unreadable.is_empty());
+            rev = next.rev;
             all.items.extend(next.items);
         }
-        Ok(all)
+        Ok((all, rev))
     }
 
     /// Reads one page: at most `limit` objects whose names sort after `after`.
@@ -213,7 +227,8 @@
     /// Long-polls up to `wait` for changes to objects of a kind after revision `from`.
     ///
     /// # Errors
-    /// [`Error::Gone`] when the platform no longer keeps the history since `from`.
+    /// [`Error::Gone`] when the platform no longer keeps the history since `from`, or it can't be
+    /// read beyond an unclosed event.
     pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
         let path = (self.format.watch)(kind, from, wait);
         let limit = wait + self.timeout;
@@ -222,7 +237,10 @@
             .await?;
         let changes = read(&answer, |b| (self.format.read_changes)(kind, b))?;
         self.reports.add_all(kind, &changes.unreadable);
-        Ok(changes)
+        match changes.is_cut && changes.rev <= from {
+            true => Err(Error::Gone),
+            false => Ok(changes),
+        }
     }
 
     /// Reads the instance list.
--- a/src/platform/entries.rs
+++ b/src/platform/entries.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::{Changes, Event, List, Object};
-use crate::json::{decode, elements, field, required};
+use crate::json::{Listing, SplitError, decode, field};
 
 /// Maximum number of reported entries that are remembered.
 const MAX_REMEMBERED: usize = 1000;
@@ -51,11 +51,14 @@
 
 /// The decoded entries of a response.
 struct Entries<T> {
-    rev: u64,
+    /// Revision of the response; `None` when it follows an unclosed entry.
+    rev: Option<u64>,
     items: Vec<T>,
     unreadable: Vec<Unreadable>,
     /// Number of all entries.
     count: usize,
+    /// Whether the last entry is unclosed, so that those after it are missing.
+    is_cut: bool,
 }
 
 impl EntryFormat {
@@ -63,7 +66,8 @@
     /// an object with the value null, or is left out when its name can't be decoded either.
     ///
     /// # Errors
-    /// When the response as a whole has another format.
+    /// When the response as a whole has another format, or an unclosed entry has no name from which
+    /// the list could be continued.
     pub fn read_list(
         self,
         kind: &str,
@@ -78,10 +82,15 @@
             status: None,
         };
         let found = self.read(body, read, replace)?;
+        let last = found.unreadable.last();
+        if found.is_cut && last.is_none_or(|u| u.name.is_none()) {
+            return Err("an unclosed entry has no name".into());
+        }
         let list = List {
-            rev: found.rev,
+            rev: found.rev.unwrap_or_default(),
             items: found.items,
             unreadable: found.unreadable,
+            is_cut: found.is_cut,
         };
         Ok((list, found.count))
     }
@@ -105,10 +114,16 @@
             value: Some(Value::Null).filter(|_| !is_removal(entry)),
         };
         let found = self.read(body, read, replace)?;
+        let last = found.unreadable.last().filter(|u| u.name.is_some());
+        let rev = match found.is_cut {
+            true => last.and_then(|u| u.rev),
+            false => found.rev,
+        };
         Ok(Changes {
-            rev: found.rev,
+            rev: rev.unwrap_or_default(),
             events: found.items,
             unreadable: found.unreadable,
+            is_cut: found.is_cut,
         })
     }
 
@@ -118,19 +133,28 @@
         read: impl Fn(&[u8]) -> Result<T, String>,
         replace: impl Fn(SmolStr, u64, &[u8]) -> T,
     ) -> Result<Entries<T>, String> {
-        let text = |e: crate::json::SplitError| e.to_string();
-        let rev: u64 = decode(required(body, self.rev).map_err(text)?)?;
-        let entries = required(body, self.entries).and_then(elements);
-        let entries = entries.map_err(text)?;
+        let text = |e: SplitError| e.to_string();
+        let listing = Listing::split(body, self.entries).map_err(text)?;
+        let is_cut = listing.unclosed.is_some();
+        let rev: Option<u64> = match listing.field(self.rev) {
+            Some(rev) => Some(decode(rev)?),
+            None if is_cut => None,
+            None => return Err(text(SplitError::Missing(self.rev))),
+        };
+        let whole = listing.elements.iter().map(|entry| (*entry, None));
+        let cut = listing.unclosed.iter().map(|(rest, e)| (*rest, Some(*e)));
+        let count = listing.elements.len() + usize::from(is_cut);
         let mut found = Entries {
             rev,
-            items: Vec::with_capacity(entries.len()),
+            items: Vec::with_capacity(count),
             unreadable: Vec::new(),
-            count: entries.len(),
+            count,
+            is_cut,
         };
-        for entry in entries {
+        for (entry, error) in whole.chain(cut) {
             // Derived decoders accept arrays in place of objects.
             let read = match entry.first() {
+                _ if error.is_some() => Err(error.map(text).unwrap_or_default()),
                 Some(b'{') => read(entry),
                 _ => Err("not an object".to_owned()),
             };
@@ -139,7 +163,7 @@
                 Err(cause) => {
                     let unreadable = self.unreadable(entry, cause);
                     // An unknown revision is at most that of the response.
-                    let rev = unreadable.rev.unwrap_or(rev);
+                    let rev = unreadable.rev.or(rev).unwrap_or_default();
                     let item = unreadable.name.clone().map(|n| replace(n, rev, entry));
                     found.items.extend(item);
                     found.unreadable.push(unreadable);
--- a/src/platform/model.rs
+++ b/src/platform/model.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use super::Unreadable;
-use crate::json::{decode, elements, field, required};
+use crate::json::{Listing, SplitError, decode, field};
 
 /// The precondition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,13 +57,17 @@
 /// A list of objects of one kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct List {
-    /// Latest revision when the list was started: a watch from here misses no change.
+    /// Latest revision when the list was started: a watch from here misses no change. 0 when it
+    /// follows an unclosed entry.
     pub rev: u64,
     /// The objects, sorted by name. One that can't be decoded has the value null.
     pub items: Vec<Object>,
     /// The entries that can't be decoded.
     #[serde(skip)]
     pub unreadable: Vec<Unreadable>,
+    /// Whether the last entry is unclosed: the list has to be continued after it.
+    #[serde(skip)]
+    pub is_cut: bool,
 }
 
 /// A change of one object.
@@ -82,13 +86,17 @@
 /// The result of a watch call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
-    /// Revision to watch from next.
+    /// Revision to watch from next: that of the last event when it is unclosed, 0 when that is
+    /// unknown.
     pub rev: u64,
     /// The changes, ordered by revision. A value that can't be decoded is null.
     pub events: Vec<Event>,
     /// The entries that can't be decoded.
     #[serde(skip)]
     pub unreadable: Vec<Unreadable>,
+    /// Whether the last event is unclosed: later ones are missing.
+    #[serde(skip)]
+    pub is_cut: bool,
 }
 
 /// The role of an instance.
@@ -156,14 +164,19 @@
     /// # Errors
     /// When the list as a whole has another format.
     pub fn read(body: &[u8]) -> Result<(Self, Vec<Unreadable>), String> {
-        let rev = required(body, "rev").map_err(|e| e.to_string())?;
-        let items = required(body, "items").and_then(elements);
+        let text = |e: SplitError| e.to_string();
+        let listing = Listing::split(body, "items").map_err(text)?;
+        if let Some((_, cause)) = listing.unclosed {
+            return Err(text(cause));
+        }
+        let rev = listing.field("rev");
+        let rev = rev.ok_or(SplitError::Missing("rev")).map_err(text)?;
         let mut list = Self {
             rev: decode(rev)?,
             items: Vec::new(),
         };
         let mut unreadable = Vec::new();
-        for item in items.map_err(|e| e.to_string())? {
+        for item in listing.elements {
             match decode(item) {
                 Ok(entry) => list.items.push(entry),
                 Err(cause) => unreadable.push(Unreadable {
