Let a reader that learns of a removal by a list appear ahead of its followers

Instances that do not read the platform kept a target that had left, where their reader learned of the removal by a list in place of a watch: after its history was gone, or after an event that could not be read. A list does not tell the revision of a removal, so the reader did not appear ahead, and the target got requests until the next registration changed.

A list that lacks known targets now counts as news of its own revision.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -143,12 +143,14 @@
             old.swap_remove(&registration.info.name);
             self.put(registration);
         }
+        // The list does not tell the revisions of removals.
+        let removed = (!old.is_empty()).then_some(as_of);
         for (_, registration) in old {
             self.lapse(registration, now);
         }
         self.as_of = Some(as_of);
         let newest = self.targets.values().map(|r| r.rev).max();
-        self.newest = self.newest.max(newest).max(Some(0));
+        self.newest = self.newest.max(newest).max(removed).max(Some(0));
     }
 
     /// Applies a peer's full list of registrations, read at revision `as_of`; `newest` is the
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -78,6 +78,24 @@
     assert!(names(&mut catalog, now).is_empty());
 }
 
+#[test]
+fn reader_that_learns_of_a_removal_by_a_list_appears_ahead_of_its_followers() {
+    let now = Instant::now();
+    let both = vec![registration("gone", 1, 3), registration("t", 1, 4)];
+    let mut reader = Catalog::default();
+    let mut follower = Catalog::default();
+    reader.apply_list(4, both.clone(), now);
+    follower.apply_copy((4, 4), both, now);
+
+    reader.apply_list(9, vec![registration("t", 1, 4)], now);
+
+    assert!(reader.newest() > follower.newest());
+    let copy = (reader.as_of.unwrap(), reader.newest().unwrap());
+    follower.apply_copy(copy, reader.registrations(), now);
+    assert_eq!(names(&mut follower, now), ["t"]);
+    assert_eq!(reader.newest(), follower.newest());
+}
+
 #[test]
 fn targets_missing_after_an_outage_get_a_grace_period() {
     let now = Instant::now();
