--- a/src/instance/balance.rs
+++ b/src/instance/balance.rs
@@ -47,7 +47,8 @@
         self.views
             .apply_peer_view(&self.router, from, view, Instant::now());
         let loads = view.loads.iter().filter(|l| l.leaving);
-        let leaving = loads.map(|l| &l.target).chain(&view.peer_report.leaving);
+        let departures = view.peer_report.leaving.iter().map(|d| &d.target);
+        let leaving = loads.map(|l| &l.target).chain(departures);
         for name in leaving {
             self.fleet.mark_leaving(name);
         }
@@ -102,7 +103,7 @@
         }
     }
 
-    fn measure_capacity(&self) {
+    pub(super) fn measure_capacity(&self) {
         let now = Instant::now();
         let view = self.config.view();
         let roster = self.fleet.roster();
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -9,9 +9,11 @@
 use http::StatusCode;
 use http::response::Parts;
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::sequence::Sequence;
+use super::silent::{DECLINE_WAIT, SilentRun};
+use super::waits::ENGINE_INTERVAL;
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
 use crate::relay::connections::{Connection, SendError};
@@ -28,16 +30,12 @@
 use crate::relay::successor::{Mover, Place};
 use crate::routing::{Lease, Work};
 
-/// Attempts that did not run the request before the stream is refused.
-const MAX_DECLINED: u32 = 5;
-
 /// Shortest `Retry-After` of a refused stream. Less than the prefill of a prompt, as engines are
 /// lost and return within about a second.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(500);
 
-/// Interval at which a stream asks again for a retry that was denied: the budget grows with each
-/// request.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between taking a retry and its use. The budget counts a retry when it is taken.
+const RETRY_LIFE: Duration = Duration::from_secs(1);
 
 /// Why an attempt did not open a run.
 enum AttemptError {
@@ -46,9 +44,22 @@
 }
 
 impl Stream {
+    /// Opens a run. A silent run that was set aside for it goes on if it does not begin.
+    pub(super) async fn open(&mut self) -> Result<(), StreamError> {
+        let opened = self.open_next().await;
+        match opened {
+            Err(_) if self.silent.is_some() && self.restore_silent() => Ok(()),
+            opened => {
+                self.drop_silent();
+                opened
+            }
+        }
+    }
+
     /// Opens a run, from the copy of the lost run if there is one, otherwise by prefilling the
     /// prompt.
-    pub(super) async fn open(&mut self) -> Result<(), StreamError> {
+    async fn open_next(&mut self) -> Result<(), StreamError> {
+        let mut holds_retry = false;
         loop {
             match self.relay.admit_suspect(&self.request).await {
                 Ok(trial) => self.trial = trial,
@@ -63,11 +74,15 @@
             }
             let runs_left = self.runs < self.request.route.max_attempts.max(1);
             let attempts = self.runs + self.declined;
-            if !runs_left || self.declined > MAX_DECLINED {
+            if !runs_left || !self.may_follow_declined().await {
                 return Err(self.give_up("no attempt left"));
             }
             let successor = self.successor.lock().take();
-            let has_retry = attempts == 0 || successor.is_some();
+            if successor.is_none() && !self.engine_returns().await {
+                return Err(self.give_up("no engine can be reached"));
+            }
+            let has_retry =
+                attempts == 0 || successor.is_some() || std::mem::take(&mut holds_retry);
             if !has_retry && !self.take_retry().await {
                 return Err(self.give_up("retry budget spent"));
             }
@@ -86,10 +101,22 @@
             };
             let lease = match lease {
                 Ok(lease) => lease,
-                Err(PlaceError::Unavailable) => {
-                    return Err(self.give_up("no engine can be reached"));
+                Err(error) => {
+                    let wait = match error {
+                        PlaceError::Unavailable => ENGINE_INTERVAL,
+                        PlaceError::AtLimit(wait) => {
+                            wait.min(self.request.left(now) / 2).max(ENGINE_INTERVAL)
+                        }
+                    };
+                    if self.pause(wait).await {
+                        holds_retry = wait <= RETRY_LIFE;
+                        continue;
+                    }
+                    return Err(match error {
+                        PlaceError::Unavailable => self.give_up("no engine can be reached"),
+                        PlaceError::AtLimit(wait) => self.refuse_at_limit(wait),
+                    });
                 }
-                Err(PlaceError::AtLimit(wait)) => return Err(self.refuse_at_limit(wait)),
             };
             // It may have waited for a permit meanwhile.
             if !self.trial
@@ -104,35 +131,20 @@
             self.log_placement(&lease, copied.is_some());
             self.relay.gossip_wakeup.notify_one();
             let connection = connection.filter(|_| key == Some(lease.key));
+            let runs = self.runs;
             match self.attempt(lease, copied, connection).await {
                 Ok(upstream) => {
                     self.upstream = Some(upstream);
                     return Ok(());
                 }
                 Err(AttemptError::Fatal(error)) => return Err(error),
+                Err(AttemptError::Retry) if self.runs > runs => self.drop_silent(),
+                Err(AttemptError::Retry) if self.restore_silent() => return Ok(()),
                 Err(AttemptError::Retry) => {}
             }
         }
     }
 
-    /// Takes a retry. A stream that has begun waits for one until its deadline, as there is no other
-    /// answer left for its caller.
-    async fn take_retry(&self) -> bool {
-        let service = &self.request.service;
-        while !self.relay.take_retry(service).await {
-            if !self.has_begun() || Instant::now() + RETRY_INTERVAL >= self.request.deadline {
-                return false;
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
-        true
-    }
-
-    /// Whether the caller has got an event.
-    fn has_begun(&self) -> bool {
-        self.last_id != self.request.ask.last_event
-    }
-
     fn log_placement(&self, lease: &Lease, from_copy: bool) {
         let backup = self.backup.as_ref().map(|c| c.lease.name());
         let now = std::time::Instant::now();
@@ -150,7 +162,9 @@
     fn give_up(&self, reason: &'static str) -> StreamError {
         StreamError::Local(match self.runs {
             0 => {
-                LocalReply::unavailable(retry_after(RETRY_AFTER_MIN, &self.request.ask.id), reason)
+                let least = retry_after(RETRY_AFTER_MIN, &self.request.ask.id);
+                let wait = self.relay.return_time(&self.request).unwrap_or_default();
+                LocalReply::unavailable(wait.max(least), reason)
             }
             _ => LocalReply::lost(reason),
         })
@@ -233,6 +247,13 @@
             self.relay.probe(&lease);
             return Err(self.record_declined(&lease, "could not connect"));
         };
+        if !self.relay.still_takes(lease.key) {
+            return Err(self.record_declined(&lease, "target takes no further requests"));
+        }
+        let holder = self.backup.as_ref().map(|c| c.lease.key);
+        if holder.is_some_and(|key| !self.relay.still_takes(key)) {
+            self.backup = None;
+        }
         let now = Instant::now();
         let name = lease.name();
         let attempt = AttemptHead {
@@ -274,7 +295,19 @@
             _ => Purpose::Retry,
         };
         self.relay.record_sent(lease.key, purpose);
-        let sent = stall.watch(connection.send(request)).await;
+        let mut silent = self.silent.take();
+        let sent = {
+            let sent = stall.watch(connection.send(request));
+            tokio::pin!(sent);
+            match timeout(DECLINE_WAIT, sent.as_mut()).await {
+                Ok(sent) => sent,
+                Err(_) => {
+                    silent.iter_mut().for_each(SilentRun::end);
+                    sent.await
+                }
+            }
+        };
+        self.silent = silent;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Unsent)) => {
@@ -288,7 +321,11 @@
         let (mut parts, body) = response.into_parts();
         let head =
             (self.relay.dialect.parse_response)(&self.request.ask.id, parts.status, &parts.headers);
-        self.relay.observe_limit(lease.probe_target(), &head);
+        self.relay
+            .observe_notice(&lease, &head, &connection, now.into_std());
+        if !head.not_run && !head.misdirected {
+            self.silent.iter_mut().for_each(SilentRun::end);
+        }
         let violation = match parts.status {
             _ if head.mismatched => Some("answer to another request"),
             _ if head.encoded => Some("encoded answer"),
@@ -320,7 +357,7 @@
         }
         Ok(Upstream {
             lease,
-            _connection: connection,
+            connection: Some(connection),
             body,
             splitter: EventSplitter::default(),
             timeouts,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -13,11 +13,11 @@
 use rand::{RngExt as _, SeedableRng as _};
 use smol_str::SmolStr;
 
-use super::health::Availability;
+use super::health::{Availability, DEPARTURE_NEWS_TIME};
 use super::lease::{Lease, ProbeTarget};
 use super::load::{LoadReport, Work};
 use super::outage::Outages;
-use super::peer_report::{InflightCount, PeerReport};
+use super::peer_report::{Departure, InflightCount, PeerReport};
 use super::policy::{Costs, EngineCapacity, Policy, Selection, sample_fraction};
 use super::table::{Entry, Table};
 use crate::fleet::Target;
@@ -63,7 +63,7 @@
     costs: Costs,
     base: Instant,
     table: RwLock<Arc<Table>>,
-    /// Entries that are no longer in the table and still have requests.
+    /// Entries that are no longer in the table and may still have requests.
     departed: Mutex<Vec<Weak<Entry>>>,
     next_turn: AtomicUsize,
     peer_targets: Mutex<IndexMap<SmolStr, Vec<TargetKey>>>,
@@ -312,11 +312,6 @@
         self.with_entry(key, |entry| entry.state.lock().health.confirm_alive(at));
     }
 
-    /// Records that the target reported that it is leaving.
-    pub fn mark_leaving(&self, key: TargetKey, now: Instant) {
-        self.with_entry(key, |entry| entry.state.lock().health.mark_leaving(now));
-    }
-
     /// Removes a peer that is gone.
     pub fn remove_peer(&self, origin: &str) {
         self.peer_targets.lock().swap_remove(origin);
@@ -339,8 +334,16 @@
             if state.health.found_dead(now) {
                 report.dead.push(name.clone());
             }
-            if state.health.reported_leaving() {
-                report.leaving.push(name.clone());
+            let incarnation = entry.target.incarnation;
+            // Without a name for the start, the report holds only while it is repeated.
+            let is_due = |since| {
+                incarnation == 0 || now.saturating_duration_since(since) < DEPARTURE_NEWS_TIME
+            };
+            if state.health.leaving_since().is_some_and(is_due) {
+                report.leaving.push(Departure {
+                    target: name.clone(),
+                    incarnation,
+                });
             }
         }
         report
@@ -375,8 +378,13 @@
                 .record_loss(&entry.target.domain, entry.target.key, now);
             entry.state.lock().health.mark_peer_dead(now);
         }
-        for entry in report.leaving.iter().filter_map(|name| table.by_name(name)) {
-            entry.state.lock().health.mark_peer_leaving(now);
+        let leaving = report.leaving.iter().filter_map(|left| {
+            let entry = table.by_name(&left.target)?;
+            (entry.target.incarnation == left.incarnation).then_some(entry)
+        });
+        for entry in leaving {
+            let named = entry.target.incarnation != 0;
+            entry.state.lock().health.mark_peer_leaving(named, now);
         }
     }
 
@@ -448,7 +456,7 @@
         Some(estimate)
     }
 
-    fn table(&self) -> Arc<Table> {
+    pub(super) fn table(&self) -> Arc<Table> {
         Arc::clone(&self.table.read())
     }
 
