--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -64,7 +64,8 @@
     AtLimit(Duration),
 }
 
-/// Requests to one service that wait for a permit or for a target to return, in their order of arrival.
+/// Requests to one service that wait for a permit or for a target to return, in their order of
+/// arrival.
 #[derive(Debug, Default)]
 pub(crate) struct WaitLine {
     head: tokio::sync::Mutex<()>,
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -70,7 +70,8 @@
     }
 }
 
-/// What a target said about the requests it takes, to this instance or a peer. It holds for one incarnation of the target.
+/// What a target said about the requests it takes, to this instance or a peer. It holds for one
+/// incarnation of the target.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Notices {
     leaving: Option<Instant>,
