Give the state of a shutdown its own clock

Cause: the time until the process ends was computed at three places, from a value that only some had, so the callers' handlers of the own interface could not ask it.

Change: Drain knows the longest time of a shutdown and says what is left, whether a given time fits before the final answers, and when those are due. No change of behaviour.

--- a/examples/standin/lab.rs
+++ b/examples/standin/lab.rs
@@ -214,7 +214,7 @@
     let listeners = Listeners::bind(&settings)?;
     let addrs = (listeners.caller.local_addr()?, listeners.peer.local_addr()?);
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let drain = Arc::<Drain>::default();
+    let drain = Arc::new(Drain::new(settings.drain));
     tokio::spawn(serve::serve(settings, log, listeners, drain));
     Ok(addrs)
 }
--- /dev/null
+++ b/src/caller/drain.rs
@@ -0,0 +1,122 @@
+//! The clock of a shutdown, and what may still begin during it.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use super::open::OpenRequests;
+
+/// Minimum time that the listener stays open after the instance reports that it is not ready, so
+/// that the load balancer notices first.
+pub(super) const MIN_LINGER: Duration = Duration::from_secs(3);
+
+/// Time without a new connection or request after which the listener may close.
+pub(super) const QUIET_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time before the end of the process at which a request without an answer gets its final one: the
+/// network delay to the caller.
+const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
+/// Interval at which tasks poll for a shutdown.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The state of a shutdown, shared by the server, its handlers and the readiness check.
+#[derive(Debug)]
+pub struct Drain {
+    /// Time from the beginning of the shutdown to the end of the process, at most.
+    longest: Duration,
+    draining: AtomicBool,
+    begun: OnceLock<Instant>,
+    requests: Arc<OpenRequests>,
+    last_arrival: Mutex<Option<Instant>>,
+}
+
+impl Drain {
+    /// Creates the state of a process that ends no later than `longest` after its shutdown began.
+    #[must_use]
+    pub fn new(longest: Duration) -> Self {
+        Self {
+            longest,
+            draining: AtomicBool::default(),
+            begun: OnceLock::default(),
+            requests: Arc::default(),
+            last_arrival: Mutex::default(),
+        }
+    }
+
+    /// Whether the instance is shutting down.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Starts the shutdown.
+    pub fn begin(&self) {
+        self.begun.get_or_init(Instant::now);
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Time since the shutdown began, if it has.
+    #[must_use]
+    pub fn since(&self) -> Option<Duration> {
+        self.begun.get().map(Instant::elapsed)
+    }
+
+    /// Time until the process ends at the latest, if the shutdown has begun.
+    #[must_use]
+    pub fn left(&self) -> Option<Duration> {
+        Some(self.longest.saturating_sub(self.since()?))
+    }
+
+    /// Whether a request that takes `time` ends before the process does, and before requests
+    /// without an answer get their final one.
+    pub(crate) fn has_time_for(&self, time: Duration) -> bool {
+        let left = self.left();
+        left.is_none_or(|left| time + FINAL_ANSWER_MARGIN <= left)
+    }
+
+    /// Waits until requests without an answer are to get their final one.
+    pub(crate) async fn expiring(&self) {
+        self.begun().await;
+        let left = self.left().unwrap_or_default();
+        tokio::time::sleep(left.saturating_sub(FINAL_ANSWER_MARGIN)).await;
+    }
+
+    /// Whether idle connections stay open: until [`MIN_LINGER`] after the shutdown began.
+    pub(super) fn lingers(&self) -> bool {
+        self.since().is_none_or(|since| since < MIN_LINGER)
+    }
+
+    /// Waits until the shutdown begins.
+    pub async fn begun(&self) {
+        while !self.draining() {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+
+    /// The requests that are not completely answered yet.
+    pub(crate) fn requests(&self) -> &Arc<OpenRequests> {
+        &self.requests
+    }
+
+    /// Number of requests that are not completely answered yet.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Notes that a request or a connection has arrived: callers still use this instance.
+    pub(crate) fn record_arrival(&self) {
+        if self.draining() {
+            *self.last_arrival.lock() = Some(Instant::now());
+        }
+    }
+
+    pub(super) fn is_quiet(&self, since: Instant) -> bool {
+        let last_arrival = self.last_arrival.lock().unwrap_or(since);
+        self.running() == 0 && last_arrival.elapsed() >= QUIET_PERIOD
+    }
+}
--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -12,7 +12,7 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, StatusCode, Version};
 
-use super::server::Drain;
+use super::drain::Drain;
 use super::{completions, services};
 use crate::failure::Failure;
 use crate::http::{BodyError, read_body as read_limited};
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -7,6 +7,8 @@
 mod answer;
 mod completions;
 mod connection;
+mod drain;
+mod durations;
 mod event;
 mod front;
 mod identity;
@@ -14,7 +16,9 @@
 mod server;
 mod services;
 
+pub use drain::Drain;
+pub(crate) use durations::StreamDurations;
 pub(crate) use front::close_on_drain;
 pub use front::{Front, router};
 pub(crate) use open::OpenRequest;
-pub use server::{Drain, serve};
+pub use server::serve;
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -3,8 +3,8 @@
 //! The number of connections is limited. During a drain the listener stays open until the load
 //! balancer has stopped sending new connections and the last request has ended.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock, Weak};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use axum::Router;
@@ -27,16 +27,10 @@
 use tokio_util::task::TaskTracker;
 
 use super::connection::{Connection, IdleLimits, Socket};
-use super::open::{OpenRequests, track};
+use super::drain::{Drain, MIN_LINGER, QUIET_PERIOD};
+use super::open::track;
 use crate::settings::Limits;
 
-/// Minimum time that the listener stays open after the instance reports that it is not ready, so
-/// that the load balancer notices first.
-const MIN_LINGER: Duration = Duration::from_secs(3);
-
-/// Time without a new connection or request after which the listener may close.
-const QUIET_PERIOD: Duration = Duration::from_secs(1);
-
 /// Idle time after which a connection is closed once [`MIN_LINGER`] has passed: a caller's next
 /// request may follow an answer at once.
 const LAST_IDLE: Duration = Duration::from_millis(200);
@@ -50,9 +44,6 @@
 /// Interval at which the first bytes of a connection are polled.
 const PEEK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Interval at which tasks poll for a shutdown.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Interval at which a connection that waits for a place asks an idle one to give way.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -62,78 +53,14 @@
 /// The open connections of a server.
 type Connections = Arc<Mutex<IndexMap<u64, Weak<Connection>>>>;
 
-/// The state of a shutdown, shared by the server, its handlers and the readiness check.
-#[derive(Debug, Default)]
-pub struct Drain {
-    draining: AtomicBool,
-    begun: OnceLock<Instant>,
-    requests: Arc<OpenRequests>,
-    last_arrival: Mutex<Option<Instant>>,
-}
-
-impl Drain {
-    /// Whether the instance is shutting down.
-    #[must_use]
-    pub fn draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
-    }
-
-    /// Starts the shutdown.
-    pub fn begin(&self) {
-        self.begun.get_or_init(Instant::now);
-        self.draining.store(true, Ordering::Release);
-    }
-
-    /// Time since the shutdown began, if it has.
-    #[must_use]
-    pub fn since(&self) -> Option<Duration> {
-        self.begun.get().map(Instant::elapsed)
-    }
-
-    /// Whether idle connections stay open: until [`MIN_LINGER`] after the shutdown began.
-    fn lingers(&self) -> bool {
-        self.since().is_none_or(|since| since < MIN_LINGER)
-    }
-
-    /// Waits until the shutdown begins.
-    pub async fn begun(&self) {
-        while !self.draining() {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
-    }
-
-    /// The requests that are not completely answered yet.
-    pub(crate) fn requests(&self) -> &Arc<OpenRequests> {
-        &self.requests
-    }
-
-    /// Number of requests that are not completely answered yet.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Notes that a request or a connection has arrived: callers still use this instance.
-    pub(crate) fn record_arrival(&self) {
-        if self.draining() {
-            *self.last_arrival.lock() = Some(Instant::now());
-        }
-    }
-
-    fn is_quiet(&self, since: Instant) -> bool {
-        let last_arrival = self.last_arrival.lock().unwrap_or(since);
-        self.running() == 0 && last_arrival.elapsed() >= QUIET_PERIOD
-    }
-}
-
 /// Serves `router` on `listener` until [`Drain::begin`] has been called and the last request has
-/// ended, or `max_drain` has passed since. Open connections follow the current `limits`.
+/// ended, or the longest time of the shutdown has passed since. Open connections follow the current
+/// `limits`.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
     limits: impl Fn() -> Limits + Clone + Send + Sync + 'static,
     drain: Arc<Drain>,
-    max_drain: Duration,
 ) {
     let slots = Arc::new(Semaphore::new(limits().connections));
     let tasks = TaskTracker::new();
@@ -164,7 +91,7 @@
     tokio::select! {
         biased;
         () = accepting => {}
-        () = drained(&drain, max_drain) => {}
+        () = drained(&drain) => {}
     }
     // Connections that wait in the queue of the listener may carry requests.
     yield_now().await;
@@ -173,8 +100,7 @@
     }
     drop(listener);
     tasks.close();
-    let left = max_drain.saturating_sub(drain.since().unwrap_or_default());
-    let _ = timeout(left, tasks.wait()).await;
+    let _ = timeout(drain.left().unwrap_or_default(), tasks.wait()).await;
 }
 
 /// Waits for a place for a new connection. Idle connections give way to it.
@@ -318,11 +244,11 @@
     }
 }
 
-async fn drained(drain: &Drain, max_drain: Duration) {
+async fn drained(drain: &Drain) {
     drain.begun().await;
     let begun = Instant::now();
     tokio::time::sleep(MIN_LINGER).await;
-    while !drain.is_quiet(begun) && begun.elapsed() < max_drain {
+    while !drain.is_quiet(begun) && drain.left() > Some(Duration::ZERO) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -16,7 +16,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use super::call::FinalReply;
 use super::caller_request::CallerRequest;
@@ -51,16 +51,6 @@
     pub(crate) drain: Arc<Drain>,
 }
 
-impl Front {
-    /// Waits until shortly before this process exits.
-    async fn drain_expiring(&self) {
-        self.drain.begun().await;
-        let since = self.drain.since().unwrap_or_default();
-        let left = self.relay.settings.drain_timeout.saturating_sub(since);
-        sleep(left.saturating_sub(shutdown::FINAL_ANSWER_MARGIN)).await;
-    }
-}
-
 /// Routes all requests of callers.
 pub(crate) fn router(front: Front) -> Router {
     Router::new()
@@ -107,7 +97,7 @@
     }
     if let Some(since) = front.drain.since() {
         let time_left = request.left(arrived);
-        let left = relay.settings.drain_timeout.saturating_sub(since);
+        let left = front.drain.left().unwrap_or_default();
         if !shutdown::accepts(request.route.kind, time_left, since, left) {
             let reply =
                 FinalReply::local(LocalReply::unavailable(DRAIN_RETRY_AFTER, "shutting down"));
@@ -134,7 +124,7 @@
     };
     let reply = tokio::select! {
         reply = running => reply,
-        () = front.drain_expiring() => FinalReply::local(LocalReply::lost("shutting down")),
+        () = front.drain.expiring() => FinalReply::local(LocalReply::lost("shutting down")),
     };
     let (id, route, service, rules) = fields;
     let stage = match reply.attempts {
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -81,7 +81,7 @@
     log: Logger,
     load_settings: impl Fn() -> Result<Settings, String>,
 ) -> anyhow::Result<()> {
-    let drain = Arc::<Drain>::default();
+    let drain = Arc::new(Drain::new(settings.drain_timeout));
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
     let mut hup = signal(SignalKind::hangup()).context("could not receive SIGHUP")?;
@@ -136,7 +136,6 @@
     let callers = bind(settings.front_addr)?;
     let status = bind(settings.status_addr)?;
     let peer = bind(settings.peer_addr)?;
-    let drain_timeout = settings.drain_timeout;
     let identity = &settings.instance;
     let peers = Peers::start(
         peer,
@@ -182,7 +181,7 @@
     let current = Arc::clone(&relay);
     let limits = move || limits(&current);
     tokio::select! {
-        () = caller::serve(callers, front::router(front), limits, Arc::clone(&drain), drain_timeout) => {}
+        () = caller::serve(callers, front::router(front), limits, Arc::clone(&drain)) => {}
         () = leave => {}
     }
     // Lets responses that are written but not yet sent reach the sockets.
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -8,10 +8,6 @@
 /// A stream that still runs at the end is resumed at another instance from the copy of its run.
 const STREAM_GRACE: Duration = Duration::from_millis(2500);
 
-/// Time before the end of the process at which a request without an answer gets its final one: the
-/// network delay to the caller.
-pub(crate) const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(150);
-
 /// Whether to accept a request with `budget` until its deadline, at `since` after the shutdown
 /// began, with `left` until the process ends. A request that could be cut off is refused before it
 /// runs.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,8 +1,7 @@
 //! Runs one entry instance from its settings to its graceful shutdown.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
 
 use anyhow::Context as _;
 use slog::{Logger, info};
@@ -67,7 +66,7 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let (log, _guard) = telemetry::logger(&settings.log);
     telemetry::log_panics(log.clone());
-    let drain = Arc::<Drain>::default();
+    let drain = Arc::new(Drain::new(settings.drain));
     let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
     let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
@@ -103,25 +102,22 @@
     let parts = admin::context(&instance, &drain);
     let administration = tokio::spawn(admin::serve(listeners.admin, parts));
     let limits = instance.settings.limits;
-    let longest = instance.settings.drain;
     let front = Front {
         instance: Arc::clone(&instance),
         drain: Arc::clone(&drain),
     };
     let router = caller::router(front);
-    let begun = OnceLock::new();
     let leave = async {
         drain.begun().await;
-        begun.get_or_init(Instant::now);
         instance.peers.leave();
         std::future::pending::<()>().await;
     };
     tokio::select! {
-        () = caller::serve(listeners.caller, router, move || limits, Arc::clone(&drain), longest) => {}
+        () = caller::serve(listeners.caller, router, move || limits, Arc::clone(&drain)) => {}
         () = leave => {}
     }
     // Actions whose callers went away still have their outcomes to store.
-    let left = longest.saturating_sub(begun.get().map_or(Duration::ZERO, Instant::elapsed));
+    let left = drain.left().unwrap_or_default();
     timeout(left, instance.actions.wait_idle()).await.ok();
     administration.abort();
     instance.peers.close();
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -168,7 +168,7 @@
     let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let instance = Arc::new(Instance::new(settings.unwrap(), log, peer));
     instance.start();
-    let drain = Arc::<Drain>::default();
+    let drain = Arc::new(Drain::new(Duration::ZERO));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let parts = admin::context(&instance, &drain);
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -48,10 +48,10 @@
             idle,
             connections,
         }));
-        let drain = Arc::<Drain>::default();
+        let drain = Arc::new(Drain::new(MAX_WAIT));
         let current = Arc::clone(&limits);
         let current = move || *current.lock();
-        let serving = serve(listener, router, current, Arc::clone(&drain), MAX_WAIT);
+        let serving = serve(listener, router, current, Arc::clone(&drain));
         Self {
             addr,
             limits,
--- a/tests/idle_http2.rs
+++ b/tests/idle_http2.rs
@@ -40,8 +40,8 @@
         connections: CONNECTIONS,
     };
     let router = Router::new().route("/", get(|| async { "fine" }));
-    let drain = Arc::<Drain>::default();
-    tokio::spawn(serve(listener, router, move || limits, drain, LONG));
+    let drain = Arc::new(Drain::new(LONG));
+    tokio::spawn(serve(listener, router, move || limits, drain));
     let stream = TcpStream::connect(addr).await.unwrap();
     let (mut sender, connection) =
         hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
