Take from SIGTERM on only what can end in time

What callers saw: a stream that came up to 2.5 s after the SIGTERM of its instance got 200 and was cut at the exit, whatever its length; so did one that may run once at most and can't go on anywhere. A call whose budget ended within the last 150 ms was passed on and got a final 502.

Cause: shutdown::accepts took streams by the age of the shutdown alone, whether they could be resumed or not, and compared a call's budget with the time to the exit, not to the final answers.

Streams that ended, and those that reached their deadline, are recorded. The rest gets 503 with a short Retry-After before it runs. Streams that can end are now taken later than 2.5 s too.

The unit test of shutdown::accepts asserted the 2.5 s; its replacement states the new decision in nine cases, with the margin, through Drain.

--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -16,6 +16,9 @@
 use crate::ident::digest;
 use crate::quarantine::{PARTS_MAX, PartKey};
 
+/// Output tokens assumed for a request that states no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 1024;
+
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -44,6 +47,14 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Tokens that a stream generates at most.
+    pub(crate) fn output_tokens(&self) -> u32 {
+        match self.ask.output_tokens {
+            0 => DEFAULT_OUTPUT_TOKENS,
+            tokens => tokens,
+        }
+    }
+
     /// Digest of the content, the same if the caller sends it again under another id.
     pub(crate) fn digest(&self) -> u128 {
         let account = self.account.as_deref().unwrap_or_default();
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -24,8 +24,9 @@
 use super::record::Outcome;
 use super::relay::Relay;
 use super::rules::{Kind, Rules};
-use super::{call, shutdown, stream};
-use crate::caller::{Drain, OpenRequest, close_on_drain};
+use super::shutdown::SHUTTING_DOWN;
+use super::{call, stream};
+use crate::caller::{OpenRequest, close_on_drain};
 use crate::http::{BodyError, read_body};
 use crate::ident::fraction;
 use crate::telemetry::Stage;
@@ -37,10 +38,6 @@
 /// `Retry-After` while this instance has no rules yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// `Retry-After` while this instance drains. Short, as another instance can serve the caller at
-/// once, but not zero, to avoid a burst.
-const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Timeout when the caller names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -48,14 +45,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Front {
     pub(crate) relay: Arc<Relay>,
-    pub(crate) drain: Arc<Drain>,
 }
 
 /// Routes all requests of callers.
 pub(crate) fn router(front: Front) -> Router {
     Router::new()
         .fallback(handle)
-        .layer(from_fn_with_state(Arc::clone(&front.drain), close_on_drain))
+        .layer(from_fn_with_state(
+            Arc::clone(&front.relay.drain),
+            close_on_drain,
+        ))
         .with_state(front)
 }
 
@@ -68,7 +67,7 @@
 }
 
 async fn ready(State(front): State<Front>) -> (StatusCode, &'static str) {
-    match (front.drain.draining(), front.relay.ready()) {
+    match (front.relay.drain.draining(), front.relay.ready()) {
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
         (false, false) => (StatusCode::SERVICE_UNAVAILABLE, "no rules yet\n"),
         (false, true) => (StatusCode::OK, "ready\n"),
@@ -81,8 +80,8 @@
 
 async fn handle(State(front): State<Front>, request: Request) -> Response {
     let arrived = Instant::now();
-    front.drain.record_arrival();
     let relay = &front.relay;
+    relay.drain.record_arrival();
     let (mut head, body) = request.into_parts();
     let open_request = head.extensions.remove::<OpenRequest>();
     let request = match accept(relay, head, body, arrived).await {
@@ -95,17 +94,12 @@
     if let Some(open) = &open_request {
         open.describe(&request.ask.id, &request.route.name, request.rules);
     }
-    if let Some(since) = front.drain.since() {
-        let time_left = request.left(arrived);
-        let left = front.drain.left().unwrap_or_default();
-        if !shutdown::accepts(request.route.kind, time_left, since, left) {
-            let reply =
-                FinalReply::local(LocalReply::unavailable(DRAIN_RETRY_AFTER, "shutting down"));
-            let fields = (&*request.ask.id, &*request.route.name, &*request.service);
-            let (id, route, service) = fields;
-            log_answered(relay, &reply, (id, route, service, request.rules), arrived);
-            return reply.response;
-        }
+    if !relay.has_time_for(&request) {
+        let reply = FinalReply::local(relay.refuse_late());
+        let fields = (&*request.ask.id, &*request.route.name, &*request.service);
+        let (id, route, service) = fields;
+        log_answered(relay, &reply, (id, route, service, request.rules), arrived);
+        return reply.response;
     }
     let now = arrived.into_std();
     relay.retries.lock().record_request(&request.service, now);
@@ -124,7 +118,7 @@
     };
     let reply = tokio::select! {
         reply = running => reply,
-        () = front.drain.expiring() => FinalReply::local(LocalReply::lost("shutting down")),
+        () = relay.drain.expiring() => FinalReply::local(LocalReply::lost(SHUTTING_DOWN)),
     };
     let (id, route, service, rules) = fields;
     let stage = match reply.attempts {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -27,6 +27,7 @@
 use super::runs::{RunDirectory, RunLocation};
 use super::settings::Settings;
 use super::silence::RetryShare;
+use crate::caller::{Drain, StreamDurations};
 use crate::ident::TargetKey;
 use crate::peer::Peers;
 use crate::platform;
@@ -50,6 +51,9 @@
     pub(crate) metrics: Metrics,
     pub(crate) platform: platform::Client,
     pub(crate) peers: Peers,
+    pub(crate) drain: Arc<Drain>,
+    /// How long streams last, by service.
+    pub(crate) stream_durations: StreamDurations,
     pub(crate) catalog: Mutex<Catalog>,
     pub(crate) router: Arc<Router>,
     pub(crate) pool: ConnectionPool,
@@ -115,6 +119,7 @@
         record: DecisionLog,
         platform: platform::Client,
         peers: Peers,
+        drain: Arc<Drain>,
     ) -> Self {
         let retries =
             RetryBudget::new(settings.retry_budget, Instant::now()).salted(rand::random());
@@ -125,6 +130,8 @@
             metrics: Metrics::new(),
             platform,
             peers,
+            drain,
+            stream_durations: StreamDurations::default(),
             catalog: Mutex::default(),
             router: Arc::new(Router::new(Policy::Cost, Costs::default())),
             pool: ConnectionPool::default(),
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -160,7 +160,14 @@
     )
     .with_log(log.clone());
     let record = DecisionLog::new(log.clone());
-    let relay = Relay::new(settings, platform.dialect, record, client, peers);
+    let relay = Relay::new(
+        settings,
+        platform.dialect,
+        record,
+        client,
+        peers,
+        Arc::clone(&drain),
+    );
     let relay = Arc::new(relay);
     relay.metrics.install();
     let rules = Arc::clone(&relay);
@@ -169,7 +176,6 @@
     spawn_tasks(&relay, platform.sources);
     let front = Front {
         relay: Arc::clone(&relay),
-        drain: Arc::clone(&drain),
     };
     let router = front::status_router(front.clone());
     let status = tokio::spawn(async move { axum::serve(status, router).await });
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -1,19 +1,46 @@
-//! Admission of new requests during a graceful shutdown.
+//! Admission during a graceful shutdown: a request is taken only if it can end before the
+//! process does.
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
+use super::caller_request::CallerRequest;
+use super::local_reply::LocalReply;
+use super::relay::Relay;
 use super::rules::Kind;
 
-/// How long new streams are accepted after the shutdown began: until the load balancer has noticed.
-/// A stream that still runs at the end is resumed at another instance from the copy of its run.
-const STREAM_GRACE: Duration = Duration::from_millis(2500);
-
-/// Whether to accept a request with `budget` until its deadline, at `since` after the shutdown
-/// began, with `left` until the process ends. A request that could be cut off is refused before it
-/// runs.
-pub(crate) fn accepts(kind: Kind, budget: Duration, since: Duration, left: Duration) -> bool {
-    match kind {
-        Kind::Stream { .. } => since < STREAM_GRACE,
-        Kind::Idempotent | Kind::Once => budget <= left,
+/// Reason of requests that this instance does not run because it shuts down.
+pub(crate) const SHUTTING_DOWN: &str = "shutting down";
+
+/// `Retry-After` while this instance drains. Short, as another instance can serve the caller at
+/// once, but not zero, to avoid a burst.
+const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Time that a request with `budget` until its deadline is given to end, where the streams of its
+/// service end within `expected`.
+pub(crate) fn time_needed(kind: Kind, budget: Duration, expected: Option<Duration>) -> Duration {
+    match (kind, expected) {
+        (Kind::Stream { resume: true }, Some(expected)) => expected.min(budget),
+        // Once cut, it cannot go on elsewhere.
+        _ => budget,
+    }
+}
+
+impl Relay {
+    /// Whether an attempt that begins now can end before the process does.
+    pub(crate) fn has_time_for(&self, request: &CallerRequest) -> bool {
+        !self.drain.draining() || self.drain.has_time_for(self.expected_time(request))
+    }
+
+    fn expected_time(&self, request: &CallerRequest) -> Duration {
+        let (service, tokens) = (&request.service, request.output_tokens());
+        let expected = self.stream_durations.expected(service, tokens);
+        time_needed(request.route.kind, request.left(Instant::now()), expected)
+    }
+
+    /// Response to a request that has not run and has no time left for it.
+    pub(crate) fn refuse_late(&self) -> LocalReply {
+        LocalReply::unavailable(DRAIN_RETRY_AFTER, SHUTTING_DOWN)
     }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -41,9 +41,6 @@
 use sequence::{Next, Rest, Sequence};
 use silent::SilentRun;
 
-/// Output tokens assumed for a request that states no limit.
-const DEFAULT_OUTPUT_TOKENS: u32 = 1024;
-
 /// Why a stream cannot be continued on another engine.
 #[derive(Debug)]
 enum StreamError {
@@ -249,6 +246,7 @@
             Step::End => {
                 self.ended = true;
                 self.relay.runs.lock().remove(self.digest);
+                self.record_duration();
                 self.log_end(200, "stream complete");
                 None
             }
@@ -258,6 +256,9 @@
                     StreamError::Local(reply) => reply.reason,
                     StreamError::Target(_) => "engine failed",
                 };
+                if Instant::now() >= self.request.deadline {
+                    self.record_duration();
+                }
                 self.log_end(0, reason);
                 if let Some(open) = &self.open_request {
                     open.will_abort(reason);
@@ -267,6 +268,16 @@
         }
     }
 
+    /// Records how long a stream lasted, if all of it came from this instance.
+    fn record_duration(&self) {
+        let request = &self.request;
+        if request.ask.last_event.is_none() {
+            let (service, tokens) = (&request.service, request.output_tokens());
+            let time = request.arrived.elapsed();
+            self.relay.stream_durations.record(service, tokens, time);
+        }
+    }
+
     fn log_end(&self, status: u16, reason: &str) {
         let request = &self.request;
         self.relay.decisions.answered(&Outcome {
@@ -462,14 +473,10 @@
 }
 
 fn estimate_work(request: &CallerRequest) -> Work {
-    let ask = &request.ask;
-    let output = match ask.output_tokens {
-        0 => DEFAULT_OUTPUT_TOKENS,
-        output => output,
-    };
+    let prompt = request.ask.prompt_tokens;
     Work {
-        prompt: ask.prompt_tokens,
-        memory: ask.prompt_tokens + output,
+        prompt,
+        memory: prompt + request.output_tokens(),
         runs: 1,
     }
 }
--- a/src/relay/tests/stall_timeouts.rs
+++ b/src/relay/tests/stall_timeouts.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use crate::caller::Drain;
 use crate::relay::progress::{EngineReport, Progress};
 use crate::relay::rules::Kind;
 use crate::relay::shutdown;
@@ -86,26 +87,25 @@
 
 #[test]
 fn draining_instance_accepts_only_requests_that_end_in_time() {
-    let stream = Kind::Stream { resume: true };
     let second = Duration::from_secs(1);
-
-    assert!(shutdown::accepts(
-        Kind::Once,
-        second,
-        5 * second,
-        2 * second
-    ));
-    assert!(!shutdown::accepts(
-        Kind::Once,
-        2 * second,
-        6 * second,
-        second
-    ));
-    assert!(shutdown::accepts(stream, 25 * second, second, 6 * second));
-    assert!(!shutdown::accepts(
-        stream,
-        25 * second,
-        3 * second,
-        5 * second
-    ));
+    let drain = Drain::new(5 * second);
+    drain.begin();
+    let resumable = Kind::Stream { resume: true };
+    let once = Kind::Stream { resume: false };
+
+    for (kind, budget, expected, fits) in [
+        (Kind::Once, 4 * second, None, true),
+        (Kind::Once, 6 * second, None, false),
+        (Kind::Idempotent, 4950 * second / 1000, None, false),
+        (resumable, 25 * second, Some(2 * second), true),
+        (resumable, 25 * second, Some(6 * second), false),
+        (resumable, 25 * second, None, false),
+        (resumable, 2 * second, Some(6 * second), true),
+        (once, 25 * second, Some(2 * second), false),
+        (once, 2 * second, None, true),
+    ] {
+        let needed = shutdown::time_needed(kind, budget, expected);
+        let context = format!("{kind:?} {budget:?} {expected:?}");
+        assert_eq!(drain.has_time_for(needed), fits, "{context}");
+    }
 }
