Begin no attempt that the end of the process would cut

What callers saw: a request that waited for a place as SIGTERM came was passed on when its wait ended and cut or answered 502 at the exit; retries and second attempts began though they could not end.

Cause: the shutdown was asked once, when a request arrived.

Change: it is asked where attempts begin, for calls and streams: before and during the wait for a place, before a retry is taken, before a second attempt, before a silent run without a copy is moved, and last when the connection is ready. What has not run gets 503 as soon as its time is short; what has run gets what is known of it; an attempt that is under way goes on, and so does a stream of which the caller has a part.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -27,6 +27,7 @@
 use super::record::{FailedAttempt, count_abandoned};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
+use super::shutdown::SHUTTING_DOWN;
 use crate::ident::TargetKey;
 use crate::routing::Lease;
 use crate::telemetry::Stage;
@@ -79,6 +80,8 @@
     Unsent,
     /// The target said after it was chosen that it takes no further requests.
     Withheld,
+    /// The process would end before it.
+    TooLate,
     Lost(&'static str),
     /// No answer by the request's deadline.
     TimedOut,
@@ -196,6 +199,15 @@
     /// Places the next attempt. An error is the reply to a suspect, or `None` when no target takes
     /// the request in time.
     async fn place(&mut self) -> Result<(Lease, bool), Option<LocalReply>> {
+        let (relay, request) = (self.relay, self.request);
+        tokio::select! {
+            biased;
+            () = relay.out_of_time(request) => Err(None),
+            placed = self.place_in_time() => placed,
+        }
+    }
+
+    async fn place_in_time(&mut self) -> Result<(Lease, bool), Option<LocalReply>> {
         let relay = self.relay;
         let trial = relay.admit_suspect(self.request).await;
         let trial = trial.map_err(|left| Some(relay.refuse_suspect(left, self.runs > 0)))?;
@@ -287,6 +299,7 @@
                 self.unreachable += 1;
                 "target takes no further requests"
             }
+            AttemptResult::TooLate => SHUTTING_DOWN,
             AttemptResult::Lost(reason) => {
                 self.runs += 1;
                 self.report_loss(&lease, ended.trial);
@@ -333,6 +346,9 @@
         if first || !runs_left || !reachable || sent == 0 {
             return first || runs_left && reachable;
         }
+        if !self.relay.has_time_for(self.request) {
+            return false;
+        }
         self.relay.take_retry(&self.request.service).await
     }
 
@@ -378,6 +394,7 @@
             (None, 0) if timed_out => {
                 LocalReply::unavailable(retry_after, "no target answered in time")
             }
+            (None, 0) if !self.relay.has_time_for(self.request) => self.relay.refuse_late(),
             (None, 0) if self.at_limit.is_some() => {
                 let wait = self.at_limit.unwrap_or_default().max(RETRY_AFTER_MIN);
                 LocalReply::unavailable(wait, "targets are at their limits")
--- a/src/relay/call/exchange.rs
+++ b/src/relay/call/exchange.rs
@@ -51,6 +51,9 @@
         if !self.relay.still_takes(lease.key) {
             return AttemptResult::Withheld;
         }
+        if !self.relay.has_time_for(request) {
+            return AttemptResult::TooLate;
+        }
         self.relay.record_sent(lease.key, self.purpose);
         let sent = Instant::now();
         let response = match connection.send(request.attempt(dialect, &attempt)).await {
--- a/src/relay/call/second.rs
+++ b/src/relay/call/second.rs
@@ -8,6 +8,7 @@
 use super::{Call, Exchange, MAX_DECLINED, MAX_UNREACHABLE};
 use crate::relay::relay::TargetCriteria;
 use crate::relay::rules::Kind;
+use crate::relay::shutdown::SHUTTING_DOWN;
 use crate::relay::silence::{KEPT_FOR_LOSSES, RetryShare};
 use crate::routing::Lease;
 
@@ -45,6 +46,9 @@
     /// Secures a target for a second attempt while the first one goes on.
     pub(super) async fn second(&self) -> Result<Lease, &'static str> {
         let relay = self.relay;
+        if !relay.has_time_for(self.request) {
+            return Err(SHUTTING_DOWN);
+        }
         if !relay.is_clear(&self.request.suspect_parts) {
             return Err("it may crash its targets");
         }
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -1,9 +1,9 @@
-//! Admission during a graceful shutdown: a request is taken only if it can end before the
-//! process does.
+//! Admission during a graceful shutdown: an attempt begins only if it can end before the process
+//! does.
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::caller_request::CallerRequest;
 use super::local_reply::LocalReply;
@@ -17,6 +17,9 @@
 /// once, but not zero, to avoid a burst.
 const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Interval at which a request that waits polls whether it still has time.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time that a request with `budget` until its deadline is given to end, where the streams of its
 /// service end within `expected`.
 pub(crate) fn time_needed(kind: Kind, budget: Duration, expected: Option<Duration>) -> Duration {
@@ -39,6 +42,14 @@
         time_needed(request.route.kind, request.left(Instant::now()), expected)
     }
 
+    /// Waits until no attempt can end in time.
+    pub(crate) async fn out_of_time(&self, request: &CallerRequest) {
+        self.drain.begun().await;
+        while self.has_time_for(request) {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Response to a request that has not run and has no time left for it.
     pub(crate) fn refuse_late(&self) -> LocalReply {
         LocalReply::unavailable(DRAIN_RETRY_AFTER, SHUTTING_DOWN)
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -25,6 +25,7 @@
 use crate::relay::placing::{Patience, PlaceError};
 use crate::relay::record::Placement;
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
+use crate::relay::shutdown::SHUTTING_DOWN;
 use crate::relay::stall::{Loss, StallDetector};
 use crate::relay::stall_timeouts::StallTimeouts;
 use crate::relay::successor::{Mover, Place};
@@ -72,6 +73,9 @@
             if now >= self.request.deadline {
                 return Err(self.give_up("no time left"));
             }
+            if !self.has_time() {
+                return Err(self.give_up(SHUTTING_DOWN));
+            }
             let runs_left = self.runs < self.request.route.max_attempts.max(1);
             let attempts = self.runs + self.declined;
             if !runs_left || !self.may_follow_declined().await {
@@ -119,6 +123,9 @@
                 }
             };
             // It may have waited for a permit meanwhile.
+            if !self.has_time() {
+                return Err(self.give_up(SHUTTING_DOWN));
+            }
             if !self.trial
                 && let Some(left) = self.relay.quarantine_left(&self.request.suspect_parts)
             {
@@ -161,6 +168,7 @@
     /// Final response when no further run is possible.
     fn give_up(&self, reason: &'static str) -> StreamError {
         StreamError::Local(match self.runs {
+            0 if !self.has_time() => self.relay.refuse_late(),
             0 => {
                 let least = retry_after(RETRY_AFTER_MIN, &self.request.ask.id);
                 let wait = self.relay.return_time(&self.request).unwrap_or_default();
@@ -195,7 +203,11 @@
             return Ok(lease);
         }
         let patience = Patience::of(&self.request);
-        self.relay.place(unrestricted, patience).await
+        tokio::select! {
+            biased;
+            () = self.out_of_time() => Err(PlaceError::Unavailable),
+            placed = self.relay.place(unrestricted, patience) => placed,
+        }
     }
 
     /// Chooses an engine in another failure domain, so that the copy survives the loss of this
@@ -250,6 +262,9 @@
         if !self.relay.still_takes(lease.key) {
             return Err(self.record_declined(&lease, "target takes no further requests"));
         }
+        if !self.has_time() {
+            return Err(self.record_declined(&lease, SHUTTING_DOWN));
+        }
         let holder = self.backup.as_ref().map(|c| c.lease.key);
         if holder.is_some_and(|key| !self.relay.still_takes(key)) {
             self.backup = None;
--- a/src/relay/stream/waits.rs
+++ b/src/relay/stream/waits.rs
@@ -1,6 +1,7 @@
 //! Waits of a stream that has begun: no other answer is left for its caller, so it goes on looking for
 //! an engine and a retry until its deadline.
 
+use std::future::pending;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -62,6 +63,19 @@
         waits
     }
 
+    /// Whether another attempt may begin. A stream that has begun goes on to the end of the process.
+    pub(super) fn has_time(&self) -> bool {
+        self.has_begun() || self.relay.has_time_for(&self.request)
+    }
+
+    /// Waits until [`Self::has_time`] no longer holds.
+    pub(super) async fn out_of_time(&self) {
+        match self.has_begun() {
+            true => pending().await,
+            false => self.relay.out_of_time(&self.request).await,
+        }
+    }
+
     /// Whether the caller has got an event.
     pub(super) fn has_begun(&self) -> bool {
         self.last_id != self.request.ask.last_event
--- a/src/relay/successor.rs
+++ b/src/relay/successor.rs
@@ -11,6 +11,7 @@
 use super::connections::Connection;
 use super::copies::CopyTask;
 use super::relay::{Relay, TargetCriteria};
+use super::shutdown::SHUTTING_DOWN;
 use super::silence::{KEPT_FOR_LOSSES, Silence};
 use crate::ident::TargetKey;
 use crate::routing::{Lease, Work};
@@ -58,6 +59,10 @@
             attempts_left: self.attempts_left,
         };
         let share = silence.may_move()?;
+        // From a copy, what is left of the stream goes on; anything else begins again.
+        if self.copy.is_none() && !self.relay.has_time_for(self.request) {
+            return Err(SHUTTING_DOWN);
+        }
         let service = &self.request.service;
         if !self.relay.may_have_spare_retry(service, share) {
             return Err(KEPT_FOR_LOSSES);
