Answer a request whose body is still coming as the process ends

What the caller saw: a caller that was still sending its body when the process ended got a closed connection and no answer, though its request had not run.

Cause: the final answers at the end of a shutdown covered requests from the moment at which their body was read.

Change: one that is still being received then gets 503, before the exit and unread.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -205,7 +205,10 @@
         Err(reply) => return Err(with_id(reply)),
     };
     let limits = rules.limits;
-    let body = collect_body(body, limits.body_bytes, limits.idle_timeout).await;
+    let body = tokio::select! {
+        body = collect_body(body, limits.body_bytes, limits.idle_timeout) => body,
+        () = relay.drain.expiring() => Err(relay.refuse_late()),
+    };
     let body = body.map_err(with_id)?;
     let point = fraction(&ask.id);
     let Some(service) = route.service(point).cloned() else {
