Refuse what cannot end before the instance stops

Callers saw: after SIGTERM calls and generations were taken and passed on to the last moment of the drain, then cut without an answer, deposits that may not be repeated among them.

Cause: the handlers of the own interface asked the clock of the shutdown nothing.

Change: once a shutdown has begun, a plain call needs the service's timeout, a generation the time that its service's streams of its size last (while too few are known, the pace of those that run; its deadline if none does). A request is refused with 503 shutting_down and a retry time as soon as that no longer fits, also while it waits for admission. An attempt of an action sends nothing that may have no response by then: it looks its claim up and returns a stored outcome, waits for nobody, and takes no claim over. Drain::begun waits for a signal instead of polling, as more tasks wait for it now.

Why: nothing begins that the end of the process would cut; the clock is asked where work begins, not where it arrives.

--- a/src/action/actions.rs
+++ b/src/action/actions.rs
@@ -1,8 +1,8 @@
 //! Entry point for calls of plain services at one instance, and the state its attempts share.
 
 use std::fmt;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use http::uri::PathAndQuery;
@@ -45,6 +45,7 @@
     pub(crate) hook: Option<Hook>,
     pub(crate) deferred: DeferredWriter,
     running: AtomicUsize,
+    end: OnceLock<Box<EndFn>>,
     in_flight: InFlight,
     rate_limiter: Mutex<RateLimiter>,
     breaker: Mutex<CircuitBreaker>,
@@ -53,7 +54,16 @@
     pub(crate) budget: RetryBudget,
 }
 
+/// Returns the time by which actions must end, once there is one.
+type EndFn = dyn Fn() -> Option<Instant> + Send + Sync;
+
 impl Inner {
+    /// Time from which on no action that takes up to `timeout` may be sent.
+    pub(crate) fn last_send(&self, timeout: Duration) -> Option<Instant> {
+        let end = self.end.get().and_then(|end| end())?;
+        Some(end.checked_sub(timeout).unwrap_or_else(Instant::now))
+    }
+
     /// Admits one new action, or returns how long to wait while the platform is unreachable or
     /// limits writes.
     pub(crate) fn admit(&self) -> Result<(), Duration> {
@@ -99,6 +109,7 @@
             name,
             deferred: DeferredWriter::new(platform.clone()),
             running: AtomicUsize::new(0),
+            end: OnceLock::new(),
             in_flight: InFlight::default(),
             rate_limiter: Mutex::new(RateLimiter::new(Instant::now())),
             breaker: Mutex::new(CircuitBreaker::new(Instant::now())),
@@ -115,6 +126,12 @@
         }
     }
 
+    /// Sets the end of the process, which is unknown until it shuts down: no action is sent that
+    /// may have no response by then.
+    pub fn set_end(&self, end: impl Fn() -> Option<Instant> + Send + Sync + 'static) {
+        let _ = self.inner.end.set(Box::new(end));
+    }
+
     /// Number of running attempts, including those whose caller has disconnected, and of deferred
     /// writes. A graceful stop waits until it is 0.
     #[must_use]
--- a/src/action/attempt.rs
+++ b/src/action/attempt.rs
@@ -117,6 +117,9 @@
         let mut claim = Claim::new(self.inner.limits, params);
         let mut event = Event::Start;
         loop {
+            if let Some(end) = self.inner.last_send(self.call.timeout) {
+                claim.end_by(end);
+            }
             let command = claim.step(event, Now::read());
             self.call_hook(&command).await;
             event = match command {
--- a/src/action/claim.rs
+++ b/src/action/claim.rs
@@ -22,8 +22,8 @@
 #[derive(Clone, Debug)]
 pub(super) enum Phase {
     Connecting,
-    /// No target is reachable: reading the claim, since only a stored outcome can be returned.
-    LookingUp,
+    /// Nothing can be sent: reading the claim, since only a stored outcome can be returned.
+    LookingUp(Cause),
     /// Writing `claimed`.
     Claiming(u64),
     ClaimLost(u64),
@@ -51,6 +51,8 @@
     rewrites: u32,
     reconnects: u32,
     mark_lost: bool,
+    /// Why an action is not sent after the deadline.
+    late: Cause,
 }
 
 impl Claim {
@@ -64,6 +66,15 @@
             rewrites: 0,
             reconnects: 0,
             mark_lost: false,
+            late: Cause::Deadline,
+        }
+    }
+
+    /// Nothing is sent from `end` on, because the instance shuts down.
+    pub fn end_by(&mut self, end: Instant) {
+        if end < self.params.deadline {
+            self.params.deadline = end;
+            self.late = Cause::Shutdown;
         }
     }
 
@@ -71,7 +82,7 @@
     pub fn step(&mut self, event: Event, now: Now) -> Command {
         match self.phase.clone() {
             Phase::Connecting => self.connecting(event, now),
-            Phase::LookingUp => self.looking_up(event, now),
+            Phase::LookingUp(cause) => self.looking_up(cause, event, now),
             Phase::Claiming(base) | Phase::ClaimLost(base) => self.claiming(base, event, now),
             Phase::Marking(base, since) | Phase::MarkLost(base, since) => {
                 self.marking(base, since, event, now)
@@ -95,21 +106,24 @@
     fn connecting(&mut self, event: Event, now: Now) -> Command {
         match event {
             Event::Connected => self.begin(0, now),
-            Event::NoTarget => {
-                self.phase = Phase::LookingUp;
-                Command::Read
-            }
+            Event::NoTarget => self.look_up(Cause::NoTarget),
+            _ if now.at >= self.params.deadline => self.look_up(self.late),
             _ => Command::Connect,
         }
     }
 
-    fn looking_up(&mut self, event: Event, now: Now) -> Command {
+    fn look_up(&mut self, cause: Cause) -> Command {
+        self.phase = Phase::LookingUp(cause);
+        Command::Read
+    }
+
+    fn looking_up(&mut self, cause: Cause, event: Event, now: Now) -> Command {
         match event {
             Event::Read(Some(claim)) => match claim.record.stage {
-                Stage::Claimed | Stage::Released => self.refuse(Cause::NoTarget),
+                Stage::Claimed | Stage::Released => self.refuse(cause),
                 Stage::Sent | Stage::Done { .. } => self.examine(claim, now),
             },
-            Event::Read(None) => self.refuse(Cause::NoTarget),
+            Event::Read(None) => self.refuse(cause),
             _ => self.refuse(Cause::Platform(None)),
         }
     }
@@ -117,7 +131,7 @@
     /// Starts to write the claim, replacing revision `base`.
     pub(super) fn begin(&mut self, base: u64, now: Now) -> Command {
         match () {
-            () if now.at >= self.params.deadline => self.refuse(Cause::Deadline),
+            () if now.at >= self.params.deadline => self.refuse(self.late),
             () if self.limits.direct => self.mark(base, now),
             () => {
                 self.phase = Phase::Claiming(base);
@@ -182,7 +196,7 @@
     pub(super) fn send(&mut self, rev: u64, since: Instant, now: Now) -> Command {
         let send_by = (since + self.limits.window).min(self.params.deadline);
         match () {
-            () if now.at >= send_by => self.release(rev, Cause::Deadline, now),
+            () if now.at >= send_by => self.release(rev, self.late, now),
             () => {
                 self.phase = Phase::Sending(rev, since);
                 Command::Send(send_by)
--- a/src/action/event.rs
+++ b/src/action/event.rs
@@ -103,6 +103,8 @@
     NoTarget,
     /// The deadline has passed.
     Deadline,
+    /// The instance shuts down before the service would respond.
+    Shutdown,
     /// Another attempt holds the claim.
     Busy,
     /// The service's response was lost.
--- a/src/action/verdict.rs
+++ b/src/action/verdict.rs
@@ -47,6 +47,7 @@
             "deadline",
             "the time limit passed before the action was sent",
         ),
+        Cause::Shutdown => Failure::shutting_down(),
         Cause::Busy | Cause::AnswerLost => Failure::not_run(
             409,
             "in_progress",
@@ -70,7 +71,7 @@
             "answer_lost",
             "the action was sent once and its response was lost; it will not be sent again",
         ),
-        Cause::Platform(_) | Cause::NoTarget | Cause::Deadline => Failure::unknown(
+        Cause::Platform(_) | Cause::NoTarget | Cause::Deadline | Cause::Shutdown => Failure::unknown(
             "outcome_not_read",
             "an earlier call with this Idempotency-Key was sent, and its outcome could not be read",
         )
--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -154,7 +154,20 @@
         .into(),
         body_digest: digest(&[name, &prompt, &max.to_string()]),
     };
-    let reader = instance.generate(start, cursor, &caller.account).await?;
+    let deadline = start.deadline.into_std().saturating_duration_since(arrival);
+    let late = async {
+        front.drain.begun().await;
+        let known = instance.durations.expected(name, max);
+        let expected = known.or_else(|| instance.generations.expected(name, max));
+        let time = expected.unwrap_or(deadline).min(deadline);
+        front.drain.short_of(time).await;
+    };
+    let returning = cursor.is_some() || instance.generations.knows(key);
+    let reader = tokio::select! {
+        biased;
+        () = late => return Err(refusal(returning)),
+        reader = instance.generate(start, cursor, &caller.account) => reader?,
+    };
     Ok(Call {
         reader,
         timer: LatencyTimer::new(instance.metrics.span(&caller.name), arrival),
@@ -163,6 +176,14 @@
     })
 }
 
+/// Refusal of a generation that would not end before the shutdown does.
+fn refusal(returning: bool) -> Failure {
+    match returning {
+        true => Failure::interrupted("the generation goes on at another instance"),
+        false => Failure::shutting_down(),
+    }
+}
+
 fn parse(bytes: &[u8]) -> Result<CompletionBody, Failure> {
     serde_json::from_slice(bytes)
         .map_err(|e| Failure::not_run(400, "bad_json", format!("could not read the body: {e}")))
--- a/src/caller/drain.rs
+++ b/src/caller/drain.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
 
 use super::open::OpenRequests;
 
@@ -20,15 +21,13 @@
 /// network delay to the caller.
 const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
-/// Interval at which tasks poll for a shutdown.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The state of a shutdown, shared by the server, its handlers and the readiness check.
 #[derive(Debug)]
 pub struct Drain {
     /// Time from the beginning of the shutdown to the end of the process, at most.
     longest: Duration,
     draining: AtomicBool,
+    signal: CancellationToken,
     begun: OnceLock<Instant>,
     requests: Arc<OpenRequests>,
     last_arrival: Mutex<Option<Instant>>,
@@ -41,6 +40,7 @@
         Self {
             longest,
             draining: AtomicBool::default(),
+            signal: CancellationToken::new(),
             begun: OnceLock::default(),
             requests: Arc::default(),
             last_arrival: Mutex::default(),
@@ -57,6 +57,7 @@
     pub fn begin(&self) {
         self.begun.get_or_init(Instant::now);
         self.draining.store(true, Ordering::Release);
+        self.signal.cancel();
     }
 
     /// Time since the shutdown began, if it has.
@@ -78,11 +79,25 @@
         left.is_none_or(|left| time + FINAL_ANSWER_MARGIN <= left)
     }
 
+    /// Time at which requests without an answer get their final one, if the shutdown has begun.
+    pub(crate) fn expires(&self) -> Option<Instant> {
+        let longest = self.longest.saturating_sub(FINAL_ANSWER_MARGIN);
+        Some(*self.begun.get()? + longest)
+    }
+
     /// Waits until requests without an answer are to get their final one.
     pub(crate) async fn expiring(&self) {
+        self.short_of(Duration::ZERO).await;
+    }
+
+    /// Waits until a request that takes `time` would no longer end in time.
+    pub(crate) async fn short_of(&self, time: Duration) {
         self.begun().await;
-        let left = self.left().unwrap_or_default();
-        tokio::time::sleep(left.saturating_sub(FINAL_ANSWER_MARGIN)).await;
+        // A sleep is pending at its first poll, however short.
+        if self.has_time_for(time) {
+            let left = self.left().unwrap_or_default();
+            tokio::time::sleep(left.saturating_sub(time + FINAL_ANSWER_MARGIN)).await;
+        }
     }
 
     /// Whether idle connections stay open: until [`MIN_LINGER`] after the shutdown began.
@@ -92,9 +107,7 @@
 
     /// Waits until the shutdown begins.
     pub async fn begun(&self) {
-        while !self.draining() {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        self.signal.cancelled().await;
     }
 
     /// The requests that are not completely answered yet.
--- a/src/caller/services.rs
+++ b/src/caller/services.rs
@@ -95,7 +95,7 @@
         timeout,
         deadline: timeout + RETRY_TIME,
     };
-    instance.act(call, &caller.account).await
+    instance.act(call, &caller.account, &front.drain).await
 }
 
 fn full_path(path: &str, query: Option<&str>) -> String {
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -5,6 +5,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+/// Time after which a request that a shutdown refused or cut off may be sent to another instance.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Whether a failed request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -52,6 +55,29 @@
         Self::new(status, Certainty::Failed, reason, message)
     }
 
+    /// A rejected request that could not end before the instance shuts down.
+    #[must_use]
+    pub fn shutting_down() -> Self {
+        let text = "the instance shuts down before the request would end";
+        Self::not_run(503, "shutting_down", text).retry_after(SHUTDOWN_RETRY_AFTER)
+    }
+
+    /// A request that is cut off by a shutdown; `text` says what its caller may do.
+    #[must_use]
+    pub fn shut_down(text: &str) -> Self {
+        let text = format!("the instance shuts down; {text}");
+        Self::unknown("shutting_down", text)
+    }
+
+    /// A request that is cut off by a shutdown and may be sent again.
+    #[must_use]
+    pub fn interrupted(text: &str) -> Self {
+        Self {
+            status: 503,
+            ..Self::shut_down(text).retry_after(SHUTDOWN_RETRY_AFTER)
+        }
+    }
+
     /// Sets the time after which the caller should retry.
     #[must_use]
     pub fn retry_after(mut self, wait: Duration) -> Self {
--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -408,6 +408,9 @@
     fn finish(&mut self, outcome: Outcome) {
         if matches!(outcome, Outcome::Complete(_)) {
             self.observe(Observation::Completed);
+            if let Some(begun) = self.run.begun {
+                self.observe(Observation::Lasted(begun.elapsed()));
+            }
         }
         self.outcome = Some(outcome);
     }
--- a/src/generation/hooks.rs
+++ b/src/generation/hooks.rs
@@ -68,6 +68,8 @@
     Refused,
     /// The attempt completed its answer.
     Completed,
+    /// Time from the start of a generation that began here to its complete answer.
+    Lasted(Duration),
     /// The target was lost.
     Lost(Loss),
 }
--- a/src/generation/run.rs
+++ b/src/generation/run.rs
@@ -4,6 +4,7 @@
 //! its own speed, so that a slow connection does not delay the others.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -84,13 +85,15 @@
     pub(crate) superseded: CancellationToken,
     /// Cancelled when the generation has had no reader for too long.
     pub(crate) abandoned: CancellationToken,
+    /// When the generation started, unless another instance started it.
+    pub(crate) begun: Option<Instant>,
     log: Mutex<Log>,
     updates: Notify,
 }
 
 impl Run {
     pub(crate) fn new(request: GenerationRequest, epoch: u64) -> Arc<Self> {
-        Self::build(request, epoch, Vec::new(), None, None)
+        Self::build(request, epoch, Some(Instant::now()), Vec::new(), None, None)
     }
 
     /// Creates the run that resumes from a journal.
@@ -101,12 +104,20 @@
             ..request
         };
         let outcome = journal.finish_reason.map(Outcome::Complete);
-        Self::build(request, epoch, journal.tokens, journal.location, outcome)
+        Self::build(
+            request,
+            epoch,
+            None,
+            journal.tokens,
+            journal.location,
+            outcome,
+        )
     }
 
     fn build(
         request: GenerationRequest,
         epoch: u64,
+        begun: Option<Instant>,
         tokens: Vec<SmolStr>,
         location: Option<AttemptLocation>,
         outcome: Option<Outcome>,
@@ -124,6 +135,7 @@
             epoch,
             superseded: CancellationToken::new(),
             abandoned: CancellationToken::new(),
+            begun,
             log: Mutex::new(log),
             updates: Notify::new(),
         })
@@ -204,6 +216,15 @@
         self.log.lock().tokens.len() as u64
     }
 
+    /// Mean time of a token so far, if the generation runs and started here.
+    pub(crate) fn pace(&self) -> Option<Duration> {
+        let log = self.log.lock();
+        let tokens = u32::try_from(log.tokens.len()).ok()?;
+        let running = log.outcome.is_none() && tokens > 0;
+        let begun = self.begun.filter(|_| running)?;
+        Some(begun.elapsed() / tokens)
+    }
+
     pub(crate) fn ended(&self) -> bool {
         self.log.lock().outcome.is_some()
     }
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -191,6 +191,25 @@
         self.adopt(request, journal, next, release)
     }
 
+    /// Whether this instance runs or ran the generation of a request.
+    #[must_use]
+    pub fn knows(&self, key: RequestKey) -> bool {
+        self.shared.run(key).is_some()
+    }
+
+    /// The time that `tokens` take at the pace of the service's slowest running generation; `None`
+    /// if none has tokens.
+    #[must_use]
+    pub fn expected(&self, service: &str, tokens: u32) -> Option<Duration> {
+        let pace = |shard: &Shard| {
+            let runs = shard.lock();
+            let runs = runs.values().filter(|r| r.request.service == service);
+            runs.filter_map(|run| run.pace()).max()
+        };
+        let paces = self.shared.shards.iter().filter_map(pace);
+        paces.max().map(|pace| pace * tokens)
+    }
+
     /// Number of running generations.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -11,6 +11,7 @@
     claim_name,
 };
 use crate::admission::AdmissionRequest;
+use crate::caller::Drain;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
 use crate::ident::TargetKey;
@@ -29,8 +30,13 @@
     /// Runs a call of a plain service after admission.
     ///
     /// # Errors
-    /// When the call is refused or the service does not answer.
-    pub(crate) async fn act(&self, call: Call, account: &Account) -> Result<Outcome, Failure> {
+    /// When the call is refused, the service does not answer, or the instance shuts down before.
+    pub(crate) async fn act(
+        &self,
+        call: Call,
+        account: &Account,
+        drain: &Drain,
+    ) -> Result<Outcome, Failure> {
         let request = AdmissionRequest {
             account: call.account.clone(),
             weight: account.weight,
@@ -40,7 +46,11 @@
             deadline: Some(Instant::now() + call.deadline),
             key: call.target_query().key,
         };
-        let permit = self.gate.admit(&call.service, &request).await;
+        let permit = tokio::select! {
+            biased;
+            () = drain.short_of(call.timeout) => Err(Failure::shutting_down()),
+            permit = self.gate.admit(&call.service, &request) => permit,
+        };
         match permit {
             Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
             // An earlier attempt may have run, so a refusal could be wrong: the claim decides.
--- a/src/instance/evidence.rs
+++ b/src/instance/evidence.rs
@@ -76,7 +76,8 @@
             | Observation::Lost(Loss::Leaving)
             | Observation::Gap(_)
             | Observation::Suspected
-            | Observation::Resumed(_) => {}
+            | Observation::Resumed(_)
+            | Observation::Lasted(_) => {}
             Observation::Lost(_) => self.record_loss(request),
         }
     }
--- a/src/instance/generate.rs
+++ b/src/instance/generate.rs
@@ -8,6 +8,7 @@
 use super::Instance;
 use super::evidence::EvidenceRecorder;
 use crate::admission::{AdmissionControl, AdmissionRequest, RetryBudget};
+use crate::caller::StreamDurations;
 use crate::config::{self, Account};
 use crate::failure::Failure;
 use crate::fleet::Fleet;
@@ -109,6 +110,7 @@
     budget: &Arc<RetryBudget>,
     recorder: &Arc<EvidenceRecorder>,
     metrics: &Metrics,
+    durations: &Arc<StreamDurations>,
 ) -> Hooks {
     let metrics = metrics.clone();
     let chooser = Chooser {
@@ -117,13 +119,20 @@
         router: Arc::clone(router),
         recorder: Arc::clone(recorder),
     };
-    let recorder = Arc::clone(recorder);
+    let (recorder, durations) = (Arc::clone(recorder), Arc::clone(durations));
     let (fleet, router, budget) = (Arc::clone(fleet), Arc::clone(router), Arc::clone(budget));
     Hooks {
         choose: Box::new(move |choice| chooser.choose(choice)),
         observe: Box::new(move |start, target, seen| {
-            if let Observation::Resumed(gap) = seen {
-                metrics.span(&start.account).record(Stage::ResumeGap, gap);
+            match seen {
+                Observation::Resumed(gap) => {
+                    metrics.span(&start.account).record(Stage::ResumeGap, gap);
+                }
+                Observation::Lasted(time) => {
+                    let tokens = u32::try_from(start.max_tokens).unwrap_or(u32::MAX);
+                    durations.record(&start.service, tokens, time);
+                }
+                _ => {}
             }
             if let Some(key) = fleet.key(&target.name) {
                 recorder.observed(start, key, seen);
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::action::{Actions, Limits};
 use crate::admission::{AdmissionControl, RetryBudget};
+use crate::caller::StreamDurations;
 use crate::config::{self, Feed};
 use crate::fleet::Fleet;
 use crate::generation::Generations;
@@ -64,6 +65,8 @@
     pub generations: Generations,
     /// Calls of plain services.
     pub actions: Actions,
+    /// How long generations last.
+    pub(crate) durations: Arc<StreamDurations>,
     /// Moves in progress and their evidence.
     pub moves: Arc<MoveRegistry>,
     storing: Mutex<IndexSet<SmolStr>>,
@@ -91,6 +94,7 @@
             Arc::clone(&router),
         ));
         let metrics = Metrics::new();
+        let durations = Arc::<StreamDurations>::default();
         let hooks = generate::hooks(
             &settings.instance,
             &fleet,
@@ -98,6 +102,7 @@
             &budget,
             &recorder,
             &metrics,
+            &durations,
         );
         let gate = Arc::new(AdmissionControl::new(rand::random()));
         let peers = peers(&settings, peer);
@@ -126,6 +131,7 @@
             client: Client::new(),
             generations,
             actions,
+            durations,
             moves,
             storing: Mutex::default(),
             feed: Mutex::default(),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -107,6 +107,8 @@
         drain: Arc::clone(&drain),
     };
     let router = caller::router(front);
+    let clock = Arc::clone(&drain);
+    instance.actions.set_end(move || clock.expires());
     let leave = async {
         drain.begun().await;
         instance.peers.leave();
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,140 @@
+//! What callers of the own interface get while an instance shuts down.
+
+mod support;
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde_json::json;
+use support::caller::CallerRequest;
+use support::world::{World, until};
+
+/// Longest response time of the service `desk`.
+const TIMEOUT_MS: u64 = 2000;
+
+/// Time that the target of `desk` takes for an action.
+const SLOW_MS: u64 = 1500;
+
+/// Settings of the instances.
+const DRAIN: &str = "[drain]\ntimeout = 3s\n";
+
+/// Time after the signal at which a call of `desk` has no time left.
+const LATE: Duration = Duration::from_millis(1500);
+
+async fn world(entries: usize, token_ms: &str) -> World {
+    let mut world = World::usual(1, 0, &["--token-ms", token_ms, "--slots", "64"]).await;
+    let desk = json!({
+        "kind": "plain",
+        "version": "v1",
+        "versions": {"v1": {}},
+        "timeout_ms": TIMEOUT_MS,
+        "routes": [
+            {"method": "GET", "path": "/", "repeat": "safe"},
+            {"method": "POST", "path": "/actions", "repeat": "never"},
+            {"method": "POST", "path": "/reports", "repeat": "safe"},
+        ],
+    });
+    world.store("service", "desk", &desk).await;
+    let slow = json!({"slow_ms": SLOW_MS});
+    world.control(world.plains[0].addr, "/control", &slow).await;
+    for _ in 0..entries {
+        world.entry(DRAIN).await;
+    }
+    world.ready().await;
+    world
+}
+
+fn action(world: &World, entry: usize, key: &str) -> CallerRequest {
+    let addr = world.entries[entry].caller;
+    CallerRequest::service(addr, Method::POST, "desk", "/actions/deposit").key(key)
+}
+
+fn report(world: &World, key: &str) -> CallerRequest {
+    let addr = world.entries[0].caller;
+    CallerRequest::service(addr, Method::POST, "desk", "/reports/day").key(key)
+}
+
+fn completion(world: &World, entry: usize, tokens: u32, key: &str) -> CallerRequest {
+    CallerRequest::completion(world.entries[entry].caller, "llm", key, tokens).key(key)
+}
+
+fn collected(world: &World, tokens: u32, key: &str) -> CallerRequest {
+    let body = json!({"model": "llm", "prompt": key, "max_tokens": tokens});
+    completion(world, 0, tokens, key).body(body)
+}
+
+async fn runs(world: &World, key: &str) -> u64 {
+    let log = world.read(world.plains[0].addr, "/control/log").await;
+    log["keys"][format!("one:{key}")].as_u64().unwrap_or(0)
+}
+
+async fn started(world: &World) -> usize {
+    let log = world.read(world.engines[0].addr, "/control/log").await;
+    let entries = log["entries"].as_array().cloned().unwrap_or_default();
+    entries.iter().filter(|e| e["op"] == "start").count()
+}
+
+/// Status, outcome and reason of a call; nothing if its connection was cut.
+async fn label(ask: CallerRequest, world: &World) -> Option<(StatusCode, String, String)> {
+    let (status, body) = ask.whole(&world.client).await.ok()?;
+    let field = |name: &str| body["error"][name].as_str().unwrap_or("").to_owned();
+    let wait = &body["error"]["retry_after_ms"];
+    assert_eq!(status == 503, wait.is_u64(), "{status} {body}");
+    Some((status, field("outcome"), field("reason")))
+}
+
+fn is(status: u16, outcome: &str, reason: &str) -> Option<(StatusCode, String, String)> {
+    let status = StatusCode::from_u16(status).unwrap();
+    Some((status, outcome.into(), reason.into()))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_requests_are_refused_unless_they_can_end_in_time() {
+    let world = world(1, "20").await;
+    for i in 0..10 {
+        let known = completion(&world, 0, 4, &format!("known-{i}"));
+        assert!(known.all(&world.client).await.done);
+    }
+    let early = label(action(&world, 0, "early"), &world);
+    let signalled = async {
+        until("the action runs", async || runs(&world, "early").await == 1).await;
+        world.entries[0].process.signal("TERM");
+        let in_time = label(action(&world, 0, "timely"), &world);
+        let late = async {
+            tokio::time::sleep(LATE).await;
+            let before = started(&world).await;
+            let cases = [
+                action(&world, 0, "late"),
+                action(&world, 0, "early"),
+                report(&world, "late"),
+                completion(&world, 0, 1000, "late"),
+                completion(&world, 0, 1000, "known-1").last(1),
+                collected(&world, 1000, "late"),
+                completion(&world, 0, 4, "short"),
+            ];
+            let mut labels = Vec::new();
+            for case in cases {
+                labels.push(label(case, &world).await);
+            }
+            (labels, started(&world).await - before)
+        };
+        tokio::join!(in_time, late)
+    };
+    let (early, (in_time, (late, starts))) = tokio::join!(early, signalled);
+
+    assert_eq!(early, is(201, "", ""));
+    assert_eq!(in_time, is(201, "", ""), "ends before the process does");
+    let refused = is(503, "not_run", "shutting_down");
+    let unknown = is(503, "outcome_unknown", "shutting_down");
+    let expected = [
+        refused.clone(),
+        is(201, "", ""),
+        refused.clone(),
+        refused.clone(),
+        unknown,
+        refused,
+        is(200, "", ""),
+    ];
+    assert_eq!(late, expected);
+    assert_eq!((runs(&world, "late").await, starts), (0, 1));
+}
