Answer what is still open as the instance stops

Callers saw: calls and collected generations that ran at the end of the drain lost their connections, with neither an outcome nor a refusal.

Cause: nothing on the own interface used the time before the exit; the server dropped its connections when the drain was over.

Change: shortly before the exit (Drain::expiring) a call that may not be repeated gets 502 outcome_unknown, one that may be repeated and a generation whose answer has not begun get 503 with a retry time, all with the reason shutting_down.

Why: the claim stays `sent`, so the same key at another instance gets the outcome from the claim or the service's status call and never runs the action again.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -89,7 +89,11 @@
             failure.into_response()
         }
         Ok(call) if call.stream => stream_answer(call, api, &key),
-        Ok(call) => collect_answer(call, api, &key).await,
+        Ok(call) => tokio::select! {
+            biased;
+            answer = collect_answer(call, api, &key) => answer,
+            () = front.drain.expiring() => refusal(true).into_response(),
+        },
     };
     with_request_id(response, &key)
 }
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -51,10 +51,18 @@
             () = drain.short_of(call.timeout) => Err(Failure::shutting_down()),
             permit = self.gate.admit(&call.service, &request) => permit,
         };
-        match permit {
-            Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
-            // An earlier attempt may have run, so a refusal could be wrong: the claim decides.
-            _permit => self.actions.run(call).await,
+        let cut = cut(&call);
+        let ended = async {
+            match permit {
+                Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
+                // An earlier attempt may have run, so a refusal could be wrong: the claim decides.
+                _permit => self.actions.run(call).await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = ended => result,
+            () = drain.expiring() => Err(cut),
         }
     }
 
@@ -81,6 +89,16 @@
     }
 }
 
+/// The answer to a call that is still open at the end of a shutdown.
+fn cut(call: &Call) -> Failure {
+    match call.repeat {
+        Repeat::Never => Failure::shut_down(
+            "the same key at another instance returns the outcome once it is known",
+        ),
+        Repeat::Safe => Failure::interrupted("the call may be repeated at another instance"),
+    }
+}
+
 /// Builds the function that selects a target of the current version of a plain service.
 pub(super) fn chooser(
     identity: &Identity,
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use serde_json::json;
 use support::caller::CallerRequest;
-use support::world::{World, until};
+use support::world::{LIMIT, World, until};
 
 /// Longest response time of the service `desk`.
 const TIMEOUT_MS: u64 = 2000;
@@ -138,3 +138,40 @@
     assert_eq!(late, expected);
     assert_eq!((runs(&world, "late").await, starts), (0, 1));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_open_at_the_exit_get_an_answer_and_their_outcome_later() {
+    let mut world = world(2, "200").await;
+    let held = json!({"slow_ms": 4 * SLOW_MS});
+    world.control(world.plains[0].addr, "/control", &held).await;
+    let long = json!({
+        "kind": "plain", "version": "v1", "versions": {"v1": {}}, "timeout_ms": 20_000,
+        "routes": [
+            {"method": "POST", "path": "/actions", "repeat": "never", "status": "/status"},
+            {"method": "POST", "path": "/reports", "repeat": "safe"},
+        ],
+    });
+    world.store("service", "desk", &long).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let open = async {
+        tokio::join!(
+            label(action(&world, 0, "held"), &world),
+            label(report(&world, "held"), &world),
+            label(collected(&world, 1000, "held"), &world),
+        )
+    };
+    let signalled = async {
+        until("the action runs", async || runs(&world, "held").await == 1).await;
+        world.entries[0].process.signal("TERM");
+    };
+    let ((never, repeatable, generation), ()) = tokio::join!(open, signalled);
+    let ended = world.entries[0].process.ended(LIMIT);
+    let again = label(action(&world, 1, "held"), &world).await;
+
+    assert_eq!(ended, Some(true));
+    assert_eq!(never, is(502, "outcome_unknown", "shutting_down"));
+    assert_eq!(repeatable, is(503, "outcome_unknown", "shutting_down"));
+    assert_eq!(generation, is(503, "outcome_unknown", "shutting_down"));
+    assert_eq!(again, is(201, "", ""), "the status call tells");
+    assert_eq!(runs(&world, "held").await, 1);
+}
