Hand streams over before the instance stops

Callers saw: a stream that ran at the end of the drain was cut; the body just ended, without a word whether and where it can be continued.

Cause: nothing ended streams in a shutdown but the end of the process.

Why: the caller returns while the owner still runs, and the peer that it is told about has every token that it has.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -9,7 +9,8 @@
 use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt as _, stream};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue};
 use http_body::Frame;
@@ -37,6 +38,10 @@
 /// Deadline for the complete answer when the request sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3600);
 
+/// Time before the final answers of a shutdown at which streams are handed over, so that callers
+/// return while this instance still answers.
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
+
 /// Size in bytes at which a frame is sent even if more tokens are ready.
 const FRAME_BYTES: usize = 16 * 1024;
 
@@ -88,7 +93,10 @@
             front.instance.metrics.refused(failure.reason);
             failure.into_response()
         }
-        Ok(call) if call.stream => stream_answer(call, api, &key),
+        Ok(call) if call.stream => {
+            let end = hand_over(front.clone(), call.reader.request().key).boxed();
+            stream_answer(call, api, &key, end)
+        }
         Ok(call) => tokio::select! {
             biased;
             answer = collect_answer(call, api, &key) => answer,
@@ -262,14 +270,33 @@
     reader: Reader,
     writer: Writer,
     timer: LatencyTimer,
+    /// The end of the stream by a shutdown.
+    end: BoxFuture<'static, Failure>,
     done: bool,
 }
 
-fn stream_answer(call: Call, api: Api, id: &str) -> Response {
+/// Waits until a shutdown ends a stream here, and returns what its caller is told.
+async fn hand_over(front: Front, key: RequestKey) -> Failure {
+    let drain = &front.drain;
+    drain.short_of(HANDOVER_TIME).await;
+    tokio::select! {
+        biased;
+        () = front.instance.generations.replicated(key) => {
+            Failure::interrupted("Last-Event-ID at another instance continues the generation")
+        }
+        () = drain.expiring() => {
+            let text = "the instance shuts down, and no other one can continue the generation";
+            Failure::failed(503, "shutting_down", text)
+        }
+    }
+}
+
+fn stream_answer(call: Call, api: Api, id: &str, end: BoxFuture<'static, Failure>) -> Response {
     let state = AnswerStream {
         writer: Writer::new(api, id, &call.model),
         reader: call.reader,
         timer: call.timer,
+        end,
         done: false,
     };
     let frames = stream::unfold(state, |mut state| async move {
@@ -291,7 +318,11 @@
             return None;
         }
         let mut out = String::new();
-        let mut next = Some(self.reader.next().await);
+        let mut next = Some(tokio::select! {
+            biased;
+            failure = &mut self.end => Event::Failed(failure),
+            event = self.reader.next() => event,
+        });
         while let Some(event) = next {
             self.write(&mut out, event);
             next = match self.done || out.len() >= FRAME_BYTES {
--- a/src/generation/replicator.rs
+++ b/src/generation/replicator.rs
@@ -4,10 +4,13 @@
 //! before callers see it. One writer per peer sends the entries of all generations, one batch at a
 //! time, which keeps the number of messages low with hundreds of streams.
 
+use std::future::pending;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
 use smol_str::SmolStr;
@@ -93,6 +96,14 @@
         }
     }
 
+    /// Waits until the peer has acknowledged all entries so far.
+    async fn caught_up(&self) {
+        let number = self.appended.load(Ordering::Relaxed);
+        let mut acked = self.acked.subscribe();
+        // The sender lives as long as this writer.
+        let _ = acked.wait_for(|n| *n >= number).await;
+    }
+
     /// Takes the next batch and the number of its last entry.
     fn take(&self) -> Option<(u64, Vec<Entry>)> {
         let mut queue = self.queue.lock();
@@ -214,6 +225,22 @@
         sent
     }
 
+    /// Waits until a peer has the journal of `key` as written so far; forever if there is no peer.
+    pub(crate) async fn replicated(&self, key: RequestKey) {
+        let writers = self.writers_of(key);
+        let mut waits: FuturesUnordered<_> = writers.iter().map(|w| w.caught_up()).collect();
+        if waits.next().await.is_none() {
+            pending().await
+        }
+    }
+
+    fn writers_of(&self, key: RequestKey) -> Vec<Arc<Writer>> {
+        let names = self.replicas(key);
+        let writers = self.writers.lock();
+        let assigned = names.iter().filter_map(|name| writers.get(name).cloned());
+        assigned.collect()
+    }
+
     /// Returns the number of journalled tokens and of the bytes sent for them.
     pub(crate) fn traffic(&self) -> (u64, u64) {
         let tokens = self.tokens.load(Ordering::Relaxed);
@@ -226,16 +253,17 @@
             return;
         }
         replicas.peers_version = peers_version;
-        let names = self.replicas(key);
-        let writers = self.writers.lock();
-        let assigned = names.iter().filter_map(|name| writers.get(name));
+        let assigned = self.writers_of(key);
         let old = std::mem::take(&mut replicas.writers);
         let resync = |w: &Arc<Writer>| {
             old.iter()
                 .find(|(o, _)| Arc::ptr_eq(o, w))
                 .map_or(0, |o| o.1)
         };
-        replicas.writers = assigned.map(|w| (Arc::clone(w), resync(w))).collect();
+        replicas.writers = assigned
+            .into_iter()
+            .map(|w| (Arc::clone(&w), resync(&w)))
+            .collect();
     }
 
     /// Reads the live peers and selects the replica candidates: the peers of the own failure
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -210,6 +210,14 @@
         paces.max().map(|pace| pace * tokens)
     }
 
+    /// Waits until another instance can continue the generation of a request from its last token.
+    pub async fn replicated(&self, key: RequestKey) {
+        match self.shared.replicator.get() {
+            Some(replicator) => replicator.replicated(key).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Number of running generations.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,12 +2,17 @@
 
 mod support;
 
+#[path = "../examples/standin/engine/token.rs"]
+#[allow(dead_code, reason = "the length of an answer is not used here")]
+mod token;
+
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use serde_json::json;
-use support::caller::CallerRequest;
+use serde_json::{Value, json};
+use support::caller::{CallerRequest, Seen};
 use support::world::{LIMIT, World, until};
+use tokio::sync::Notify;
 
 /// Longest response time of the service `desk`.
 const TIMEOUT_MS: u64 = 2000;
@@ -15,6 +20,9 @@
 /// Time that the target of `desk` takes for an action.
 const SLOW_MS: u64 = 1500;
 
+/// Tokens of a stream that does not end in time.
+const TOKENS: u32 = 100;
+
 /// Settings of the instances.
 const DRAIN: &str = "[drain]\ntimeout = 3s\n";
 
@@ -175,3 +183,60 @@
     assert_eq!(again, is(201, "", ""), "the status call tells");
     assert_eq!(runs(&world, "held").await, 1);
 }
+
+/// What the caller of a stream at entry 0 has read when the shutdown ends it.
+async fn cut_stream(world: &World, key: &str) -> Seen {
+    let ask = completion(world, 0, TOKENS, key);
+    let first = Notify::new();
+    let reading = ask.stream(&world.client, |token| {
+        if token.id == 0 {
+            first.notify_one();
+        }
+        false
+    });
+    let signalled = async {
+        first.notified().await;
+        world.entries[0].process.signal("TERM");
+    };
+    tokio::join!(reading, signalled).0
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_begun_just_before_a_stop_goes_on_at_another_instance() {
+    let mut world = world(2, "50").await;
+
+    let head = cut_stream(&world, "young").await;
+    let last = head.tokens.last().expect("tokens").id;
+    let ask = completion(&world, 1, TOKENS, "young").last(last);
+    let rest = ask.all(&world.client).await;
+    let ended = world.entries[0].process.ended(LIMIT);
+
+    let error = head.error.expect("an error event")["error"].clone();
+    assert_eq!(error["reason"], "shutting_down", "{error}");
+    assert!(error["retry_after_ms"].is_u64(), "{error}");
+    assert!(rest.done, "{:?}", rest.error);
+    let tokens: Vec<_> = head.tokens.iter().chain(&rest.tokens).collect();
+    assert_eq!(tokens.len(), TOKENS as usize);
+    for (i, seen) in (0..).zip(tokens) {
+        assert_eq!((seen.id, &seen.text), (i, &token::token("young", i)));
+    }
+    assert_eq!((ended, started(&world).await), (Some(true), 1));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_that_no_instance_can_continue_ends_with_its_failure() {
+    let world = world(1, "50").await;
+
+    let head = cut_stream(&world, "alone").await;
+
+    let error = head.error.expect("an error event")["error"].clone();
+    let label = (
+        &error["outcome"],
+        &error["reason"],
+        &error["retry_after_ms"],
+    );
+    assert_eq!(
+        label,
+        (&"failed".into(), &"shutting_down".into(), &Value::Null)
+    );
+}
--- a/tests/unanswered.rs
+++ b/tests/unanswered.rs
@@ -7,18 +7,21 @@
 use endivefork::http::Via;
 use endivefork::ident::RequestKey;
 use serde_json::Value;
-use support::world::{LIMIT, World};
+use support::world::{LIMIT, World, until};
 
 /// Settings of an instance that waits little for the requests that it still serves at its end.
 const SHORT_DRAIN: &str = "[drain]\ntimeout = 300ms\n[log]\nformat = json\n";
 
+/// Tokens that fill the buffers of a connection.
+const BLOCKING_TOKENS: u64 = 40_000;
+
 #[tokio::test]
 async fn generation_cut_at_the_exit_is_logged_with_its_key_service_and_revision() {
-    let mut world = World::usual(1, 0, &["--token-ms", "200"]).await;
+    let mut world = World::usual(1, 0, &["--token-ms", "0.02"]).await;
     world.entry(SHORT_DRAIN).await;
     world.ready().await;
-    let entry = &mut world.entries[0];
-    let body = r#"{"model":"llm","prompt":"a long one","max_tokens":200,"stream":true}"#;
+    let entry = &world.entries[0];
+    let body = r#"{"model":"llm","prompt":"a long one","max_tokens":100000,"stream":true}"#;
     let url = format!("http://{}/v1/completions", entry.caller);
     let mut call = endivefork::http::request(http::Method::POST, &url, body);
     let headers = call.headers_mut();
@@ -27,7 +30,17 @@
     let answer = world.client.open(Via::Fresh, call, LIMIT).await;
     let answer = answer.expect("the answer begins");
     assert_eq!(answer.status(), 200);
+    let engine = world.engines[0].addr;
+    until(
+        "a caller that reads nothing blocks its stream",
+        async || {
+            let log = world.read(engine, "/control/log").await;
+            log["tokens"].as_u64() >= Some(BLOCKING_TOKENS)
+        },
+    )
+    .await;
 
+    let entry = &mut world.entries[0];
     entry.process.signal("TERM");
     assert_eq!(entry.process.ended(LIMIT), Some(true));
     tokio::time::sleep(Duration::from_millis(100)).await;
