--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -9,7 +9,8 @@
 use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::future::BoxFuture;
+use futures_util::{FutureExt as _, stream};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue};
 use http_body::Frame;
@@ -37,6 +38,10 @@
 /// Deadline for the complete answer when the request sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3600);
 
+/// Time before the final answers of a shutdown at which streams are handed over, so that callers
+/// return while this instance still answers.
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
+
 /// Size in bytes at which a frame is sent even if more tokens are ready.
 const FRAME_BYTES: usize = 16 * 1024;
 
@@ -88,8 +93,15 @@
             front.instance.metrics.refused(failure.reason);
             failure.into_response()
         }
-        Ok(call) if call.stream => stream_answer(call, api, &key),
-        Ok(call) => collect_answer(call, api, &key).await,
+        Ok(call) if call.stream => {
+            let end = hand_over(front.clone(), call.reader.request().key).boxed();
+            stream_answer(call, api, &key, end)
+        }
+        Ok(call) => tokio::select! {
+            biased;
+            answer = collect_answer(call, api, &key) => answer,
+            () = front.drain.expiring() => refusal(true).into_response(),
+        },
     };
     with_request_id(response, &key)
 }
@@ -154,7 +166,20 @@
         .into(),
         body_digest: digest(&[name, &prompt, &max.to_string()]),
     };
-    let reader = instance.generate(start, cursor, &caller.account).await?;
+    let deadline = start.deadline.into_std().saturating_duration_since(arrival);
+    let late = async {
+        front.drain.begun().await;
+        let known = instance.durations.expected(name, max);
+        let expected = known.or_else(|| instance.generations.expected(name, max));
+        let time = expected.unwrap_or(deadline).min(deadline);
+        front.drain.short_of(time).await;
+    };
+    let returning = cursor.is_some() || instance.generations.knows(key);
+    let reader = tokio::select! {
+        biased;
+        () = late => return Err(refusal(returning)),
+        reader = instance.generate(start, cursor, &caller.account) => reader?,
+    };
     Ok(Call {
         reader,
         timer: LatencyTimer::new(instance.metrics.span(&caller.name), arrival),
@@ -163,6 +188,14 @@
     })
 }
 
+/// Refusal of a generation that would not end before the shutdown does.
+fn refusal(returning: bool) -> Failure {
+    match returning {
+        true => Failure::interrupted("the generation goes on at another instance"),
+        false => Failure::shutting_down(),
+    }
+}
+
 fn parse(bytes: &[u8]) -> Result<CompletionBody, Failure> {
     serde_json::from_slice(bytes)
         .map_err(|e| Failure::not_run(400, "bad_json", format!("could not read the body: {e}")))
@@ -237,14 +270,33 @@
     reader: Reader,
     writer: Writer,
     timer: LatencyTimer,
+    /// The end of the stream by a shutdown.
+    end: BoxFuture<'static, Failure>,
     done: bool,
 }
 
-fn stream_answer(call: Call, api: Api, id: &str) -> Response {
+/// Waits until a shutdown ends a stream here, and returns what its caller is told.
+async fn hand_over(front: Front, key: RequestKey) -> Failure {
+    let drain = &front.drain;
+    drain.short_of(HANDOVER_TIME).await;
+    tokio::select! {
+        biased;
+        () = front.instance.generations.replicated(key) => {
+            Failure::interrupted("Last-Event-ID at another instance continues the generation")
+        }
+        () = drain.expiring() => {
+            let text = "the instance shuts down, and no other one can continue the generation";
+            Failure::failed(503, "shutting_down", text)
+        }
+    }
+}
+
+fn stream_answer(call: Call, api: Api, id: &str, end: BoxFuture<'static, Failure>) -> Response {
     let state = AnswerStream {
         writer: Writer::new(api, id, &call.model),
         reader: call.reader,
         timer: call.timer,
+        end,
         done: false,
     };
     let frames = stream::unfold(state, |mut state| async move {
@@ -266,7 +318,11 @@
             return None;
         }
         let mut out = String::new();
-        let mut next = Some(self.reader.next().await);
+        let mut next = Some(tokio::select! {
+            biased;
+            failure = &mut self.end => Event::Failed(failure),
+            event = self.reader.next() => event,
+        });
         while let Some(event) = next {
             self.write(&mut out, event);
             next = match self.done || out.len() >= FRAME_BYTES {
--- a/src/instance/act.rs
+++ b/src/instance/act.rs
@@ -11,6 +11,7 @@
     claim_name,
 };
 use crate::admission::AdmissionRequest;
+use crate::caller::Drain;
 use crate::config::{self, Account, Repeat};
 use crate::failure::Failure;
 use crate::ident::TargetKey;
@@ -29,8 +30,13 @@
     /// Runs a call of a plain service after admission.
     ///
     /// # Errors
-    /// When the call is refused or the service does not answer.
-    pub(crate) async fn act(&self, call: Call, account: &Account) -> Result<Outcome, Failure> {
+    /// When the call is refused, the service does not answer, or the instance shuts down before.
+    pub(crate) async fn act(
+        &self,
+        call: Call,
+        account: &Account,
+        drain: &Drain,
+    ) -> Result<Outcome, Failure> {
         let request = AdmissionRequest {
             account: call.account.clone(),
             weight: account.weight,
@@ -40,11 +46,23 @@
             deadline: Some(Instant::now() + call.deadline),
             key: call.target_query().key,
         };
-        let permit = self.gate.admit(&call.service, &request).await;
-        match permit {
-            Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
-            // An earlier attempt may have run, so a refusal could be wrong: the claim decides.
-            _permit => self.actions.run(call).await,
+        let permit = tokio::select! {
+            biased;
+            () = drain.short_of(call.timeout) => Err(Failure::shutting_down()),
+            permit = self.gate.admit(&call.service, &request) => permit,
+        };
+        let cut = cut(&call);
+        let ended = async {
+            match permit {
+                Err(refusal) if !self.may_have_run(&call).await => Err(refusal),
+                // An earlier attempt may have run, so a refusal could be wrong: the claim decides.
+                _permit => self.actions.run(call).await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = ended => result,
+            () = drain.expiring() => Err(cut),
         }
     }
 
@@ -71,6 +89,16 @@
     }
 }
 
+/// The answer to a call that is still open at the end of a shutdown.
+fn cut(call: &Call) -> Failure {
+    match call.repeat {
+        Repeat::Never => Failure::shut_down(
+            "the same key at another instance returns the outcome once it is known",
+        ),
+        Repeat::Safe => Failure::interrupted("the call may be repeated at another instance"),
+    }
+}
+
 /// Builds the function that selects a target of the current version of a plain service.
 pub(super) fn chooser(
     identity: &Identity,
