Refuse answers behind an unknown transfer coding

Callers got a 200 with a short body, framed as whole: a target stated Content-Length: 4 together with Transfer-Encoding: identity, sent two bytes and closed. With "gzip, chunked" they got the encoded bytes as the body, because the header that names the coding is removed on the way.

Cause: the HTTP client drops Content-Length when there is a transfer coding, and reads a body without `chunked` as the last coding up to the end of its connection. Nothing checked the coding, on either interface.

All other cuts (in the status line, in a name, in Content-Length, before the last line feed, after a 1xx, two lengths, in a chunk or before the last CRLF) were refused before, too, on fresh and on kept connections.

Now each reader of an answer (the relay's connections, the client of plain services, and the one of engines and the platform) refuses a coding other than `chunked`, the only one that a request accepts without TE, as a lost answer: an idempotent call and a stream go on at another target, a call that may run once is unknown and ran once, and a write to the platform counts as neither applied nor refused.

--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::header::TRANSFER_ENCODING;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Pool;
@@ -124,7 +125,7 @@
             Err(_) => Err(Error::Timeout(timeout)),
             Ok(Err(e)) if e.is_connect() => Err(Error::Connect(error_chain(&e))),
             Ok(Err(e)) => Err(Error::Lost(error_chain(&e))),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => check_head(response).map_err(|e| Error::Lost(e.to_owned())),
         }
     }
 
@@ -164,6 +165,21 @@
     }
 }
 
+/// Passes on a response whose end can be told. Behind a transfer coding other than `chunked`, which
+/// no request accepts, a body ends with its connection, whatever length is stated.
+///
+/// # Errors
+/// What is wrong with the head.
+pub(crate) fn check_head<B>(response: Response<B>) -> Result<Response<B>, &'static str> {
+    let is_chunked = |v: &HeaderValue| v.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked");
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(response),
+        (Some(coding), None) if is_chunked(coding) => Ok(response),
+        _ => Err("unknown transfer coding"),
+    }
+}
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::http::check_head;
 use crate::ident::TargetKey;
 
 /// Connect timeout: several round trips between regions, but less than the second after which a
@@ -120,10 +121,11 @@
             return Err(SendError::Unsent);
         }
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut e| match e.take_message() {
+        let response = sent.map_err(|mut e| match e.take_message() {
             Some(_) => SendError::Unsent,
             None => SendError::Lost(loss_reason(&e.into_error())),
-        })
+        })?;
+        check_head(response).map_err(SendError::Lost)
     }
 }
 
--- a/src/relay/tests/connections.rs
+++ b/src/relay/tests/connections.rs
@@ -8,22 +8,22 @@
 
 use crate::ident::TargetKey;
 use crate::relay::connections::{ConnectionPool, get_request};
+use crate::relay::tests::heads::cut_answers;
 
 /// Number of times that a connection is released while another one is acquired.
 const ROUNDS: usize = 4_000;
 
-/// A target that answers with neither a length nor chunks, and then closes or resets the connection.
-async fn target(reset: bool) -> SocketAddr {
+const BODY: &str = r#"{"handle":"h"}"#;
+
+/// A target that sends `answer`, and then closes or resets the connection.
+async fn target(answer: String, reset: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut buffer = [0; 1024];
         let _ = stream.read(&mut buffer).await.unwrap();
-        stream
-            .write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"handle\":\"h\"}")
-            .await
-            .unwrap();
+        stream.write_all(answer.as_bytes()).await.unwrap();
         sleep(Duration::from_millis(30)).await;
         if reset {
             stream.set_zero_linger().unwrap();
@@ -35,15 +35,19 @@
 /// Guards reports, health checks and copies against answers that a reset has cut.
 #[tokio::test]
 async fn own_request_has_an_answer_only_if_its_connection_is_closed_cleanly() {
-    for (reset, is_answered) in [(false, true), (true, false)] {
-        let addr = target(reset).await;
+    let unframed = format!("HTTP/1.1 200 OK\r\n\r\n{BODY}");
+    let mut cases = vec![(unframed.clone(), false, true), (unframed, true, false)];
+    let cuts = cut_answers("", BODY).into_iter();
+    cases.extend(cuts.flat_map(|cut| [(cut.clone(), false, false), (cut, true, false)]));
+    for (text, reset, is_answered) in cases {
+        let addr = target(text.clone(), reset).await;
         let request = get_request(addr, "/report").unwrap();
 
         let answer = ConnectionPool::default()
             .request(TargetKey(0), addr, request)
             .await;
 
-        assert_eq!(answer.is_some(), is_answered, "reset: {reset}");
+        assert_eq!(answer.is_some(), is_answered, "reset: {reset}, {text:?}");
     }
 }
 
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -5,6 +5,8 @@
 mod catalog;
 mod connections;
 mod events;
+#[path = "../../../tests/support/heads.rs"]
+mod heads;
 mod limits;
 mod local_reply;
 mod pacing;
--- a/src/target/plain.rs
+++ b/src/target/plain.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::http::Answer;
+use crate::http::{Answer, check_head};
 
 /// Timeout of a TCP connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -99,6 +99,7 @@
                 Some(_) => SendError::NotSent,
                 None => SendError::Lost(e.into_error().to_string()),
             })?;
+            let response = check_head(response).map_err(|e| SendError::Lost(e.to_owned()))?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, BODY_LIMIT).collect().await;
             Ok(Answer {
