Refuse a protocol switch in place of an answer

Callers got neither an answer nor a refusal: a target answered a call with "101 Switching Protocols", which the relay passed on as the answer, and closed the connection. To the caller 101 is interim; what follows it never came. On the own interface a plain service's 101 was an answer with an empty body, and a 101 of the platform to a conditional write counted as a refusal, though the write may have been applied.

Cause: the HTTP client returns a 101 like a final response, for requests that ask for no upgrade too. Only streams checked for it.

Seen before the fix, with a 101 among the cuts of tests/support/heads.rs, by FIN and by reset, at once and after a pause: platform/tests/heads.rs 2 of 5 (the streams), tests/heads.rs 0 of 4:

relay, call: "HTTP/1.1 101 Switch", no further byte, after one run plain service: Ok(Answer { status: 101, body: "" }) platform: Err(Rejected("101 Switching Protocols"))

The check of heads that all readers share now refuses it as a lost answer: an idempotent call goes to another target, a call that may run once gets 502 after one run, and a write is unknown. The check in the relay's streams, which can't be reached any more, is removed.

--- a/src/http.rs
+++ b/src/http.rs
@@ -165,7 +165,8 @@
     }
 }
 
-/// Passes on a response whose end can be told. Behind a transfer coding other than `chunked`, which
+/// Passes on a final response whose end can be told. No request asks for another protocol, so a
+/// switch to one precedes no answer. Behind a transfer coding other than `chunked`, which
 /// no request accepts, a body ends with its connection, whatever length is stated.
 ///
 /// # Errors
@@ -174,6 +175,7 @@
     let is_chunked = |v: &HeaderValue| v.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked");
     let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
+        _ if response.status() == StatusCode::SWITCHING_PROTOCOLS => Err("protocol switched"),
         (None, _) => Ok(response),
         (Some(coding), None) if is_chunked(coding) => Ok(response),
         _ => Err("unknown transfer coding"),
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -342,7 +342,6 @@
             StatusCode::OK if head.signed => {
                 return Err(self.take_answer(&lease, parts, body).await);
             }
-            status if status.is_informational() => Some("protocol switched"),
             status if status.is_success() => Some("unsigned answer"),
             status if implies_not_run(status) => Some("refused without a promise"),
             _ => return Err(self.take_answer(&lease, parts, body).await),
--- a/tests/support/heads.rs
+++ b/tests/support/heads.rs
@@ -18,6 +18,7 @@
         format!("{head}Content-Length: {size}\r\n\r"),
         format!("{head}Transfer-Encoding: chu"),
         "HTTP/1.1 103 Hints\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 101 Switch\r\n{headers}\r\n"),
         format!("HTTP/1.1 100 Continue\r\n\r\n{head}Content-Length: {size}\r\n"),
         framed(&format!("Content-Length: {}", size + 1), body),
         framed(&format!("Content-Length: {size}"), half),
