--- a/tests/generation_errors.rs
+++ b/tests/generation_errors.rs
@@ -4,6 +4,8 @@
 mod engines;
 #[path = "support/entries.rs"]
 mod entries;
+#[path = "support/heads.rs"]
+mod heads;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,6 +15,7 @@
 use endivefork::http::Client;
 use engines::engine::options::Options;
 use engines::{Fleet, Seen, read, start};
+use heads::cut_answers;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -48,6 +51,12 @@
     format_smolstr!("t{index}")
 }
 
+/// The lines of a stream from the third token on.
+fn rest() -> String {
+    let end = format!("{{\"end\":\"stop\",\"n\":{TOKENS}}}\n");
+    format!("{{\"next\":{SENT}}}\n{}{end}", tokens(SENT, TOKENS))
+}
+
 fn tokens(from: u64, until: u64) -> String {
     let line = |i| format!("{{\"i\":{i},\"t\":\"{}\"}}\n", text(i));
     (from..until).map(line).collect()
@@ -98,10 +107,7 @@
         0 if is_resume && at != Call::NextAttempt => fault.to_owned(),
         0 => return None,
         1 if at == Call::NextAttempt => fault.to_owned(),
-        _ => {
-            let end = format!("{{\"end\":\"stop\",\"n\":{TOKENS}}}\n");
-            format!("{OK}{{\"next\":{SENT}}}\n{}{end}", tokens(SENT, TOKENS))
-        }
+        _ => format!("{OK}{}", rest()),
     };
     stream.write_all(text.as_bytes()).await.ok()?;
     let is_open = at == Call::Takeover && number == 0 && is_attempt;
@@ -136,9 +142,12 @@
 #[tokio::test]
 async fn error_of_the_next_attempt_does_not_get_into_a_generation() {
     let expected: Vec<_> = (0..TOKENS).map(|i| (i, text(i))).collect();
+    let cuts = cut_answers("", &rest()).into_iter();
+    let cuts = cuts.map(|cut| &*cut.leak());
+    let faults: Vec<_> = FAULTS.into_iter().chain(cuts).collect();
     let mut defects = Vec::new();
     for at in [Call::NextAttempt, Call::Resume] {
-        for fault in FAULTS {
+        for &fault in &faults {
             let seen = generate(fault, at).await;
 
             if seen.tokens != expected || seen.total != Some(TOKENS) {
