Test entries and messages of peers that end inside

Each prefix of a list and of changes with two entries is an error or says that it is cut (text_that_ends_inside_never_lacks_an_entry_unnoticed), so no entry counts as removed because its text ended before it, and each prefix of an object is an error, also as the answer to a write. A message between instances that ends inside, by the end of its stream or by a reset with NO_ERROR or CANCEL, is refused on both sides (message_that_is_cut_inside_is_not_taken_for_whole).

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -157,6 +157,30 @@
     }
 }
 
+/// Guards against an entry that counts as removed because the text ended before it.
+#[test]
+fn text_that_ends_inside_never_lacks_an_entry_unnoticed() {
+    let entries = [good("a", 3), good("b", 4)];
+    let list = body("items", &entries);
+    let changes = body("events", &entries);
+    let format = ApiFormat::NATIVE;
+    for at in 0..list.len() {
+        let read = (format.read_list)("k", &list[..at], 500);
+        let is_whole = read.is_ok_and(|(list, _)| !list.is_cut);
+        assert!(!is_whole, "{}", shown(&list[..at]));
+    }
+    for at in 0..changes.len() {
+        let read = (format.read_changes)("k", &changes[..at]);
+        let is_whole = read.is_ok_and(|changes| !changes.is_cut);
+        assert!(!is_whole, "{}", shown(&changes[..at]));
+    }
+    for at in 0..entries[0].len() {
+        let object = &entries[0][..at];
+        assert!((format.read_object)("k", object).is_err());
+        assert!((format.read_revision)(object).is_err());
+    }
+}
+
 fn balanced_junk() -> impl Strategy<Value = String> {
     let leaf = prop_oneof![
         "[-+.0-9eE]{1,30}",
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -111,7 +111,11 @@
     (addr, to, silent)
 }
 
-async fn raw(addr: SocketAddr, path: &str, version: &str, body: Bytes) -> StatusCode {
+async fn open(
+    addr: SocketAddr,
+    path: &str,
+    version: &str,
+) -> (h2::client::ResponseFuture, h2::SendStream<Bytes>) {
     let stream = TcpStream::connect(addr).await.unwrap();
     let (sender, connection) = h2::client::handshake(stream).await.unwrap();
     tokio::spawn(connection);
@@ -120,7 +124,11 @@
         .body(())
         .unwrap();
     let mut sender = sender.ready().await.unwrap();
-    let (response, mut stream) = sender.send_request(request, false).unwrap();
+    sender.send_request(request, false).unwrap()
+}
+
+async fn raw(addr: SocketAddr, path: &str, version: &str, body: Bytes) -> StatusCode {
+    let (response, mut stream) = open(addr, path, version).await;
     stream.send_data(body, true).unwrap();
     response.await.unwrap().status()
 }
@@ -202,6 +210,52 @@
     assert_eq!(a.counts().malformed, 2);
 }
 
+/// A peer whose answers to all calls are cut inside, by the end of the stream or by a reset.
+async fn cutting_peer(reason: Option<h2::Reason>) -> (SocketAddr, watch::Receiver<u32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (calls, count) = watch::channel(0);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut connection = h2::server::handshake(stream).await.unwrap();
+            let calls = calls.clone();
+            tokio::spawn(async move {
+                while let Some(Ok((_, mut respond))) = connection.accept().await {
+                    let mut body = respond
+                        .send_response(http::Response::new(()), false)
+                        .unwrap();
+                    // The half of a challenge and a proof.
+                    let half = Bytes::from_static(&[1; 32]);
+                    body.send_data(half, reason.is_none()).unwrap();
+                    reason.into_iter().for_each(|r| body.send_reset(r));
+                    calls.send_modify(|n| *n += 1);
+                }
+            });
+        }
+    });
+    (addr, count)
+}
+
+#[tokio::test]
+async fn message_that_is_cut_inside_is_not_taken_for_whole() {
+    for reason in [h2::Reason::NO_ERROR, h2::Reason::CANCEL] {
+        let a = instance("a", "key", vec![]).await;
+        let (_response, mut body) = open(a.me().addr, "/hello", "5").await;
+        body.send_data(Bytes::from_static(&[1; 20]), false).unwrap();
+        tokio::time::sleep(PERIOD).await;
+        body.send_reset(reason);
+        until("the cut call is counted", || a.counts().malformed == 1).await;
+    }
+    for reason in [None, Some(h2::Reason::NO_ERROR), Some(h2::Reason::CANCEL)] {
+        let (addr, mut calls) = cutting_peer(reason).await;
+        let a = instance("a", "key", vec![addr]).await;
+
+        calls.wait_for(|calls| *calls >= 3).await.unwrap();
+
+        assert!(a.alive().is_empty(), "{reason:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_malformed_message_from_a_peer_is_counted() {
     let a = instance("a", "key", vec![]).await;
