Count all waits of a request at limits together

Callers saw: a request that a target declined, and that then waited for its return, took its patience anew with each round: up to three waits of a call and five of a stream, each up to the latency objective of its route. It was refused late.

Cause: each choice of a target built a new Patience from the request, with nothing that remembers the waits before it.

Evidence: request_that_is_declined_again_and_again_waits_longer_than_its_objective (platform/tests/limit_waits.rs) failed on: refused after 1.161 s (call that runs once), 1.132 s (idempotent call) and 1.119 s (stream) with an objective of 0.7 s (bar 1.0 s).

A call and a stream now take their patience once, and each wait spends of it. Waits only count while they last, so a call that failed after a run still has what it has not waited. A stream that has begun gets a new wait each time: it asks until its deadline whatever happens, and without a place in the line later requests would go ahead of it.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -108,6 +108,7 @@
 struct Call<'a> {
     relay: &'a Arc<Relay>,
     request: &'a CallerRequest,
+    patience: Patience,
     tried: Vec<TargetKey>,
     runs: u32,
     declined: u32,
@@ -122,6 +123,7 @@
     let mut call = Call {
         relay,
         request,
+        patience: Patience::of(request),
         tried: Vec::new(),
         runs: 0,
         declined: 0,
@@ -338,7 +340,7 @@
 
     /// Chooses a target that has not been tried. If there is none, a call that failed may be sent
     /// to a target again.
-    async fn choose(&self) -> Result<Lease, PlaceError> {
+    async fn choose(&mut self) -> Result<Lease, PlaceError> {
         // One that asked for quiet may take the request afterwards.
         let mut excluded = self.tried.clone();
         let now = Instant::now().into_std();
@@ -348,15 +350,14 @@
             excluded: &excluded,
             ..TargetCriteria::default()
         };
-        let patience = Patience::of(self.request);
-        let placed = self.relay.place(wanted, patience).await;
+        let placed = self.relay.place(wanted, &mut self.patience).await;
         match placed {
             Err(PlaceError::Unavailable) if self.failure.is_some() => {
                 let unrestricted = TargetCriteria {
                     excluded: &[],
                     ..wanted
                 };
-                self.relay.place(unrestricted, patience).await
+                self.relay.place(unrestricted, &mut self.patience).await
             }
             placed => placed,
         }
--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -19,24 +19,37 @@
 /// callers that may not return.
 const RETURN_MAX: Duration = Duration::from_secs(10);
 
-/// How long a request may wait for a target that takes requests again.
+/// How long a request may still wait for a target that takes requests again, in all its waits
+/// together.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
-    /// Longest wait.
-    wait: Duration,
-    /// Time left until the request's deadline.
-    left: Duration,
+    rest: Duration,
+    /// Deadline of the request.
+    deadline: Instant,
 }
 
 impl Patience {
     /// A longer wait than the route's objective would make every request of a full line late.
     pub(crate) fn of(request: &CallerRequest) -> Self {
-        let left = request.left(Instant::now());
         Self {
-            wait: request.route.latency_objective.min(left / 2),
-            left,
+            rest: request.route.latency_objective,
+            deadline: request.deadline,
         }
     }
+
+    /// Time left until the request's deadline.
+    fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// Longest wait that begins now.
+    fn wait(&self, now: Instant) -> Duration {
+        self.rest.min(self.left(now) / 2)
+    }
+
+    fn spend(&mut self, time: Duration) {
+        self.rest = self.rest.saturating_sub(time);
+    }
 }
 
 /// Targets that are expected to take a request later.
@@ -160,18 +173,31 @@
     pub(crate) async fn place(
         self: &Arc<Self>,
         wanted: TargetCriteria<'_>,
-        patience: Patience,
+        patience: &mut Patience,
     ) -> Result<Lease, PlaceError> {
         if let Some(lease) = self.choose_now(wanted) {
             return Ok(lease);
         }
+        let start = Instant::now();
+        let placed = self.place_later(wanted, *patience).await;
+        patience.spend(start.elapsed());
+        placed
+    }
+
+    async fn place_later(
+        self: &Arc<Self>,
+        wanted: TargetCriteria<'_>,
+        patience: Patience,
+    ) -> Result<Lease, PlaceError> {
         let later = self.later_targets(wanted);
         if later.is_empty() {
             return Err(PlaceError::Unavailable);
         }
-        let deadline = Instant::now() + patience.wait;
+        let now = Instant::now();
+        let wait = patience.wait(now);
+        let deadline = now + wait;
         let line = self.wait_line(wanted.service);
-        if self.expected_wait(&later, line.len()) > patience.wait {
+        if self.expected_wait(&later, line.len()) > wait {
             return Err(self.refuse(&line, &later, patience));
         }
         let _place = Place::enter(&line);
@@ -254,9 +280,8 @@
 
     fn refuse(&self, line: &WaitLine, later: &LaterTargets, patience: Patience) -> PlaceError {
         metrics::counter!("endivefork_limit_refusals_total").increment(1);
-        PlaceError::AtLimit(
-            line.return_after(patience.left, |ahead| self.expected_wait(later, ahead)),
-        )
+        let left = patience.left(Instant::now());
+        PlaceError::AtLimit(line.return_after(left, |ahead| self.expected_wait(later, ahead)))
     }
 
     /// Time after which a request that was refused may be placed; `None` if a target takes requests
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -27,6 +27,7 @@
 use super::copies::{CopySource, CopyTask, RunCopy};
 use super::events::EventSplitter;
 use super::local_reply::LocalReply;
+use super::placing::Patience;
 use super::quarantine::LostRun;
 use super::record::{FailedAttempt, Outcome, count_abandoned};
 use super::relay::Relay;
@@ -103,6 +104,7 @@
 struct Stream {
     relay: Arc<Relay>,
     request: CallerRequest,
+    patience: Patience,
     digest: u128,
     upstream: Option<Upstream>,
     /// The run before, until the current one has begun.
@@ -161,6 +163,7 @@
     };
     let mut stream = Stream {
         relay: Arc::clone(relay),
+        patience: Patience::of(&request),
         request,
         upstream: None,
         silent: None,
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -179,7 +179,7 @@
         })
     }
 
-    async fn choose(&self) -> Result<Lease, PlaceError> {
+    async fn choose(&mut self) -> Result<Lease, PlaceError> {
         let wanted = TargetCriteria {
             service: &self.request.service,
             work: Some(estimate_work(&self.request)),
@@ -194,8 +194,11 @@
         if let Some(lease) = self.relay.choose_now(wanted) {
             return Ok(lease);
         }
-        let patience = Patience::of(&self.request);
-        self.relay.place(unrestricted, patience).await
+        // A stream that has begun goes on looking until its deadline, so it needs a place in the line.
+        if self.has_begun() {
+            self.patience = Patience::of(&self.request);
+        }
+        self.relay.place(unrestricted, &mut self.patience).await
     }
 
     /// Chooses an engine in another failure domain, so that the copy survives the loss of this
