--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -187,7 +187,7 @@
         })
     }
 
-    async fn choose(&self) -> Result<Lease, PlaceError> {
+    async fn choose(&mut self) -> Result<Lease, PlaceError> {
         let wanted = TargetCriteria {
             service: &self.request.service,
             work: Some(estimate_work(&self.request)),
@@ -202,12 +202,18 @@
         if let Some(lease) = self.relay.choose_now(wanted) {
             return Ok(lease);
         }
-        let patience = Patience::of(&self.request);
-        tokio::select! {
+        // A stream that has begun goes on looking until its deadline, so it needs a place in the line.
+        let mut patience = match self.has_begun() {
+            true => Patience::of(&self.request),
+            false => self.patience,
+        };
+        let placed = tokio::select! {
             biased;
             () = self.out_of_time() => Err(PlaceError::Unavailable),
-            placed = self.relay.place(unrestricted, patience) => placed,
-        }
+            placed = self.relay.place(unrestricted, &mut patience) => placed,
+        };
+        self.patience = patience;
+        placed
     }
 
     /// Chooses an engine in another failure domain, so that the copy survives the loss of this
