Take no request whose body was reset inside over HTTP/2

What callers saw: a request over HTTP/2 whose stream was reset with NO_ERROR inside its body was run with the bytes that had arrived, a call that may not repeat too.

Cause: the HTTP library reports such a reset as the end of the body. The class: a message that ends inside is taken for whole.

Evidence: tests/cut_requests.rs ran one request with NO_ERROR and none with CANCEL, INTERNAL_ERROR or a closed connection.

Change: over HTTP/2 a body ends only with the end of its stream; otherwise its read fails, and the request is refused as broken off.

--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -16,7 +16,7 @@
 use axum::extract::Request;
 use axum::response::Response;
 use bytes::Bytes;
-use http::StatusCode;
+use http::{StatusCode, Version};
 use http_body::{Body as _, Frame, SizeHint};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
@@ -208,6 +208,7 @@
     let body = RequestBody {
         inner: body,
         open: open.clone(),
+        is_http2: head.version == Version::HTTP_2,
     };
     let mut running = pin!(handle(Request::from_parts(head, Body::new(body))));
     let handled = poll_fn(|cx| {
@@ -232,21 +233,33 @@
 struct RequestBody {
     inner: Incoming,
     open: OpenRequest,
+    is_http2: bool,
+}
+
+impl RequestBody {
+    /// Whether the caller reset its stream inside the body, which the HTTP library reports as its
+    /// end if the reason is no error.
+    fn is_cut(&self) -> bool {
+        self.is_http2 && !self.inner.is_end_stream()
+    }
 }
 
 impl http_body::Body for RequestBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = axum::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) && self.is_cut() {
+            return Poll::Ready(Some(Err(axum::Error::new("the body broke off"))));
+        }
         if matches!(polled, Poll::Ready(None)) || self.inner.is_end_stream() {
             self.open.whole_read();
         }
-        polled
+        polled.map_err(axum::Error::new)
     }
 
     fn is_end_stream(&self) -> bool {
