Keep a stream that has begun in line until it is placed

Callers saw: a stream that had begun, whose run was lost while its targets were at their limits, got no further event as long as other requests came. It was cut at its deadline, with a part of its events.

Cause: a stream that has begun had the patience of a request that can be refused. With a line whose expected wait was above the objective it was turned away from the line, slept for that wait outside of it and asked again, while later requests took each place that came free. It is a case of a class: a request for which no refusal is left is handled by rules made for one that can be refused.

The line is first come, first served, and counts it, so later requests are refused early and none of those ahead of it is late.

--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Patience of a request that cannot be refused any more.
+    pub(crate) fn of_begun(request: &CallerRequest) -> Self {
+        Self {
+            rest: Duration::MAX,
+            deadline: request.deadline,
+        }
+    }
+
     /// Time left until the request's deadline.
     fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -194,9 +194,9 @@
         if let Some(lease) = self.relay.choose_now(wanted) {
             return Ok(lease);
         }
-        // A stream that has begun goes on looking until its deadline, so it needs a place in the line.
+        // Outside the line, later requests would overtake a stream that has begun.
         if self.has_begun() {
-            self.patience = Patience::of(&self.request);
+            self.patience = Patience::of_begun(&self.request);
         }
         self.relay.place(unrestricted, &mut self.patience).await
     }
