--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -202,9 +202,9 @@
         if let Some(lease) = self.relay.choose_now(wanted) {
             return Ok(lease);
         }
-        // A stream that has begun goes on looking until its deadline, so it needs a place in the line.
+        // Outside the line, later requests would overtake a stream that has begun.
         let mut patience = match self.has_begun() {
-            true => Patience::of(&self.request),
+            true => Patience::of_begun(&self.request),
             false => self.patience,
         };
         let placed = tokio::select! {
