Tell callers when to return if all instances shut down

What callers saw: when all instances stop at the same time, each refuses with a Retry-After of 50 ms, so a caller comes back twenty times a second and is refused each time until a successor is up.

Cause: the time assumed that another instance is ready.

Change: if no other known instance stays (each leaves or its process is gone), Retry-After is the time until this process can end at the earliest and 500 ms for a start.

--- a/src/caller/drain.rs
+++ b/src/caller/drain.rs
@@ -71,6 +71,11 @@
         Some(self.longest.saturating_sub(self.since()?))
     }
 
+    /// Time until the process ends at the earliest.
+    pub(crate) fn least_left(&self) -> Duration {
+        MIN_LINGER.saturating_sub(self.since().unwrap_or_default())
+    }
+
     /// Whether a request that takes `time` ends before the process does, and before requests
     /// without an answer get their final one.
     pub(crate) fn has_time_for(&self, time: Duration) -> bool {
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -314,6 +314,12 @@
         self.hub.members.lock().alive().cloned().collect()
     }
 
+    /// Whether some other instance may serve callers.
+    #[must_use]
+    pub fn any_stays(&self) -> bool {
+        self.hub.members.lock().any_stays()
+    }
+
     /// Whether the fleet is large enough for aggregators instead of a full mesh.
     #[must_use]
     pub fn is_tiered(&self) -> bool {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -249,6 +249,14 @@
             .map(|k| &k.member)
     }
 
+    /// Whether some other instance may serve callers: it is not leaving, and its process is not known
+    /// to be gone.
+    #[must_use]
+    pub fn any_stays(&self) -> bool {
+        let mut known = self.known.values();
+        known.any(|k| !k.leaving && k.reach != Reach::Dead)
+    }
+
     /// Reachability of `name`.
     #[must_use]
     pub fn reach(&self, name: &str) -> Reach {
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -36,7 +36,7 @@
 const RULES_WAIT: Duration = Duration::from_millis(400);
 
 /// `Retry-After` while this instance has no rules yet.
-const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout when the caller names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::caller_request::CallerRequest;
+use super::front::STARTUP_RETRY_AFTER;
 use super::local_reply::LocalReply;
 use super::relay::Relay;
 use super::rules::Kind;
@@ -13,8 +14,8 @@
 /// Reason of requests that this instance does not run because it shuts down.
 pub(crate) const SHUTTING_DOWN: &str = "shutting down";
 
-/// `Retry-After` while this instance drains. Short, as another instance can serve the caller at
-/// once, but not zero, to avoid a burst.
+/// `Retry-After` while this instance drains and another one stays. Short, as that one can serve the
+/// caller at once, but not zero, to avoid a burst.
 const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Interval at which a request that waits polls whether it still has time.
@@ -52,6 +53,10 @@
 
     /// Response to a request that has not run and has no time left for it.
     pub(crate) fn refuse_late(&self) -> LocalReply {
-        LocalReply::unavailable(DRAIN_RETRY_AFTER, SHUTTING_DOWN)
+        let retry_after = match self.peers.any_stays() {
+            true => DRAIN_RETRY_AFTER,
+            false => self.drain.least_left() + STARTUP_RETRY_AFTER,
+        };
+        LocalReply::unavailable(retry_after, SHUTTING_DOWN)
     }
 }
