--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -2,6 +2,7 @@
 //! engine in another failure domain holds a copy of the run's KV cache, and the stream resumes from
 //! that copy when the first engine is lost.
 
+mod ends;
 mod open;
 mod sequence;
 mod silent;
@@ -28,7 +29,7 @@
 use super::events::EventSplitter;
 use super::local_reply::LocalReply;
 use super::quarantine::LostRun;
-use super::record::{FailedAttempt, Outcome, count_abandoned};
+use super::record::{FailedAttempt, count_abandoned};
 use super::relay::Relay;
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
@@ -268,31 +269,6 @@
         }
     }
 
-    /// Records how long a stream lasted, if all of it came from this instance.
-    fn record_duration(&self) {
-        let request = &self.request;
-        if request.ask.last_event.is_none() {
-            let (service, tokens) = (&request.service, request.output_tokens());
-            let time = request.arrived.elapsed();
-            self.relay.stream_durations.record(service, tokens, time);
-        }
-    }
-
-    fn log_end(&self, status: u16, reason: &str) {
-        let request = &self.request;
-        self.relay.decisions.answered(&Outcome {
-            id: &request.ask.id,
-            route: &request.route.name,
-            service: &request.service,
-            rules: request.rules,
-            target: &self.target,
-            attempts: self.runs + self.declined,
-            status,
-            reason,
-            elapsed: request.arrived.elapsed(),
-        });
-    }
-
     async fn next_step(&mut self) -> Step {
         loop {
             if self.upstream.is_none()
