Look a claim up before calling an action not run

Callers would have seen: not_run for an action that another attempt of the same key had sent, if the time of the attempt ran out while it connected to its target.

Cause: an attempt whose connection opened after its deadline was refused without a look at the claim.

Found by stopping an attempt in a shutdown after each of its steps, beside another that died after each of its own.

Change: after its deadline a connecting attempt reads the claim and decides by it, as it does without a target.

The same test shows that a late attempt neither sends nor takes a claim over, and takes a mark back that it can't use.

--- a/src/action/claim.rs
+++ b/src/action/claim.rs
@@ -105,9 +105,9 @@
 
     fn connecting(&mut self, event: Event, now: Now) -> Command {
         match event {
-            Event::Connected => self.begin(0, now),
             Event::NoTarget => self.look_up(Cause::NoTarget),
             _ if now.at >= self.params.deadline => self.look_up(self.late),
+            Event::Connected => self.begin(0, now),
             _ => Command::Connect,
         }
     }
--- a/tests/action/state_machine.rs
+++ b/tests/action/state_machine.rs
@@ -420,3 +420,43 @@
         Some(Verdict::Replayed(first_run()))
     );
 }
+
+/// Another attempt got so far and died; an attempt that reaches the end of a shutdown after any of
+/// its steps neither sends nor takes over.
+#[test]
+fn attempt_late_in_a_shutdown_sends_nothing() {
+    for (first, late) in (0..4).flat_map(|first| (0..8).map(move |late| (first, late))) {
+        let mut sim = Sim::new(false);
+        sim.add_attempt();
+        for _ in 0..first {
+            sim.step(0, 0);
+        }
+        sim.attempts[0].killed = true;
+        sim.add_attempt();
+        for _ in 0..late {
+            if !matches!(sim.attempts[1].next, Command::Send(_) | Command::Finish(..)) {
+                sim.step(1, 0);
+            }
+        }
+
+        let end = sim.now().at;
+        if !matches!(sim.attempts[1].next, Command::Send(_)) {
+            sim.attempts[1].claim.end_by(end);
+        }
+        while !sim.attempts[1].sent && sim.attempts[1].verdict.is_none() {
+            sim.step(1, 0);
+        }
+
+        let verdict = sim.attempts[1].verdict.clone();
+        let refused = match (first, &verdict) {
+            (_, None) => sim.attempts[1].sent,
+            (3, Some(verdict)) => *verdict == Verdict::Unknown(Cause::Busy),
+            (2, Some(Verdict::NotRun(Cause::Busy))) => true,
+            (_, Some(verdict)) => *verdict == Verdict::NotRun(Cause::Shutdown),
+        };
+        assert!(refused, "{first} {late} {verdict:?}");
+        let last = sim.present().map(|c| c.record.stage);
+        let reverted = verdict.is_none() || first == 3 || last != Some(Stage::Sent);
+        assert!(reverted, "{first} {late} {last:?}");
+    }
+}
