Answer requests that still arrive as the instance stops

Callers saw: a call whose body was still being received at the end of the drain lost its connection without an answer.

Cause: reading a body waited for the limits' receive time only.

Change: reading a body ends with 503 shutting_down, not_run, when the final answers are due.

The same test shows that a call that waits for admission through the drain is refused before its target is called.

--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -86,7 +86,12 @@
 pub(crate) async fn read_body(front: &Front, request: Request<Body>) -> Result<Bytes, Failure> {
     let limits = front.instance.settings.limits;
     let body = read_limited(request.into_body(), limits.body);
-    match tokio::time::timeout(limits.receive, body).await {
+    let received = tokio::select! {
+        biased;
+        received = tokio::time::timeout(limits.receive, body) => received,
+        () = front.drain.expiring() => return Err(Failure::shutting_down()),
+    };
+    match received {
         Err(_) => Err(Failure::not_run(
             408,
             "slow_request",
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -10,8 +10,11 @@
 
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
+use sha2::{Digest as _, Sha256};
 use support::caller::{CallerRequest, Seen};
 use support::world::{LIMIT, World, until};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Longest response time of the service `desk`.
@@ -240,3 +243,40 @@
         (&"failed".into(), &"shutting_down".into(), &Value::Null)
     );
 }
+
+/// Sends the head of a call and a part of its body; returns all that it is answered.
+async fn half_sent(world: &World) -> String {
+    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
+    let head = "POST /services/desk/actions/deposit HTTP/1.1\r\nHost: h\r\n\
+        Authorization: Bearer key-one\r\nIdempotency-Key: half\r\nContent-Length: 9\r\n\r\nhalf";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok();
+    String::from_utf8(answer).unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_that_waits_or_arrives_until_late_in_a_drain_is_refused() {
+    let world = world(1, "20").await;
+    let hash = hex::encode(Sha256::digest(b"key-one"));
+    let one = json!({"key_sha256": hash, "concurrency": 1});
+    world.store("account", "one", &one).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let waiting = async {
+        until("the action runs", async || runs(&world, "first").await == 1).await;
+        let waits = label(action(&world, 0, "waits"), &world);
+        let signalled = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            world.entries[0].process.signal("TERM");
+        };
+        tokio::join!(waits, signalled).0
+    };
+    let first = label(action(&world, 0, "first"), &world);
+    let (first, waiting, half) = tokio::join!(first, waiting, half_sent(&world));
+
+    assert_eq!(first, is(201, "", ""));
+    assert_eq!(waiting, is(503, "not_run", "shutting_down"));
+    assert!(half.starts_with("HTTP/1.1 503"), "{half:?}");
+    assert!(half.contains("shutting_down"), "{half:?}");
+    assert_eq!(runs(&world, "waits").await + runs(&world, "half").await, 0);
+}
