--- a/src/generation/drive.rs
+++ b/src/generation/drive.rs
@@ -407,10 +407,9 @@
 
     fn finish(&mut self, outcome: Outcome) {
         if matches!(outcome, Outcome::Complete(_)) {
-            self.observe(Observation::Completed);
-            if let Some(begun) = self.run.begun {
-                self.observe(Observation::Lasted(begun.elapsed()));
-            }
+            let lasted = self.run.begun.map(|b| Observation::Lasted(b.elapsed()));
+            let seen = [Some(Observation::Completed), lasted];
+            seen.into_iter().flatten().for_each(|s| self.observe(s));
         }
         self.outcome = Some(outcome);
     }
--- a/src/generation/replicator.rs
+++ b/src/generation/replicator.rs
@@ -230,7 +230,7 @@
         let writers = self.writers_of(key);
         let mut waits: FuturesUnordered<_> = writers.iter().map(|w| w.caught_up()).collect();
         if waits.next().await.is_none() {
-            pending().await
+            pending::<()>().await;
         }
     }
 
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,9 +6,13 @@
 #[allow(dead_code, reason = "the length of an answer is not used here")]
 mod token;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use endivefork::http::Client;
 use http::{Method, StatusCode};
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use sha2::{Digest as _, Sha256};
 use support::caller::{CallerRequest, Seen};
@@ -16,6 +20,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 /// Longest response time of the service `desk`.
 const TIMEOUT_MS: u64 = 2000;
@@ -26,6 +31,18 @@
 /// Tokens of a stream that does not end in time.
 const TOKENS: u32 = 100;
 
+/// Instances of the fleet that is stopped in turn; the last one stays.
+const INSTANCES: usize = 4;
+
+/// Requests for each stop.
+const REQUESTS: usize = 40;
+
+/// Time between two requests.
+const SPACING: Duration = Duration::from_millis(50);
+
+/// Times that a caller sends its request at most.
+const ATTEMPTS: usize = 8;
+
 /// Settings of the instances.
 const DRAIN: &str = "[drain]\ntimeout = 3s\n";
 
@@ -280,3 +297,65 @@
     assert!(half.contains("shutting_down"), "{half:?}");
     assert_eq!(runs(&world, "waits").await + runs(&world, "half").await, 0);
 }
+
+/// What the callers of a fleet saw while its instances stopped in turn.
+#[derive(Debug, Default)]
+struct Tally {
+    ended: u32,
+    refused: u32,
+    resumed: u32,
+    unknown: u32,
+    cut: u32,
+}
+
+/// Sends request `i` and goes on at the next instance while it is refused or handed over.
+async fn served(client: &Client, entries: &[SocketAddr], i: usize, tally: &Mutex<Tally>) {
+    let ask = match i % 2 {
+        0 => CallerRequest::completion(entries[0], "llm", "load", TOKENS),
+        _ => CallerRequest::service(entries[0], Method::POST, "desk", "/actions/deposit"),
+    };
+    let mut ask = ask.key(&format!("load-{i}"));
+    for turn in i..i + ATTEMPTS {
+        ask = ask.at(entries[turn % entries.len()]);
+        let seen = ask.all(client).await;
+        ask.last = seen.tokens.last().map(|t| t.id).or(ask.last);
+        let error = seen.error.unwrap_or_default()["error"].clone();
+        let mut tally = tally.lock();
+        match (error["outcome"].as_str(), seen.status.as_u16()) {
+            (None, 201) => return tally.ended += 1,
+            (None, 200) if seen.done => return tally.ended += 1,
+            (Some("not_run"), _) => tally.refused += 1,
+            (Some("outcome_unknown"), 200) => tally.resumed += 1,
+            (Some(_), _) => tally.unknown += 1,
+            (None, _) => tally.cut += 1,
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_that_stop_in_turn_cut_no_request() {
+    let mut world = world(INSTANCES, "50").await;
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    let entries: Vec<_> = world.entries.iter().map(|e| e.caller).collect();
+    let mut callers = JoinSet::new();
+    let mut sent = 0;
+    for stopped in 0..INSTANCES - 1 {
+        for _ in 0..REQUESTS {
+            let (client, tally) = (world.client.clone(), Arc::clone(&tally));
+            let entries = entries[stopped..].to_vec();
+            let i = sent;
+            callers.spawn(async move { served(&client, &entries, i, &tally).await });
+            sent += 1;
+            tokio::time::sleep(SPACING).await;
+            if i % REQUESTS == REQUESTS / 2 {
+                world.entries[stopped].process.signal("TERM");
+            }
+        }
+        assert_eq!(world.entries[stopped].process.ended(LIMIT), Some(true));
+    }
+    callers.join_all().await;
+
+    let tally = tally.lock();
+    println!("{sent} requests: {tally:?}");
+    assert_eq!((tally.ended as usize, tally.cut), (sent, 0), "{tally:?}");
+}
