Refuse a request on the own interface whose body is still coming

Cause: reading a body had the limit of its receipt, but not the end of the process.

The body is read until final answers are due, as on the relay, and the caller is told then that nothing was run.

--- a/src/caller/front.rs
+++ b/src/caller/front.rs
@@ -82,11 +82,17 @@
 /// Reads a complete request body within the size and time limits.
 ///
 /// # Errors
-/// 413 when it is too large, 408 when it was not received in time, 400 when it ended early.
+/// 413 when it is too large, 408 when it was not received in time, 400 when it ended early, 503 when
+/// the process ends before it is complete.
 pub(crate) async fn read_body(front: &Front, request: Request<Body>) -> Result<Bytes, Failure> {
     let limits = front.instance.settings.limits;
     let body = read_limited(request.into_body(), limits.body);
-    match tokio::time::timeout(limits.receive, body).await {
+    let received = tokio::select! {
+        biased;
+        received = tokio::time::timeout(limits.receive, body) => received,
+        () = front.drain.expiring() => return Err(Failure::shutting_down()),
+    };
+    match received {
         Err(_) => Err(Failure::not_run(
             408,
             "slow_request",
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -12,6 +12,8 @@
 use serde_json::{Value, json};
 use support::caller::{CallerRequest, Seen};
 use support::world::{LIMIT, World, until};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Longest response time of the service `desk`.
@@ -240,3 +242,32 @@
         (&"failed".into(), &"shutting_down".into(), &Value::Null)
     );
 }
+
+/// Answer to half a request at entry 0.
+async fn half(world: &World, path: &str) -> String {
+    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
+    let head = "HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-one\r\ncontent-length: 99";
+    let text = format!("POST {path} {head}\r\n\r\nhalf");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer).await;
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_whose_body_is_still_coming_is_refused_before_the_exit() {
+    let world = world(1, "20").await;
+    let signalled = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        world.entries[0].process.signal("TERM");
+    };
+
+    let call = half(&world, "/services/desk/actions/deposit");
+    let generation = half(&world, "/v1/completions");
+    let (call, generation, ()) = tokio::join!(call, generation, signalled);
+
+    for answer in [call, generation] {
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+        assert!(answer.contains("not_run"), "{answer}");
+    }
+}
