Refuse no generation of a peer as one that did not run

A caller who sent the key of a generation that ran at another instance, without a last event, to an instance that was stopping got a 503 that says that the request was not run, though it was running.

Cause: the refusal of a shutdown comes before the search for the key at the peers, and only asked whether the key ran at this instance itself.

The refusal now asks the journals that this instance holds for its peers too, and at the time of the refusal rather than of the arrival. After the fix the test passes.

--- a/src/caller/completions.rs
+++ b/src/caller/completions.rs
@@ -174,10 +174,12 @@
         let time = expected.unwrap_or(deadline).min(deadline);
         front.drain.short_of(time).await;
     };
-    let returning = cursor.is_some() || instance.generations.knows(key);
     let reader = tokio::select! {
         biased;
-        () = late => return Err(refusal(returning)),
+        () = late => {
+            let returning = cursor.is_some() || instance.generations.knows(key);
+            return Err(refusal(returning));
+        }
         reader = instance.generate(start, cursor, &caller.account) => reader?,
     };
     Ok(Call {
--- a/src/generation/table.rs
+++ b/src/generation/table.rs
@@ -191,10 +191,10 @@
         self.adopt(request, journal, next, release)
     }
 
-    /// Whether this instance runs or ran the generation of a request.
+    /// Whether the generation of a request runs or ran here or, by its journal, at a peer.
     #[must_use]
     pub fn knows(&self, key: RequestKey) -> bool {
-        self.shared.run(key).is_some()
+        self.shared.run(key).is_some() || self.shared.journals.get(key).is_some()
     }
 
     /// The time that `tokens` take at the pace of the service's slowest running generation; `None`
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -271,3 +271,24 @@
         assert!(answer.contains("not_run"), "{answer}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generation_of_another_instance_is_not_refused_as_not_run() {
+    let world = world(2, "200").await;
+    let first = Notify::new();
+    let ask = completion(&world, 1, TOKENS, "moved");
+    let reading = ask.stream(&world.client, |token| {
+        first.notify_one();
+        token.id == 15
+    });
+    let repeated = async {
+        first.notified().await;
+        world.entries[0].process.signal("TERM");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        label(completion(&world, 0, TOKENS, "moved"), &world).await
+    };
+
+    let (_, repeated) = tokio::join!(reading, repeated);
+
+    assert_eq!(repeated, is(503, "outcome_unknown", "shutting_down"));
+}
