Answer operators' requests before the instance stops

Operators whose change of a service, an account or a move was open when the last request of a caller had ended, three seconds after a SIGTERM in calm, got no answer, though the change was written.

Cause: the task that accepts on the administration address was aborted and the process ended, without a look at what was open there.

The administration API now closes as the callers' side has ended, or as final answers are due if that is earlier, and the process waits up to ten seconds and its drain for what is open. What is cut after that leaves a log line.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -105,12 +105,18 @@
         .with_state(context)
 }
 
-/// Serves the administration API on `listener` for as long as it is polled.
+/// Serves the administration API on `listener` until `closed` completes and the requests that are
+/// open by then are answered.
 ///
 /// # Errors
 /// When connections can no longer be accepted.
-pub async fn serve(listener: TcpListener, context: Arc<Context>) -> std::io::Result<()> {
-    axum::serve(listener, router(context)).await
+pub async fn serve(
+    listener: TcpListener,
+    context: Arc<Context>,
+    closed: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<()> {
+    let serving = axum::serve(listener, router(context));
+    serving.with_graceful_shutdown(closed).await
 }
 
 async fn metrics(State(context): Shared) -> String {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context as _;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::admin;
 use crate::caller::{self, Drain, Front};
@@ -16,6 +18,9 @@
 use crate::settings::Settings;
 use crate::telemetry;
 
+/// Longest wait for operators' requests that are open when those of callers have ended.
+const OPERATOR_WAIT: Duration = Duration::from_secs(10);
+
 /// The listeners of an instance.
 #[derive(Debug)]
 pub struct Listeners {
@@ -100,7 +105,15 @@
     instance.metrics.install();
     instance.start();
     let parts = admin::context(&instance, &drain);
-    let administration = tokio::spawn(admin::serve(listeners.admin, parts));
+    let closed = CancellationToken::new();
+    let (ended, clock) = (closed.clone(), Arc::clone(&drain));
+    let closing = async move {
+        tokio::select! {
+            () = ended.cancelled() => {}
+            () = clock.expiring() => {}
+        }
+    };
+    let mut administration = tokio::spawn(admin::serve(listeners.admin, parts, closing));
     let limits = instance.settings.limits;
     let front = Front {
         instance: Arc::clone(&instance),
@@ -121,6 +134,11 @@
     // Actions whose callers went away still have their outcomes to store.
     let left = drain.left().unwrap_or_default();
     timeout(left, instance.actions.wait_idle()).await.ok();
-    administration.abort();
+    closed.cancel();
+    let left = drain.left().unwrap_or_default().min(OPERATOR_WAIT);
+    if timeout(left, &mut administration).await.is_err() {
+        warn!(instance.log, "serve: requests of operators are cut off");
+        administration.abort();
+    }
     instance.peers.close();
 }
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "part of the stub is used only by its own program")]
 mod platform;
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::process::{Command, Output};
 use std::sync::Arc;
@@ -172,7 +173,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let parts = admin::context(&instance, &drain);
-    tokio::spawn(admin::serve(listener, parts));
+    tokio::spawn(admin::serve(listener, parts, pending()));
     (addr, drain)
 }
 
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use endivefork::http::{Via, request};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use support::caller::{CallerRequest, Seen};
@@ -292,3 +293,26 @@
 
     assert_eq!(repeated, is(503, "outcome_unknown", "shutting_down"));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_by_an_operator_is_answered_before_the_exit() {
+    let mut world = World::usual(0, 1, &[]).await;
+    let slow = json!({"delay_ms": 900});
+    world.control(world.platform.addr, "/control", &slow).await;
+    world.entries[0].process.signal("TERM");
+    tokio::time::sleep(Duration::from_millis(2700)).await;
+
+    let url = format!("http://{}/v1/accounts/three?base=0", world.entries[0].admin);
+    let account = json!({"key_sha256": "3".repeat(64)});
+    let mut change = request(Method::PUT, &url, account.to_string());
+    let operator = "Bearer operator-key".parse().unwrap();
+    change.headers_mut().insert("authorization", operator);
+    let answer = world.client.send(Via::Fresh, change, LIMIT).await;
+    let ended = world.entries[0].process.ended(LIMIT);
+
+    assert!(
+        answer.as_ref().is_ok_and(|a| a.status.is_success()),
+        "{answer:?}"
+    );
+    assert_eq!(ended, Some(true));
+}
