Answer connections that wait for a place before the process ends

A connection that the instance had accepted beyond its limit of connections waited for a place until the process ended, when others held all places by long answers, and was closed without an answer to the request that it carried; so were those behind it in the accept queue. On the relay, streams hold their places until the exit.

Cause: the wait for a place had no end but a free place.

When final answers are due, connections are taken without a place; what their requests get then is the refusal of the shutdown.

--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -83,7 +83,15 @@
     let accepting = async {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => open(stream, place(&slots, &connections).await),
+                Ok((stream, _)) => {
+                    // The last requests are refused, which takes no place.
+                    let permit = tokio::select! {
+                        biased;
+                        permit = place(&slots, &connections) => permit,
+                        () = drain.expiring() => None,
+                    };
+                    open(stream, permit);
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, with handlers of the test.
 
+use std::future::pending;
 use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,6 +40,15 @@
     }
 
     async fn start_with(router: Router, idle: Duration, connections: usize) -> Self {
+        Self::start_until(router, idle, connections, MAX_WAIT).await
+    }
+
+    async fn start_until(
+        router: Router,
+        idle: Duration,
+        connections: usize,
+        longest: Duration,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let limits = Arc::new(Mutex::new(Limits {
@@ -48,7 +58,7 @@
             idle,
             connections,
         }));
-        let drain = Arc::new(Drain::new(MAX_WAIT));
+        let drain = Arc::new(Drain::new(longest));
         let current = Arc::clone(&limits);
         let current = move || *current.lock();
         let serving = serve(listener, router, current, Arc::clone(&drain));
@@ -314,3 +324,21 @@
     kept[0].set_nonblocking(true).unwrap();
     assert_eq!(kept[0].read(&mut [0]).unwrap(), 0, "the oldest is closed");
 }
+
+#[tokio::test]
+async fn requests_that_wait_for_a_place_are_answered_before_the_end_of_a_drain() {
+    let router = fine().route("/busy", get(pending::<()>));
+    let server = Server::start_until(router, LONG, 1, LINGER).await;
+    let mut busy = server.connect().await;
+    let request = head("").replace("GET /", "GET /busy");
+    busy.write_all(request.as_bytes()).await.unwrap();
+    sleep(SHORT).await;
+    let mut waiting = [server.connect().await, server.connect().await];
+    server.drain.begin();
+
+    for stream in &mut waiting {
+        let answer = ask(stream, "").await;
+
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    }
+}
