--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use endivefork::http::Client;
+use endivefork::http::{Client, Via, request};
 use http::{Method, StatusCode};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -261,17 +261,6 @@
     );
 }
 
-/// Sends the head of a call and a part of its body; returns all that it is answered.
-async fn half_sent(world: &World) -> String {
-    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
-    let head = "POST /services/desk/actions/deposit HTTP/1.1\r\nHost: h\r\n\
-        Authorization: Bearer key-one\r\nIdempotency-Key: half\r\nContent-Length: 9\r\n\r\nhalf";
-    stream.write_all(head.as_bytes()).await.unwrap();
-    let mut answer = Vec::new();
-    stream.read_to_end(&mut answer).await.ok();
-    String::from_utf8(answer).unwrap()
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn call_that_waits_or_arrives_until_late_in_a_drain_is_refused() {
     let world = world(1, "20").await;
@@ -289,7 +278,11 @@
         tokio::join!(waits, signalled).0
     };
     let first = label(action(&world, 0, "first"), &world);
-    let (first, waiting, half) = tokio::join!(first, waiting, half_sent(&world));
+    let (first, waiting, half) = tokio::join!(
+        first,
+        waiting,
+        half(&world, "/services/desk/actions/deposit")
+    );
 
     assert_eq!(first, is(201, "", ""));
     assert_eq!(waiting, is(503, "not_run", "shutting_down"));
@@ -332,6 +325,36 @@
     }
 }
 
+/// Answer to half a request at entry 0.
+async fn half(world: &World, path: &str) -> String {
+    let mut stream = TcpStream::connect(world.entries[0].caller).await.unwrap();
+    let head = "HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-one\r\nidempotency-key: half\r\n\
+        content-length: 99";
+    let text = format!("POST {path} {head}\r\n\r\nhalf");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer).await;
+    answer
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_whose_body_is_still_coming_is_refused_before_the_exit() {
+    let world = world(1, "20").await;
+    let signalled = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        world.entries[0].process.signal("TERM");
+    };
+
+    let call = half(&world, "/services/desk/actions/deposit");
+    let generation = half(&world, "/v1/completions");
+    let (call, generation, ()) = tokio::join!(call, generation, signalled);
+
+    for answer in [call, generation] {
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+        assert!(answer.contains("not_run"), "{answer}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn instances_that_stop_in_turn_cut_no_request() {
     let mut world = world(INSTANCES, "50").await;
@@ -359,3 +382,47 @@
     println!("{sent} requests: {tally:?}");
     assert_eq!((tally.ended as usize, tally.cut), (sent, 0), "{tally:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generation_of_another_instance_is_not_refused_as_not_run() {
+    let world = world(2, "200").await;
+    let first = Notify::new();
+    let ask = completion(&world, 1, TOKENS, "moved");
+    let reading = ask.stream(&world.client, |token| {
+        first.notify_one();
+        token.id == 15
+    });
+    let repeated = async {
+        first.notified().await;
+        world.entries[0].process.signal("TERM");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        label(completion(&world, 0, TOKENS, "moved"), &world).await
+    };
+
+    let (_, repeated) = tokio::join!(reading, repeated);
+
+    assert_eq!(repeated, is(503, "outcome_unknown", "shutting_down"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_by_an_operator_is_answered_before_the_exit() {
+    let mut world = World::usual(0, 1, &[]).await;
+    let slow = json!({"delay_ms": 900});
+    world.control(world.platform.addr, "/control", &slow).await;
+    world.entries[0].process.signal("TERM");
+    tokio::time::sleep(Duration::from_millis(2700)).await;
+
+    let url = format!("http://{}/v1/accounts/three?base=0", world.entries[0].admin);
+    let account = json!({"key_sha256": "3".repeat(64)});
+    let mut change = request(Method::PUT, &url, account.to_string());
+    let operator = "Bearer operator-key".parse().unwrap();
+    change.headers_mut().insert("authorization", operator);
+    let answer = world.client.send(Via::Fresh, change, LIMIT).await;
+    let ended = world.entries[0].process.ended(LIMIT);
+
+    assert!(
+        answer.as_ref().is_ok_and(|a| a.status.is_success()),
+        "{answer:?}"
+    );
+    assert_eq!(ended, Some(true));
+}
