Prefer an answer that is ready to the final one of a shutdown

What a caller could see: 502 in place of an answer that was ready at the same moment, as the choice between the two was random. Found by the reviewer, by reading; not shown by a test, as the moment can't be arranged from outside.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -117,6 +117,7 @@
         }
     };
     let reply = tokio::select! {
+        biased;
         reply = running => reply,
         () = relay.drain.expiring() => FinalReply::local(LocalReply::lost(SHUTTING_DOWN)),
     };
