Tell callers to return later while most instances drain

What callers saw: where instances stop in turn faster than they end, a refused caller returned after 50 ms, came to another instance that drained, and ended refused.

Cause: the time to return asked whether any other instance stays, not whether the caller is likely to come to it. Load balancers choose instances that drain until they have noticed, and all of a zone when few are left.

--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -320,6 +320,12 @@
         self.hub.members.lock().any_stays()
     }
 
+    /// Whether most other instances may serve callers.
+    #[must_use]
+    pub fn most_stay(&self) -> bool {
+        self.hub.members.lock().most_stay()
+    }
+
     /// Whether the fleet is large enough for aggregators instead of a full mesh.
     #[must_use]
     pub fn is_tiered(&self) -> bool {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -253,8 +253,18 @@
     /// to be gone.
     #[must_use]
     pub fn any_stays(&self) -> bool {
-        let mut known = self.known.values();
-        known.any(|k| !k.leaving && k.reach != Reach::Dead)
+        self.staying() > 0
+    }
+
+    /// Whether most other instances may serve callers.
+    #[must_use]
+    pub fn most_stay(&self) -> bool {
+        self.staying() * 2 > self.known.len()
+    }
+
+    fn staying(&self) -> usize {
+        let stays = |k: &&MemberState| !k.leaving && k.reach != Reach::Dead;
+        self.known.values().filter(stays).count()
     }
 
     /// Reachability of `name`.
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -14,7 +14,7 @@
 /// Reason of requests that this instance does not run because it shuts down.
 pub(crate) const SHUTTING_DOWN: &str = "shutting down";
 
-/// `Retry-After` while this instance drains and another one stays. Short, as that one can serve the
+/// `Retry-After` while this instance drains and most others stay. Short, as that one can serve the
 /// caller at once, but not zero, to avoid a burst.
 const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -53,9 +53,12 @@
 
     /// Response to a request that has not run and has no time left for it.
     pub(crate) fn refuse_late(&self) -> LocalReply {
+        let least_left = self.drain.least_left();
         let retry_after = match self.peers.any_stays() {
-            true => DRAIN_RETRY_AFTER,
-            false => self.drain.least_left() + STARTUP_RETRY_AFTER,
+            true if self.peers.most_stay() => DRAIN_RETRY_AFTER,
+            // Until it has noticed, the load balancer chooses instances that drain as well.
+            true => least_left.max(DRAIN_RETRY_AFTER),
+            false => least_left + STARTUP_RETRY_AFTER,
         };
         LocalReply::unavailable(retry_after, SHUTTING_DOWN)
     }
