End all processes when a review script cannot run

An exit before the verdict left the processes that had started. Their ids are now kept and killed first.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -8,7 +8,7 @@
 use crate::Verdict;
 use crate::client::{self, End};
 use crate::config::{Route, config, stream_request};
-use crate::program::{Folder, Place, Program};
+use crate::program::{Folder, Place, Program, give_up};
 use crate::record::Record;
 use crate::replica::{Cluster, Manner, Replica};
 use crate::store::Store;
@@ -93,8 +93,7 @@
     let until = Instant::now() + Duration::from_secs(10);
     while progress.lock().unwrap().iter().any(|event| *event < 20) {
         if Instant::now() > until {
-            eprintln!("the streams do not begin");
-            std::process::exit(2);
+            give_up("the streams do not begin");
         }
         thread::sleep(Duration::from_millis(20));
     }
--- a/review/stand/program.rs
+++ b/review/stand/program.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +23,20 @@
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the script as one that could not run, and all processes that it started.
+pub fn give_up(reason: &str) -> ! {
+    eprintln!("could not run: {reason}");
+    for id in RUNNING.lock().unwrap().iter() {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+    std::process::exit(2);
+}
+
 pub fn free_addr() -> SocketAddr {
     let base = std::process::id() * 131;
     loop {
@@ -119,12 +134,17 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 }
 
 impl Program {
+    fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
+    }
+
     pub fn start(place: &Place, all: &[Place], folder: &Folder, record: &Record) -> Self {
         let seeds: Vec<_> = all.iter().take(3).map(|p| p.control.to_string()).collect();
         let settings = folder.0.join(format!("{}.conf", place.name));
@@ -149,9 +169,9 @@
             .stderr(Stdio::null())
             .spawn();
         let Ok(child) = child else {
-            eprintln!("could not start {COMMAND}: is it built?");
-            std::process::exit(2);
+            give_up("the program of the deploy file is not built");
         };
+        RUNNING.lock().unwrap().push(child.id());
         record.line(&format!(
             "instance {} starts in zone {}",
             place.name, place.zone
@@ -172,8 +192,7 @@
         for place in places {
             while !client::is_ready(place.ready) {
                 if Instant::now() > until {
-                    eprintln!("instance {} is not ready in 15 s", place.name);
-                    std::process::exit(2);
+                    give_up("an instance is not ready in 15 s");
                 }
                 thread::sleep(Duration::from_millis(50));
             }
@@ -195,8 +214,7 @@
     pub fn kill(&mut self) {
         self.record
             .line(&format!("instance {} gets SIGKILL", self.place.name));
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.end();
     }
 
     pub fn has_ended(&mut self) -> bool {
