--- a/review/stand/client.rs
+++ b/review/stand/client.rs
@@ -47,6 +47,18 @@
     request: &[u8],
     limit: Duration,
     mut on_event: impl FnMut(u64),
+) -> Answer {
+    send_kept(addr, None, request, limit, &mut on_event)
+}
+
+/// Like [`send`], on a channel that has carried the request `first` if there is one. An answer whose
+/// `end` is [`End::Unreachable`] means that `request` was not sent.
+pub fn send_kept(
+    addr: SocketAddr,
+    first: Option<&[u8]>,
+    request: &[u8],
+    limit: Duration,
+    on_event: &mut impl FnMut(u64),
 ) -> Answer {
     let sent = Instant::now();
     let mut answer = Answer {
@@ -63,7 +75,15 @@
     };
     let _ = stream.set_read_timeout(Some(limit));
     let mut reader = Reader::new(stream);
-    let result = exchange(&mut reader, request, &mut answer, &mut on_event);
+    if let Some(first) = first {
+        let mut earlier = answer.clone();
+        if exchange(&mut reader, first, &mut earlier, &mut |_| {}).is_err() {
+            answer.ended = Instant::now();
+            return answer;
+        }
+    }
+    answer.sent = Instant::now();
+    let result = exchange(&mut reader, request, &mut answer, on_event);
     answer.ended = Instant::now();
     answer.end = match result {
         Ok(()) => End::Complete,
--- a/review/stand/program.rs
+++ b/review/stand/program.rs
@@ -92,7 +92,7 @@
     }
 
     /// The settings of a small deployment: those of rackshare-lk on loopback addresses.
-    fn settings(&self, seeds: &str) -> String {
+    fn settings(&self, seeds: &str, is_first: bool) -> String {
         let Self {
             name,
             zone,
@@ -105,7 +105,7 @@
             "node_name={name}\nrole=entry\nmachine_class=front\nserves=front,control\nip=127.0.0.1\n\
              zone={zone}\nregion=r-{zone}\nzones.za=r-za\nzones.zb=r-zb\nzones.zc=r-zc\n\
              listen_addrs.front={front}\nlisten_addrs.ready={ready}\nlisten_addrs.control={control}\n\
-             seed_nodes={seeds}\nbootstrap=true\nloss_counts=false\n\
+             seed_nodes={seeds}\nbootstrap={is_first}\nloss_counts=false\n\
              limits.cpu_share=0.25\nlimits.cpu_cores=1\nlimits.memory_mb=110\nlimits.max_fds=4100\n\
              limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry_point=virtual_ip\n\
              heartbeat_ms=1200\n\
@@ -146,9 +146,25 @@
     }
 
     pub fn start(place: &Place, all: &[Place], folder: &Folder, record: &Record) -> Self {
+        Self::launch(place, all, true, folder, record)
+    }
+
+    /// Starts a process again while the rest of the system runs.
+    pub fn restart(place: &Place, all: &[Place], folder: &Folder, record: &Record) -> Self {
+        Self::launch(place, all, false, folder, record)
+    }
+
+    fn launch(
+        place: &Place,
+        all: &[Place],
+        is_first: bool,
+        folder: &Folder,
+        record: &Record,
+    ) -> Self {
         let seeds: Vec<_> = all.iter().take(3).map(|p| p.control.to_string()).collect();
         let settings = folder.0.join(format!("{}.conf", place.name));
-        std::fs::write(&settings, place.settings(&seeds.join(","))).expect("settings are written");
+        std::fs::write(&settings, place.settings(&seeds.join(","), is_first))
+            .expect("settings are written");
         let log = match std::env::var_os("CASE_LOGS") {
             Some(logs) => File::options()
                 .create(true)
