Allow for the retries that an ended process may have spent

Seen by back ends: 1.24 times the allowed repeats in a window when seven instances are killed together twice within 3 s; 1.07 after one kill.

Cause: what was spent ended with the process, and each new one began with its whole share of the slack. For its first moments it also took itself for the only instance.

Change: in its first window an instance that may have had a predecessor spends a tenth of the allowance, also as a part of the fleet's sums, and nothing of the slack before it knows how many share it. An instance whose seeds all refuse it logs that and sets endivefork_peer_refused.

The property test kills simulated fleets of up to 400 instances once or twice.

--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -81,6 +81,7 @@
         }
         let answer = self.beat(addr).await;
         self.in_flight.lock().swap_remove(&addr);
+        self.record_refusal(addr, &answer);
         let now = Instant::now();
         let mut members = self.members.lock();
         match (answer, name) {
@@ -94,6 +95,16 @@
         }
     }
 
+    /// Notes whether a seed refused a heartbeat.
+    fn record_refusal(&self, addr: SocketAddr, answer: &Result<Heartbeat, LinkError>) {
+        let is_seed = self.other_seeds().any(|seed| *seed == addr);
+        let mut refusing = self.refusing.lock();
+        match answer {
+            Err(LinkError::WrongKey | LinkError::OtherVersion) if is_seed => refusing.insert(addr),
+            _ => refusing.swap_remove(&addr),
+        };
+    }
+
     /// Whether this instance is within its first heartbeat rounds.
     fn is_new(&self) -> bool {
         self.round.load(Ordering::Relaxed) <= STARTUP_ROUNDS
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -92,6 +92,8 @@
     pub(super) members: Mutex<Members>,
     pub(super) links: Mutex<IndexMap<SocketAddr, Slot>>,
     pub(super) in_flight: Mutex<IndexSet<SocketAddr>>,
+    /// Seeds that refused this instance's last heartbeat.
+    pub(super) refusing: Mutex<IndexSet<SocketAddr>>,
     /// Number of heartbeat rounds so far.
     pub(super) round: AtomicUsize,
     handlers: RwLock<IndexMap<Tag, Handler>>,
@@ -144,6 +146,12 @@
         answer
     }
 
+    /// Seeds at other addresses than this instance's.
+    pub(super) fn other_seeds(&self) -> impl Iterator<Item = &SocketAddr> {
+        let own = self.opts.me.addr;
+        self.opts.seeds.iter().filter(move |addr| **addr != own)
+    }
+
     fn slot(&self, addr: SocketAddr) -> Arc<tokio::sync::Mutex<Option<Link>>> {
         let now = Instant::now();
         let mut links = self.links.lock();
@@ -196,6 +204,7 @@
             ),
             links: Mutex::default(),
             in_flight: Mutex::default(),
+            refusing: Mutex::default(),
             round: AtomicUsize::new(0),
             handlers: RwLock::default(),
             malformed: AtomicU64::new(0),
@@ -365,6 +374,21 @@
         self.hub.members.lock().all().count()
     }
 
+    /// Whether this instance was given no other instance's address.
+    #[must_use]
+    pub fn has_no_seeds(&self) -> bool {
+        self.hub.other_seeds().next().is_none()
+    }
+
+    /// Whether all other seeds refused this instance's last heartbeats, as they have another key or
+    /// protocol version.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let refusing = self.hub.refusing.lock();
+        let mut seeds = self.hub.other_seeds();
+        !refusing.is_empty() && seeds.all(|addr| refusing.contains(addr))
+    }
+
     /// Whether a network partition seems to separate this instance from a failure domain.
     #[must_use]
     pub fn is_partitioned(&self, domain: &str) -> bool {
--- a/src/relay/aggregate.rs
+++ b/src/relay/aggregate.rs
@@ -30,6 +30,8 @@
     pub(crate) usage: Vec<Usage>,
     /// Number of instances included.
     pub(crate) members: u32,
+    /// Number of those whose usage covers a whole window.
+    pub(crate) settled: u32,
 }
 
 /// Sender of a summary.
@@ -62,6 +64,8 @@
     pub(crate) usage: Vec<Usage>,
     /// Number of reporting instances in the fleet.
     pub(crate) members: u32,
+    /// Number of those whose usage covers a whole window.
+    pub(crate) settled: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -162,6 +166,7 @@
         };
         summary.usage = total_usage(summaries.iter().copied());
         summary.members = summaries.iter().map(|s| s.members).sum();
+        summary.settled = summaries.iter().map(|s| s.settled).sum();
         summary
     }
 
@@ -194,6 +199,7 @@
             leaving: union(others().flat_map(|r| &r.leaving)),
             usage: total_usage(summaries()),
             members: summaries().map(|s| s.members).sum(),
+            settled: summaries().map(|s| s.settled).sum(),
         }
     }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -21,6 +21,7 @@
 use super::limits::Statement;
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
+use super::retries::Coverage;
 use super::runs::RunLocation;
 use crate::peer::{CANDIDATES, Member, Tag, ranked};
 use crate::quarantine;
@@ -253,6 +254,7 @@
             report: self.router.peer_report(now),
             usage: self.retries.lock().usage(now),
             members: 1,
+            settled: u32::from(self.retries.lock().is_settled(now)),
         };
         let mut runs = std::mem::take(&mut reporter.runs);
         runs.extend(self.runs.lock().take_unsent());
@@ -305,14 +307,15 @@
 
     fn apply_delta(&self, reporter: &mut Reporter, delta: LoadDelta) {
         let now = Instant::now();
-        let members = delta.members.max(1);
-        self.retries.lock().set_fleet_usage(
-            delta.usage.clone(),
-            members,
-            self.peers.others() + 1,
-            now,
-        );
-        self.router.set_instances(members as usize);
+        let of = Coverage {
+            members: delta.members,
+            settled: delta.settled,
+            known: self.peers.others() + 1,
+        };
+        self.retries
+            .lock()
+            .set_fleet_usage(delta.usage.clone(), of, now);
+        self.router.set_instances(delta.members.max(1) as usize);
         let report = reporter.replica.apply(delta);
         self.router.apply_peer_report("fleet", &report, now);
     }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use slog::info;
+use slog::{info, warn};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -171,6 +171,7 @@
             }
             self.pool.close_expired();
             self.tick_suspects();
+            self.report_refusal();
             if self.peers.is_tiered() {
                 self.report(sources, &mut reporter).await;
                 continue;
@@ -202,6 +203,20 @@
         }
     }
 
+    /// Logs when all seeds begin to refuse this instance, and when one accepts it again.
+    fn report_refusal(&self) {
+        let is_refused = self.peers.is_refused();
+        let was_refused = self.refused.swap(is_refused, Ordering::Relaxed);
+        let log = &self.decisions.log;
+        match (was_refused, is_refused) {
+            (false, true) => warn!(log, "peers: all seeds refuse this instance: they have another \
+                key or version"; "seeds" => ?self.settings.seeds),
+            (true, false) => info!(log, "peers: no longer refused by all seeds"),
+            _ => return,
+        }
+        metrics::gauge!("endivefork_peer_refused").set(f64::from(u8::from(is_refused)));
+    }
+
     fn broadcast(self: &Arc<Self>, recipients: Vec<SmolStr>, message: &GossipMessage) {
         let body = encode(message);
         for name in recipients {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -42,6 +42,9 @@
 /// events of 45.
 const CROSS_REGION_BYTES: u64 = 14_000;
 
+/// Time in which instances that start together get to know each other: a few heartbeats.
+const DISCOVERY_TIME: Duration = Duration::from_secs(3);
+
 /// State of one relay instance.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -100,6 +103,9 @@
     pub(crate) no_reader_since: Mutex<Option<Instant>>,
     /// A peer that has newer targets, and since when.
     pub(crate) newer_peer: Mutex<Option<(SmolStr, Instant)>>,
+    /// Whether all seeds refused this instance at the last look.
+    pub(crate) refused: AtomicBool,
+    started: Instant,
     is_ready: watch::Sender<bool>,
 }
 
@@ -123,6 +129,10 @@
     ) -> Self {
         let retries =
             RetryBudget::new(settings.retry_budget, Instant::now()).salted(rand::random());
+        let retries = match settings.first_start {
+            true => retries,
+            false => retries.restarted(),
+        };
         Self {
             settings,
             dialect,
@@ -158,6 +168,8 @@
             peer_readers: Mutex::default(),
             no_reader_since: Mutex::default(),
             newer_peer: Mutex::default(),
+            refused: AtomicBool::new(false),
+            started: Instant::now(),
             is_ready: watch::Sender::new(false),
         }
     }
@@ -166,6 +178,11 @@
         self.catalog.lock().rules().cloned()
     }
 
+    /// Time since the start of the process.
+    pub(crate) fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Whether the rules and the targets are known.
     pub(crate) fn ready(&self) -> bool {
         *self.is_ready.borrow()
@@ -289,10 +306,19 @@
         Some(RunCopy::new(lease, copied))
     }
 
+    /// Number of instances, if it is known: not in the time in which they get to know each other,
+    /// nor while an instance that has seeds has heard from no other.
+    fn fleet_size(&self) -> Option<usize> {
+        let others = self.peers.others();
+        let is_alone = self.peers.has_no_seeds();
+        let is_known = others > 0 && self.age() >= DISCOVERY_TIME;
+        (is_alone || is_known).then_some(others + 1)
+    }
+
     /// Takes a retry from this instance's share of the retry budget or, if that is spent, from a
     /// loan of its aggregator.
     pub(crate) async fn take_retry(&self, service: &SmolStr) -> bool {
-        let members = self.peers.others() + 1;
+        let members = self.fleet_size();
         let own = self.retries.lock().take(service, members, Instant::now());
         let taken = own || self.borrow_retry(service, false).await;
         if !taken {
@@ -304,7 +330,7 @@
     /// Takes a retry for a run that may not need it, from what remains after a reserve for real
     /// losses.
     pub(crate) async fn take_spare_retry(&self, service: &SmolStr, share: RetryShare) -> bool {
-        let members = self.peers.others() + 1;
+        let members = self.fleet_size();
         let now = Instant::now();
         let own = self.retries.lock().take_spare(service, members, now);
         own || self.may_borrow_spare(service, share) && self.borrow_retry(service, true).await
@@ -313,7 +339,7 @@
     /// Whether [`Self::take_spare_retry`] may take a retry. Asked first, as a target's permit and a
     /// connection to it would be wasted without one.
     pub(crate) fn may_have_spare_retry(&self, service: &SmolStr, share: RetryShare) -> bool {
-        let members = self.peers.others() + 1;
+        let members = self.fleet_size();
         let now = Instant::now();
         let has_own = self.retries.lock().has_spare(service, members, now);
         has_own || self.may_borrow_spare(service, share)
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -2,7 +2,7 @@
 //!
 //! A retry is admitted by the local share, or by a loan from an aggregator. All instances together
 //! stay within the allowance in any window, even though each knows the fleet's usage only with a
-//! delay.
+//! delay, and what a process spent is unknown once it has ended.
 
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,10 @@
 /// different instances lie up to two windows apart.
 const ISOLATED_SHARE: f64 = 0.5;
 
+/// Share of the allowance spent by an instance in its first window: a process that ended may have
+/// spent the rest, and what it spent ended with it.
+const RESTARTED_SHARE: f64 = 0.1;
+
 /// Share of the fleet's remaining retries that instances take without asking; the rest is lent to
 /// instances that need more than their own share.
 const LOCAL_SHARE: f64 = 0.5;
@@ -63,11 +67,24 @@
 struct FleetUsage {
     usage: Vec<Usage>,
     members: usize,
-    /// Share of the known instances that report.
-    reporting: f64,
+    /// Part of the requests that earn retries.
+    earning: f64,
+    /// Part of the slack that may be spent.
+    slack: f64,
     at: Instant,
 }
 
+/// Number of instances behind the fleet's usage.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Coverage {
+    /// Instances that report.
+    pub(crate) members: u32,
+    /// Those of them whose usage covers a whole window.
+    pub(crate) settled: u32,
+    /// Known instances.
+    pub(crate) known: usize,
+}
+
 /// Retry budget of all instances together.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
@@ -97,6 +114,8 @@
     /// Retries lent to other instances.
     lent: Counts,
     fleet: Option<FleetUsage>,
+    /// End of the first window of a process that may have had a predecessor.
+    settled: Instant,
     /// Seed of the draw by which instances round a fractional share up or down.
     salt: u64,
 }
@@ -109,29 +128,37 @@
             services: IndexMap::new(),
             lent: IndexMap::new(),
             fleet: None,
+            settled: base,
             salt: 0,
         }
     }
 
+    /// Allows for what a predecessor of this process may have spent.
+    pub(crate) fn restarted(self) -> Self {
+        let settled = self.base + self.allowance.window;
+        Self { settled, ..self }
+    }
+
+    /// Whether the usage of this instance covers a whole window.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        now >= self.settled
+    }
+
     /// Sets the seed for rounding fractional shares.
     pub(crate) fn salted(self, salt: u64) -> Self {
         Self { salt, ..self }
     }
 
-    /// Sets the fleet's usage, summed over the `members` reporting instances, out of `known`
-    /// instances.
-    pub(crate) fn set_fleet_usage(
-        &mut self,
-        usage: Vec<Usage>,
-        members: u32,
-        known: usize,
-        now: Instant,
-    ) {
-        let members = members.max(1) as usize;
+    /// Sets the fleet's usage, summed over the reporting instances.
+    pub(crate) fn set_fleet_usage(&mut self, usage: Vec<Usage>, of: Coverage, now: Instant) {
+        let members = f64::from(of.members.max(1));
+        let settled = f64::from(of.settled).min(members);
+        let weight = settled + (members - settled) * RESTARTED_SHARE / USABLE_SHARE;
         self.fleet = Some(FleetUsage {
             usage,
-            members,
-            reporting: (members as f64 / known.max(1) as f64).min(1.0),
+            members: of.members.max(1) as usize,
+            earning: weight / members,
+            slack: (weight / of.known.max(1) as f64).min(1.0),
             at: now,
         });
     }
@@ -156,22 +183,38 @@
     }
 
     /// Takes a retry; `false` when this instance's share is spent. `members` is the number of
-    /// instances that share the slack.
-    pub(crate) fn take(&mut self, service: &SmolStr, members: usize, now: Instant) -> bool {
+    /// instances that share the slack, if it is known.
+    pub(crate) fn take(&mut self, service: &SmolStr, members: Option<usize>, now: Instant) -> bool {
         self.take_share(1.0, service, members, now)
     }
 
     /// Takes a retry unless less than a reserve would remain of this instance's share.
-    pub(crate) fn take_spare(&mut self, service: &SmolStr, members: usize, now: Instant) -> bool {
+    pub(crate) fn take_spare(
+        &mut self,
+        service: &SmolStr,
+        members: Option<usize>,
+        now: Instant,
+    ) -> bool {
         self.take_share(SPARE_SHARE, service, members, now)
     }
 
     /// Whether [`Self::take_spare`] would take a retry.
-    pub(crate) fn has_spare(&self, service: &SmolStr, members: usize, now: Instant) -> bool {
+    pub(crate) fn has_spare(
+        &self,
+        service: &SmolStr,
+        members: Option<usize>,
+        now: Instant,
+    ) -> bool {
         self.has_share(SPARE_SHARE, service, members, now)
     }
 
-    fn take_share(&mut self, usable: f64, service: &SmolStr, members: usize, now: Instant) -> bool {
+    fn take_share(
+        &mut self,
+        usable: f64,
+        service: &SmolStr,
+        members: Option<usize>,
+        now: Instant,
+    ) -> bool {
         let is_taken = self.has_share(usable, service, members, now);
         if is_taken {
             self.record_retry(service, now);
@@ -179,7 +222,13 @@
         is_taken
     }
 
-    fn has_share(&self, usable: f64, service: &SmolStr, members: usize, now: Instant) -> bool {
+    fn has_share(
+        &self,
+        usable: f64,
+        service: &SmolStr,
+        members: Option<usize>,
+        now: Instant,
+    ) -> bool {
         let is_fresh = |s: &&FleetUsage| now.saturating_duration_since(s.at) < USAGE_TTL;
         match self.fleet.as_ref().filter(is_fresh) {
             Some(fleet) => {
@@ -190,10 +239,11 @@
             }
             None => {
                 let (requests, retries) = self.count(&self.services, service, BUCKETS, now);
-                let slack = self.allowance.slack / members.max(1) as f64;
-                let own = match members < SMALL_FLEET {
-                    true => USABLE_SHARE,
-                    false => ISOLATED_SHARE,
+                let slack = members.map_or(0.0, |m| self.allowance.slack / m.max(1) as f64);
+                let own = match members {
+                    _ if !self.is_settled(now) => RESTARTED_SHARE,
+                    Some(members) if members < SMALL_FLEET => USABLE_SHARE,
+                    Some(_) | None => ISOLATED_SHARE,
                 };
                 let limit = usable * own * (self.allowance.ratio * f64::from(requests) + slack);
                 f64::from(retries) + 1.0 <= limit
@@ -241,8 +291,9 @@
     fn remaining(&self, usable: f64, fleet: &FleetUsage, service: &SmolStr) -> f64 {
         let usage = fleet.usage.iter().find(|u| u.service == *service);
         let (requests, retries) = usage.map_or((0, 0), |u| (u.requests, u.retries));
-        let slack = self.allowance.slack * fleet.reporting;
-        let limit = usable * USABLE_SHARE * (self.allowance.ratio * f64::from(requests) + slack);
+        let slack = self.allowance.slack * fleet.slack;
+        let earned = self.allowance.ratio * f64::from(requests) * fleet.earning;
+        let limit = usable * USABLE_SHARE * (earned + slack);
         (limit - f64::from(retries)).max(0.0)
     }
 
--- a/src/relay/tests/aggregate.rs
+++ b/src/relay/tests/aggregate.rs
@@ -42,6 +42,7 @@
             retries: 1,
         }],
         members: 1,
+        settled: 1,
     }
 }
 
--- a/src/relay/tests/retries.rs
+++ b/src/relay/tests/retries.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::relay::queries::DONORS_MAX;
-use crate::relay::retries::{Allowance, Loan, RetryBudget, Usage};
+use crate::relay::retries::{Allowance, Coverage, Loan, RetryBudget, Usage};
 
 const ALLOWANCE: Allowance = Allowance {
     ratio: 0.8,
@@ -33,7 +33,7 @@
                     requests.push(now);
                 }
                 for _ in 0..requested {
-                    if instance.take(&service, members, now) {
+                    if instance.take(&service, Some(members), now) {
                         retries.push(now);
                     }
                 }
@@ -62,7 +62,9 @@
     let mut retries = RetryBudget::new(ALLOWANCE, now);
     let service = SmolStr::new("llm");
 
-    let taken = (0..1000).filter(|_| retries.take(&service, 1, now)).count();
+    let taken = (0..1000)
+        .filter(|_| retries.take(&service, Some(1), now))
+        .count();
 
     assert!(taken as f64 <= ALLOWANCE.slack);
 }
@@ -114,15 +116,27 @@
         self.sums.push((now, sum));
         let known = self.sums.iter().rev().find(|(at, _)| now - *at >= LAG);
         let known = known.map(|(_, sum)| sum.clone());
-        let members = self.all.len();
+        let settled = self.all[self.isolated..]
+            .iter()
+            .filter(|r| r.is_settled(now));
+        let of = Coverage {
+            members: reporting as u32,
+            settled: settled.count() as u32,
+            known: self.all.len(),
+        };
         for one in &mut self.all[self.isolated..] {
-            one.set_fleet_usage(
-                known.clone().into_iter().collect(),
-                reporting as u32,
-                members,
-                now,
-            );
+            one.set_fleet_usage(known.clone().into_iter().collect(), of, now);
+        }
+    }
+
+    /// Kills all instances, and starts them again.
+    fn restart(&mut self, now: Instant) {
+        for (n, one) in self.all.iter_mut().enumerate() {
+            *one = RetryBudget::new(ALLOWANCE, now)
+                .salted(n as u64)
+                .restarted();
         }
+        self.sums.clear();
     }
 
     fn request(&mut self, who: usize, now: Instant) {
@@ -135,7 +149,7 @@
     fn request_retry(&mut self, who: usize, now: Instant) {
         self.requested += 1;
         let members = self.all.len();
-        let own = self.all[who].take(&self.service, members, now);
+        let own = self.all[who].take(&self.service, Some(members), now);
         let reporting = members - self.isolated;
         let domains = Self::DOMAINS.min(reporting);
         let asked = (0..DONORS_MAX).map(|n| (who + n) % domains);
@@ -213,6 +227,40 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Each request asks for retries from a drawn moment on; all instances are killed once or twice.
+    #[test]
+    fn a_fleet_that_is_killed_together_stays_within_the_allowance(
+        members in 1_usize..400,
+        rate in 1_usize..60,
+        many in 1_usize..5,
+        lost_from in 0_u32..100,
+        kills in prop::collection::vec(40_u32..140, 1..3),
+    ) {
+        let base = Instant::now();
+        let mut fleet = Fleet::new(members, 0, base);
+        for step in 0..200_u32 {
+            let now = base + STEP * (step + 1);
+            if kills.contains(&step) {
+                fleet.restart(now);
+            }
+            fleet.step(now);
+            for n in 0..rate {
+                let who = (n * 7 + step as usize * 13) % members;
+                fleet.request(who, now);
+                if step >= lost_from {
+                    (0..many).for_each(|_| fleet.request_retry(who, now));
+                }
+            }
+        }
+
+        let checked = fleet.check_allowance();
+        prop_assert!(checked.is_ok(), "{}", checked.unwrap_err());
+    }
+}
+
 /// Share of requested retries that are granted in a fleet of `members` instances when nine tenths
 /// of one failure domain's 80 streams lose their engine at once, every 6.7 seconds. `sums` is
 /// whether the instances know the fleet's usage.
--- a/src/relay/tests/silence.rs
+++ b/src/relay/tests/silence.rs
@@ -2,7 +2,7 @@
 
 use smol_str::SmolStr;
 
-use crate::relay::retries::{Allowance, Loan, RetryBudget, Usage};
+use crate::relay::retries::{Allowance, Coverage, Loan, RetryBudget, Usage};
 use crate::relay::silence::{RetryShare, Silence};
 
 #[test]
@@ -40,9 +40,11 @@
     let mut budget = RetryBudget::new(allowance, now);
     let service = SmolStr::from("llm");
 
-    let spare = (0..100).filter(|_| budget.take_spare(&service, 1, now));
+    let spare = (0..100).filter(|_| budget.take_spare(&service, Some(1), now));
     let spare = spare.count();
-    let rest = (0..100).filter(|_| budget.take(&service, 1, now)).count();
+    let rest = (0..100)
+        .filter(|_| budget.take(&service, Some(1), now))
+        .count();
 
     assert_eq!((spare, rest), (10, 10));
 }
@@ -71,7 +73,12 @@
             retries: sums[sums.len() - 11],
         };
         for one in &mut fleet {
-            one.set_fleet_usage(vec![known.clone()], INSTANCES as u32, INSTANCES, now);
+            let of = Coverage {
+                members: INSTANCES as u32,
+                settled: INSTANCES as u32,
+                known: INSTANCES,
+            };
+            one.set_fleet_usage(vec![known.clone()], of, now);
         }
         for n in 0..INSTANCES {
             taken += usize::from(take(&mut fleet, n, now));
@@ -88,7 +95,8 @@
 fn silences_leave_a_part_of_the_retry_budget_of_a_fleet() {
     let service = SmolStr::from("llm");
 
-    let taken = retries_beside_silences(|fleet, n, now| fleet[n].take_spare(&service, 12, now));
+    let taken =
+        retries_beside_silences(|fleet, n, now| fleet[n].take_spare(&service, Some(12), now));
 
     assert!((20..=SPARE_MAX).contains(&taken), "{taken}");
 }
@@ -102,7 +110,7 @@
     };
 
     let taken = retries_beside_silences(|fleet, n, now| {
-        let is_taken = fleet[n].take_spare(&service, 12, now);
+        let is_taken = fleet[n].take_spare(&service, Some(12), now);
         let is_lent =
             !is_taken && fleet[n].may_borrow_spare(&service, now) && fleet[0].lend(&loan, 12, now);
         if is_lent {
