Notice silent connections to the platform within three seconds

Cause: a silent connection showed only when a watch of 5 s was overdue by 1 s, and both watches of all instances began together after each event.

Change: the two watches of an instance end by turns, 2 s apart. One that is overdue ends the others, and the changes are read at once over a new connection, without taking the platform for lost. A watch that is cut off is renewed in the same way.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use slog::Logger;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 
 use super::calls::{Calls, Op};
 use super::entries::Reports;
@@ -33,6 +34,8 @@
     timeout: Duration,
     format: ApiFormat,
     http: Arc<Mutex<Pool>>,
+    /// Notified when the pool is replaced.
+    replaced: Arc<Notify>,
     calls: Arc<Calls>,
     reports: Arc<Reports>,
 }
@@ -64,6 +67,7 @@
             timeout,
             format,
             http: Arc::new(Mutex::new(pool)),
+            replaced: Arc::default(),
             calls: Arc::default(),
             reports: Arc::default(),
         }
@@ -224,7 +228,8 @@
         Ok(page)
     }
 
-    /// Long-polls up to `wait` for changes to objects of a kind after revision `from`.
+    /// Long-polls up to `wait` for changes to objects of a kind after revision `from`. The call ends
+    /// early when another one times out, as its own connection may be silent as well.
     ///
     /// # Errors
     /// [`Error::Gone`] when the platform no longer keeps the history since `from`, or it can't be
@@ -232,9 +237,14 @@
     pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
         let path = (self.format.watch)(kind, from, wait);
         let limit = wait + self.timeout;
-        let answer = self
-            .send_within(Op::Watch, Method::GET, &path, Bytes::new(), limit)
-            .await?;
+        let replaced = self.replaced.notified();
+        let sent = self.send_within(Op::Watch, Method::GET, &path, Bytes::new(), limit);
+        let answer = tokio::select! {
+            answer = sent => answer?,
+            () = replaced => {
+                return Err(Error::Unknown("connections given up after a timeout".into()));
+            }
+        };
         let changes = read(&answer, |b| (self.format.read_changes)(kind, b))?;
         self.reports.add_all(kind, &changes.unreadable);
         match changes.is_cut && changes.rev <= from {
@@ -325,6 +335,8 @@
                 generation: generation + 1,
                 http: Http::new(),
             };
+            drop(pool);
+            self.replaced.notify_waiters();
         }
     }
 }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -16,9 +16,11 @@
 use super::rules::Rules;
 use crate::platform::{self, Error};
 
-/// Longest wait of a watch. If its connection fails silently, changes are delayed by this much
-/// unless a peer forwards them. Each watch is billed.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between the ends of two watches of a topic. Each watch is billed.
+const WATCH_PERIOD: Duration = Duration::from_secs(4);
+
+/// Shortest wait of a watch; one that would end sooner lasts for another period.
+const WATCH_MIN: Duration = Duration::from_millis(100);
 
 /// Pause between two watches of the targets: registrations come in groups, and each call is billed.
 /// Far below the seconds within which traffic to a leaving target must stop.
@@ -84,6 +86,22 @@
         }
     }
 
+    /// Wait of a watch that begins when the process has run for `age`. The watches of the two topics
+    /// end by turns, half a period apart, so that silent connections are noticed within that time
+    /// and the timeout of a response.
+    fn wait(self, age: Duration) -> Duration {
+        let period = WATCH_PERIOD.as_nanos();
+        let offset = match self {
+            Self::Rules => 0,
+            Self::Targets => period / 2,
+        };
+        let left = Duration::from_nanos((period - (age.as_nanos() + offset) % period) as u64);
+        match left < WATCH_MIN {
+            true => left + WATCH_PERIOD,
+            false => left,
+        }
+    }
+
     fn pause(self) -> Duration {
         match self {
             Self::Rules => RULES_PAUSE,
@@ -119,23 +137,39 @@
         self.wait_for_peers().await;
         let mut cursor = None;
         let mut pause = BACKOFF_MIN;
+        let mut is_cut = false;
         loop {
             if !self.is_reader() {
                 self.set_reading(topic, false);
                 sleep(ELECTION_PERIOD).await;
                 continue;
             }
+            let wait = match is_cut {
+                true => Duration::ZERO,
+                false => topic.wait(self.age()),
+            };
             let read = match topic {
-                Topic::Rules => self.read_rules(sources, cursor).await,
-                Topic::Targets => self.read_targets(sources, cursor).await,
+                Topic::Rules => self.read_rules(sources, cursor, wait).await,
+                Topic::Targets => self.read_targets(sources, cursor, wait).await,
             };
+            let was_cut = std::mem::replace(&mut is_cut, false);
             match read {
                 Ok(rev) => {
                     self.recover(topic, &mut pause);
                     cursor = Some(rev);
-                    sleep(topic.pause()).await;
+                    if !was_cut {
+                        sleep(topic.pause()).await;
+                    }
                 }
                 Err(Error::Gone) => cursor = None,
+                // A watch that is cut off, or whose connection is silent, says nothing about the
+                // platform: the changes since are read at once over another connection.
+                Err(Error::Unknown(e)) if cursor.is_some() && !was_cut => {
+                    info!(self.decisions.log, "platform: watch cut off";
+                        "for" => topic.name(), "error" => e);
+                    metrics::counter!("endivefork_watches_cut_total").increment(1);
+                    is_cut = true;
+                }
                 Err(e) => self.back_off(topic, &e, &mut pause).await,
             }
         }
@@ -168,6 +202,7 @@
         self: &Arc<Self>,
         sources: Sources,
         cursor: Option<u64>,
+        wait: Duration,
     ) -> Result<u64, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
@@ -177,7 +212,7 @@
             }
             return Ok(list.rev);
         };
-        let changes = self.platform.watch(kind, from, WATCH_TIMEOUT).await?;
+        let changes = self.platform.watch(kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
         for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
             if self.apply_rules(sources, rev, value) {
@@ -230,6 +265,7 @@
         self: &Arc<Self>,
         sources: Sources,
         cursor: Option<u64>,
+        wait: Duration,
     ) -> Result<u64, Error> {
         let kind = sources.targets;
         // Peers may have forwarded changes later than the last watch.
@@ -246,7 +282,7 @@
             self.refresh_targets();
             return Ok(list.rev);
         };
-        let changes = self.platform.watch(kind, from, WATCH_TIMEOUT).await?;
+        let changes = self.platform.watch(kind, from, wait).await?;
         let to_change = |e: &platform::Event| Change {
             name: e.name.clone(),
             rev: e.rev,
