Leave the limit on a request's headers to their bytes

Seen by callers: 431 for 150 short headers, far below max_header_bytes. Cause: the HTTP library allows 100 headers by default. Now 2,048, as many of the shortest ones as fill 16 KiB.

--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -41,6 +41,10 @@
 /// Bytes of a head that a connection can read at least, as the limit may rise while it is open.
 const HEAD_BUFFER: usize = 64 * 1024;
 
+/// Most headers of a request. The limit on their bytes is to decide: this many of the shortest
+/// headers fill 16 KiB.
+const MAX_HEADERS: usize = 2_048;
+
 /// Interval at which the first bytes of a connection are polled.
 const PEEK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -160,6 +164,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
+        .max_headers(MAX_HEADERS)
         .max_buf_size(opened.headers.max(HEAD_BUFFER));
     builder
         .http2()
