Compare names of hosts without case and final dot

Seen by callers: 404 for H.Example and h.example. where the route's host is h.example. Cause: names were compared byte by byte.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -23,7 +23,7 @@
 use super::local_reply::LocalReply;
 use super::record::Outcome;
 use super::relay::Relay;
-use super::rules::{Kind, Rules};
+use super::rules::{Kind, Rules, host_key};
 use super::shutdown::SHUTTING_DOWN;
 use super::{call, stream};
 use crate::caller::{OpenRequest, close_on_drain};
@@ -194,7 +194,7 @@
     };
     let path = head.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
-    let route = rules.route(host(&head), path.path());
+    let route = rules.route(&host(&head), path.path());
     let Some(route) = route.cloned() else {
         return Err(with_id(LocalReply::reject(
             StatusCode::NOT_FOUND,
@@ -239,11 +239,11 @@
     .with_suspect_parts())
 }
 
-fn host(head: &Parts) -> &str {
+/// The name of the host that a request is for, without its port.
+fn host(head: &Parts) -> SmolStr {
     let header = head.headers.get(HOST).and_then(|h| h.to_str().ok());
-    let authority = head.uri.authority().map(|a| a.as_str());
-    let host = authority.or(header).unwrap_or_default();
-    host.split(':').next().unwrap_or_default()
+    let header = header.map(|h| h.split(':').next().unwrap_or_default());
+    host_key(head.uri.host().or(header).unwrap_or_default())
 }
 
 fn account(rules: &Rules, open: bool, key: Option<&str>) -> Result<Option<SmolStr>, LocalReply> {
--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -105,6 +105,16 @@
     pub idle_timeout: Duration,
 }
 
+/// The form in which names of hosts are compared: they know no case, and may end with the dot of the
+/// root.
+pub(crate) fn host_key(name: &str) -> SmolStr {
+    let name = name.strip_suffix('.').unwrap_or(name);
+    match name.bytes().any(|b| b.is_ascii_uppercase()) {
+        true => name.to_ascii_lowercase().into(),
+        false => name.into(),
+    }
+}
+
 /// One version of the rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -131,7 +141,7 @@
     ) -> Self {
         let mut hosts: IndexMap<SmolStr, Vec<Route>> = IndexMap::new();
         for route in routes {
-            hosts.entry(route.host.clone()).or_default().push(route);
+            hosts.entry(host_key(&route.host)).or_default().push(route);
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -145,7 +155,8 @@
         }
     }
 
-    /// Finds the route of `host` with the longest matching prefix of `path`.
+    /// Finds the route of `host`, a name as [`host_key`] returns it, with the longest matching prefix
+    /// of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.hosts.get(host)?;
