Resume a run only at the service that it ran at

Cause: the digest by which a run's copy is found covered path, account, prompt and body. It now covers service, host, method, model and token counts too.

--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -56,17 +56,26 @@
     }
 
     /// Digest of the content, the same if the caller sends it again under another id.
-    pub(crate) fn digest(&self) -> u128 {
+    fn content(&self) -> u128 {
         let account = self.account.as_deref().unwrap_or_default();
         let body = xxh3_128(&self.body).to_string();
         digest(&[self.path.as_str(), account, &self.ask.prompt_parts, &body])
     }
 
+    /// Digest of the content and of what runs it. A run goes on from the memory of another one only
+    /// if theirs are equal.
+    pub(crate) fn run_digest(&self) -> u128 {
+        let content = self.content().to_string();
+        let host = &self.route.host;
+        let (method, generation) = (self.method.as_str(), &self.ask.generation);
+        digest(&[&self.service, host, method, generation, &content])
+    }
+
     /// Sets [`Self::suspect_parts`].
     pub(crate) fn with_suspect_parts(mut self) -> Self {
         let shared = self.ask.shared_parts.iter();
         let shared = shared.map(|part| PartKey::new(&self.service, part));
-        let whole = PartKey::of_request(self.digest());
+        let whole = PartKey::of_request(self.content());
         self.suspect_parts = shared.take(PARTS_MAX - 1).chain([whole]).collect();
         self
     }
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -23,6 +23,8 @@
     pub timeout: Option<Duration>,
     /// API key of the account.
     pub key: Option<SmolStr>,
+    /// Model and numbers of tokens, as the caller states them.
+    pub generation: SmolStr,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
     /// Expected length of the output in tokens; zero if unknown.
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -21,7 +21,7 @@
 /// Location of a run's copy, as sent between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RunLocation {
-    /// Digest of the request's content: its path, account, prompt and body.
+    /// Digest of the request's content, and of what runs it.
     pub(crate) digest: u128,
     /// Engine that holds the copy; `None` when the run has no copy.
     pub(crate) engine: Option<SmolStr>,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -151,7 +151,7 @@
     open_request: Option<OpenRequest>,
 ) -> FinalReply {
     let last = request.ask.last_event;
-    let digest = request.digest();
+    let digest = request.run_digest();
     let repeats = request.route.kind.is_repeatable();
     let resumed = last.filter(|_| repeats);
     let service = request.service.clone();
