Keep quarantines in the platform's store

Cause: quarantines were kept in the memory of instances only.

Change: the instance of a failure domain that stores its runs stores the quarantines in the same object, as soon as one begins; all are read at the start, and until the platform answers. What is over by the time of the write counts as over.

--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! vote. Pure state, without I/O.
 
 mod evidence;
+mod stored;
 mod suspects;
 #[cfg(test)]
 mod tests;
@@ -19,6 +20,7 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::xxh3_64;
 
+pub(crate) use stored::StoredQuarantine;
 pub(crate) use suspects::NewQuarantine;
 pub use suspects::{Policy, SuspectStatus, Suspects};
 
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -81,7 +81,7 @@
 pub struct Suspects {
     policy: Policy,
     evidence: Evidence,
-    verdicts: Verdicts,
+    pub(super) verdicts: Verdicts,
     reservations: IndexMap<SmolStr, (PartKey, Instant)>,
     /// When the evidence is to be judged next; `None` while nothing has changed.
     due: Option<Instant>,
--- a/src/quarantine/verdict.rs
+++ b/src/quarantine/verdict.rs
@@ -28,12 +28,12 @@
 /// A quarantine, as sent between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct VerdictReport {
-    parts: Vec<PartKey>,
-    version: u32,
-    rounds: u32,
-    passed: u32,
-    lifted: bool,
-    left_ms: u32,
+    pub(super) parts: Vec<PartKey>,
+    pub(super) version: u32,
+    pub(super) rounds: u32,
+    pub(super) passed: u32,
+    pub(super) lifted: bool,
+    pub(super) left_ms: u32,
 }
 
 /// A quarantine of requests that hold all of some parts.
--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -1,9 +1,9 @@
-//! Stores the runs of each failure domain on the platform, so that callers can resume from copies
-//! even after the loss of all instances at once. A stale entry costs one request that its engine
-//! refuses.
+//! Stores the runs of each failure domain and the quarantines on the platform, so that callers can
+//! resume from copies, and deadly requests stay refused, even after the loss of all instances at
+//! once. A stale run costs one request that its engine refuses.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -13,6 +13,7 @@
 use super::relay::Relay;
 use super::runs::RunLocation;
 use crate::platform::{Error, Expect};
+use crate::quarantine::StoredQuarantine;
 
 /// Kind of the stored objects; each instance that writes has one.
 const OBJECT_KIND: &str = "endivefork-runs";
@@ -25,6 +26,12 @@
 pub(super) struct Stored {
     /// Each a [`StoredRun`], if it can be read.
     runs: Vec<Value>,
+    /// Each a [`StoredQuarantine`], if it can be read.
+    #[serde(default)]
+    quarantines: Vec<Value>,
+    /// Time of the write, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    written_ms: u64,
 }
 
 /// A run's location with its digest as text, since JSON numbers can't hold 128 bits.
@@ -36,7 +43,7 @@
 }
 
 impl Stored {
-    pub(super) fn of(locations: Vec<RunLocation>) -> Self {
+    pub(super) fn of(locations: Vec<RunLocation>, quarantines: &[StoredQuarantine]) -> Self {
         let runs = locations.into_iter().map(|location| {
             json!(StoredRun {
                 digest: format!("{:032x}", location.digest),
@@ -48,6 +55,8 @@
         });
         Self {
             runs: runs.collect(),
+            quarantines: quarantines.iter().map(|q| json!(q)).collect(),
+            written_ms: unix_millis(),
         }
     }
 
@@ -64,36 +73,56 @@
     }
 }
 
+/// Milliseconds since the Unix epoch; 0 before it.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |time| time.as_millis() as u64)
+}
+
 impl Relay {
-    /// Loads the runs stored by all instances, then stores those of this failure domain while this
-    /// instance is its writer.
+    /// Loads the runs and quarantines stored by all instances, then stores those of this failure
+    /// domain while this instance is its writer.
     pub(crate) async fn store_runs(self: Arc<Self>) {
         self.wait_for_peers().await;
-        // In a large fleet only candidates for aggregator need the stored runs.
-        let mut expect = match self.peers.is_tiered() && !self.is_candidate() {
-            true => Expect::Absent,
-            false => self.read_runs().await,
-        };
+        let mut expect = None;
+        let mut quarantines = Vec::new();
         loop {
-            sleep(WRITE_PERIOD).await;
+            // In a large fleet only candidates for aggregator need what is stored.
+            if expect.is_none() && (!self.peers.is_tiered() || self.is_candidate()) {
+                expect = self.read_stored().await;
+            }
+            tokio::select! {
+                () = sleep(WRITE_PERIOD) => {}
+                () = self.quarantined.notified() => {}
+            }
             if !self.is_run_writer() {
                 continue;
             }
-            let runs = self.runs.lock().take_changed(Instant::now());
-            let Some(runs) = runs else { continue };
-            expect = self.write_runs(&Stored::of(runs), expect).await;
+            let now = Instant::now();
+            let current = self.suspects.lock().stored(now);
+            let is_same = |(a, b): (&StoredQuarantine, &StoredQuarantine)| a.is_same(b);
+            let is_stored =
+                current.len() == quarantines.len() && current.iter().zip(&quarantines).all(is_same);
+            let changed = self.runs.lock().take_changed(now, !is_stored);
+            let Some(runs) = changed else { continue };
+            let stored = Stored::of(runs, &current);
+            let (next, is_written) = self.write(&stored, expect.unwrap_or(Expect::Absent)).await;
+            expect = Some(next);
+            if is_written {
+                quarantines = current;
+            }
         }
     }
 
-    /// Reads the stored runs of all instances. Returns the expected state of this instance's own
-    /// object for the next write.
-    async fn read_runs(&self) -> Expect {
+    /// Reads what all instances have stored. Returns the expected state of this instance's own
+    /// object for the next write; `None` if the platform can't be read.
+    async fn read_stored(&self) -> Option<Expect> {
         let name = &self.settings.instance.name;
         let list = match self.platform.list(OBJECT_KIND, "").await {
             Ok(list) => list,
             Err(e) => {
                 warn!(self.decisions.log, "runs: could not list stored runs"; "error" => %e);
-                return Expect::Absent;
+                return None;
             }
         };
         let own = list.items.iter().find(|o| o.name == *name);
@@ -102,33 +131,52 @@
         let mut count = 0;
         for object in &list.items {
             let id = (OBJECT_KIND, object.name.as_str(), object.rev);
-            match object.decode::<Stored>() {
-                Ok(stored) => {
-                    let mut runs = self.runs.lock();
-                    stored.locations().for_each(|read| match read {
-                        Ok(location) => {
-                            count += 1;
-                            runs.insert(location, false, now);
-                        }
-                        Err(e) => self.report_entry(id, &object.value, &e),
-                    });
+            let stored: Stored = match object.decode() {
+                Ok(stored) => stored,
+                Err(e) => {
+                    self.report_entry(id, &object.value, &e.to_string());
+                    continue;
                 }
-                Err(e) => self.report_entry(id, &object.value, &e.to_string()),
-            }
+            };
+            self.recall_quarantines(&stored, now);
+            let mut runs = self.runs.lock();
+            stored.locations().for_each(|read| match read {
+                Ok(location) => {
+                    count += 1;
+                    runs.insert(location, false, now);
+                }
+                Err(e) => self.report_entry(id, &object.value, &e),
+            });
         }
+        self.judge_suspects(now);
         info!(self.decisions.log, "runs: loaded from the platform"; "runs" => count);
-        expect
+        Some(expect)
+    }
+
+    fn recall_quarantines(&self, stored: &Stored, now: Instant) {
+        let age = Duration::from_millis(unix_millis().saturating_sub(stored.written_ms));
+        let mut suspects = self.suspects.lock();
+        for value in &stored.quarantines {
+            let read = StoredQuarantine::deserialize(value);
+            let is_readable = read.is_ok_and(|q| suspects.recall(&q, age, now));
+            if !is_readable {
+                warn!(self.decisions.log, "quarantine: could not read a stored one";
+                    "entry" => %value);
+            }
+        }
     }
 
-    async fn write_runs(&self, stored: &Stored, expect: Expect) -> Expect {
+    /// Writes this instance's object. Returns its expected state for the next write, and whether
+    /// this one was accepted.
+    async fn write(&self, stored: &Stored, expect: Expect) -> (Expect, bool) {
         let name = &self.settings.instance.name;
         match self.platform.put(OBJECT_KIND, name, stored, expect).await {
-            Ok(rev) => Expect::Rev(rev),
-            Err(Error::Conflict(Some(present))) => Expect::Rev(present.rev),
-            Err(Error::Conflict(None)) => Expect::Absent,
+            Ok(rev) => (Expect::Rev(rev), true),
+            Err(Error::Conflict(Some(present))) => (Expect::Rev(present.rev), false),
+            Err(Error::Conflict(None)) => (Expect::Absent, false),
             Err(e) => {
                 warn!(self.decisions.log, "runs: could not store runs"; "error" => %e);
-                expect
+                (expect, false)
             }
         }
     }
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -83,9 +83,9 @@
     }
 
     /// Runs of this failure domain, to be stored. `None` when nothing has changed since the last
-    /// call.
-    pub(crate) fn take_changed(&mut self, now: Instant) -> Option<Vec<RunLocation>> {
-        if !std::mem::take(&mut self.changed) {
+    /// call, unless they are wanted `anyway`.
+    pub(crate) fn take_changed(&mut self, now: Instant, anyway: bool) -> Option<Vec<RunLocation>> {
+        if !std::mem::take(&mut self.changed) && !anyway {
             return None;
         }
         let local = &self.local;
--- a/src/relay/tests/run_store.rs
+++ b/src/relay/tests/run_store.rs
@@ -35,7 +35,7 @@
         copied: None,
     };
 
-    let text = serde_json::to_string(&Stored::of(vec![location])).unwrap();
+    let text = serde_json::to_string(&Stored::of(vec![location], &[])).unwrap();
     let stored: Stored = serde_json::from_str(&text).unwrap();
 
     let read = stored.locations().next().unwrap().unwrap();
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -57,11 +57,11 @@
     runs.record(location(4, None), now);
     runs.remove(3);
 
-    let stored = runs.take_changed(now).unwrap();
+    let stored = runs.take_changed(now, false).unwrap();
 
     let digests: Vec<_> = stored.iter().map(|n| n.digest).collect();
     assert_eq!(digests, [2]);
-    assert_eq!(runs.take_changed(now), None);
+    assert_eq!(runs.take_changed(now, false), None);
 }
 
 #[test]
@@ -84,7 +84,7 @@
     runs.insert(location(1, Some("a")), true, now);
     runs.insert(location(2, Some("b")), false, now);
 
-    let stored = runs.take_changed(now).unwrap_or_default();
+    let stored = runs.take_changed(now, false).unwrap_or_default();
 
     assert_eq!(stored, [location(1, Some("a"))]);
 }
