Refuse late streams in a drain whose budget does not fit

Cause: a resumable stream was taken if 19 of 20 of its kind would have ended in time, however late in the drain it came.

--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -21,11 +21,22 @@
 /// Interval at which a request that waits polls whether it still has time.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Age of the shutdown from which load balancers have stopped to send requests here, so that one in
+/// twenty of those that still arrive must not be cut either.
+const BALANCER_TIME: Duration = Duration::from_millis(2900);
+
 /// Time that a request with `budget` until its deadline is given to end, where the streams of its
-/// service end within `expected`.
-pub(crate) fn time_needed(kind: Kind, budget: Duration, expected: Option<Duration>) -> Duration {
+/// service end within `expected`. `age` is that of the shutdown when the request arrived.
+pub(crate) fn time_needed(
+    kind: Kind,
+    budget: Duration,
+    expected: Option<Duration>,
+    age: Duration,
+) -> Duration {
     match (kind, expected) {
-        (Kind::Stream { resume: true }, Some(expected)) => expected.min(budget),
+        (Kind::Stream { resume: true }, Some(expected)) if age < BALANCER_TIME => {
+            expected.min(budget)
+        }
         // Once cut, it cannot go on elsewhere.
         _ => budget,
     }
@@ -40,7 +51,10 @@
     fn expected_time(&self, request: &CallerRequest) -> Duration {
         let (service, tokens) = (&request.service, request.output_tokens());
         let expected = self.stream_durations.expected(service, tokens);
-        time_needed(request.route.kind, request.left(Instant::now()), expected)
+        let age = self.drain.since().unwrap_or_default();
+        let age = age.saturating_sub(request.arrived.elapsed());
+        let left = request.left(Instant::now());
+        time_needed(request.route.kind, left, expected, age)
     }
 
     /// Waits until no attempt can end in time.
--- a/src/relay/tests/stall_timeouts.rs
+++ b/src/relay/tests/stall_timeouts.rs
@@ -104,8 +104,20 @@
         (once, 25 * second, Some(2 * second), false),
         (once, 2 * second, None, true),
     ] {
-        let needed = shutdown::time_needed(kind, budget, expected);
+        let needed = shutdown::time_needed(kind, budget, expected, Duration::ZERO);
         let context = format!("{kind:?} {budget:?} {expected:?}");
         assert_eq!(drain.has_time_for(needed), fits, "{context}");
     }
 }
+
+/// Load balancers have stopped to send requests by then, so a cut has no excuse.
+#[test]
+fn resumable_stream_that_comes_late_in_a_drain_is_accepted_only_if_its_budget_fits() {
+    let second = Duration::from_secs(1);
+    let resumable = Kind::Stream { resume: true };
+    let needed = |budget, age| shutdown::time_needed(resumable, budget, Some(second), age);
+
+    assert_eq!(needed(25 * second, 2 * second), second);
+    assert_eq!(needed(25 * second, 3 * second), 25 * second);
+    assert_eq!(needed(second / 2, 3 * second), second / 2);
+}
