Bound the memory of request bodies

Cause: nothing bounded the bodies that are held until their streams end, and their buffers grew by doubling.

A buffer has the stated length at once. What finds no place is read, discarded and refused with 503 before it runs, to return after 0.5 to 1.5 s; other instances may have room.

--- a/src/http.rs
+++ b/src/http.rs
@@ -193,6 +193,11 @@
     Broken,
 }
 
+/// First capacity in bytes of the buffer of a body whose length is not stated, and the factor by which
+/// it grows up to the limit. The buffer before it is held as well while it is copied.
+const FIRST_CAPACITY: usize = 8 * 1024;
+const GROWTH_FACTOR: usize = 16;
+
 /// Reads a complete body of at most `limit` bytes. Excess bytes are read and discarded up to
 /// [`DISCARD_FACTOR`] times the limit, so that the sender receives the error rather than a
 /// connection reset.
@@ -203,23 +208,55 @@
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let mut body = body;
-    let mut kept = BytesMut::new();
+    let read = read_reserved(body, limit, |_| true).await;
+    read.map(Option::unwrap_or_default)
+}
+
+/// As [`read_body`], into a buffer for whose capacity in bytes `reserve` is asked first: once for a body
+/// that states its length, again whenever it grows otherwise. A body for which there is no memory is
+/// read and discarded: `None`.
+///
+/// # Errors
+/// When the body is too large or incomplete.
+pub(crate) async fn read_reserved<B>(
+    mut body: B,
+    limit: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Option<Bytes>, BodyError>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let stated = body.size_hint().exact();
+    let stated = stated.and_then(|n| usize::try_from(n).ok());
+    let mut capacity = stated.filter(|n| *n <= limit).unwrap_or_default();
+    let mut fits = reserve(capacity);
+    let mut kept = match fits {
+        true => BytesMut::with_capacity(capacity),
+        false => BytesMut::new(),
+    };
     let mut total = 0_usize;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
             continue;
         };
         total = total.saturating_add(data.len());
+        if fits && total > capacity && total <= limit {
+            let next = (capacity * GROWTH_FACTOR).clamp(FIRST_CAPACITY, limit.max(FIRST_CAPACITY));
+            capacity = next.max(total);
+            fits = reserve(capacity);
+            if fits {
+                kept.reserve(capacity - kept.len());
+            }
+        }
         match total {
-            total if total <= limit => kept.extend_from_slice(&data),
-            total if total <= limit.saturating_mul(DISCARD_FACTOR) => kept.clear(),
+            total if total <= limit && fits => kept.extend_from_slice(&data),
+            total if total <= limit.saturating_mul(DISCARD_FACTOR) => kept = BytesMut::new(),
             _ => break,
         }
     }
     match total {
-        total if total <= limit => Ok(kept.freeze()),
-        _ => Err(BodyError::TooLarge(limit)),
+        total if total > limit => Err(BodyError::TooLarge(limit)),
+        _ => Ok(fits.then(|| kept.freeze())),
     }
 }
 
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_128;
 
+use super::body_memory::Reservation;
 use super::dialect::{AttemptHead, Dialect, RequestHead};
 use super::record::FailedAttempt;
 use super::rules::Route;
@@ -28,6 +29,8 @@
     /// Headers that reach a target on every attempt.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Holds the memory of the body.
+    pub(crate) _memory: Reservation,
     pub(crate) account: Option<SmolStr>,
     pub(crate) route: Route,
     pub(crate) service: SmolStr,
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -18,16 +18,17 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, timeout};
 
+use super::body_memory::Reservation;
 use super::call::FinalReply;
 use super::caller_request::CallerRequest;
-use super::local_reply::LocalReply;
+use super::local_reply::{LocalReply, retry_after};
 use super::record::Outcome;
 use super::relay::Relay;
 use super::rules::{Kind, Rules, host_key};
 use super::shutdown::SHUTTING_DOWN;
 use super::{call, stream};
 use crate::caller::{OpenRequest, close_on_drain};
-use crate::http::{BodyError, read_body};
+use crate::http::{BodyError, read_reserved};
 use crate::ident::fraction;
 use crate::telemetry::Stage;
 
@@ -38,6 +39,10 @@
 /// `Retry-After` while this instance has no rules yet.
 pub(super) const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Shortest `Retry-After` while bodies fill the memory: that of a stream which ends is free again,
+/// and other instances may have room at once.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Timeout when the caller names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -206,11 +211,13 @@
         Err(reply) => return Err(with_id(reply)),
     };
     let limits = rules.limits;
+    let mut memory = relay.body_memory.reserve();
     let body = tokio::select! {
-        body = collect_body(body, limits.body_bytes, limits.idle_timeout) => body,
+        body = collect_body(body, limits.body_bytes, limits.idle_timeout, (&id, &mut memory)) => body,
         () = relay.drain.expiring() => Err(relay.refuse_late()),
     };
     let body = body.map_err(with_id)?;
+    memory.resize(body.len());
     let point = fraction(&ask.id);
     let Some(service) = route.service(point).cloned() else {
         let reason = "the route has no service";
@@ -230,6 +237,7 @@
         path,
         headers,
         body,
+        _memory: memory,
         account,
         route,
         service,
@@ -257,9 +265,24 @@
     }
 }
 
-async fn collect_body(body: Body, limit: usize, time: Duration) -> Result<Bytes, LocalReply> {
-    match timeout(time, read_body(body, limit)).await {
-        Ok(Ok(body)) => Ok(body),
+async fn collect_body(
+    body: Body,
+    limit: usize,
+    time: Duration,
+    (id, memory): (&str, &mut Reservation),
+) -> Result<Bytes, LocalReply> {
+    match timeout(
+        time,
+        read_reserved(body, limit, |bytes| memory.resize(bytes)),
+    )
+    .await
+    {
+        Ok(Ok(Some(body))) => Ok(body),
+        Ok(Ok(None)) => {
+            metrics::counter!("endivefork_bodies_refused_total").increment(1);
+            let wait = retry_after(BODY_RETRY_AFTER, id);
+            Err(LocalReply::unavailable(wait, "bodies fill the memory"))
+        }
         Ok(Err(BodyError::TooLarge(_))) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(LocalReply::reject(status, "the body is too large"))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! functions. This module decides on routes, targets, retries, copies of runs and refusals.
 
 mod aggregate;
+mod body_memory;
 mod buffers;
 mod call;
 mod caller_request;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::aggregate::Aggregate;
+use super::body_memory::BodyMemory;
 use super::buffers::ResponseBuffers;
 use super::catalog::Catalog;
 use super::connections::ConnectionPool;
@@ -62,6 +63,8 @@
     pub(crate) pool: ConnectionPool,
     /// Buffers for complete responses of targets.
     pub(crate) buffers: ResponseBuffers,
+    /// Memory for the bodies of requests.
+    pub(crate) body_memory: Arc<BodyMemory>,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<RetryBudget>,
     /// Limits that targets state.
@@ -133,6 +136,7 @@
             true => retries,
             false => retries.restarted(),
         };
+        let body_memory = BodyMemory::new(settings.memory);
         Self {
             settings,
             dialect,
@@ -146,6 +150,7 @@
             router: Arc::new(Router::new(Policy::Cost, Costs::default())),
             pool: ConnectionPool::default(),
             buffers: ResponseBuffers::default(),
+            body_memory,
             probes: Arc::default(),
             retries: Mutex::new(retries),
             limits: Mutex::default(),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -30,6 +30,8 @@
     pub platform_addr: SocketAddr,
     /// CPU capacity of this instance in millicores.
     pub cpu_millicores: u32,
+    /// Memory of this instance in bytes, if it is limited.
+    pub memory: Option<usize>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
     /// Maximum wait for running requests at a graceful shutdown.
