Use an unregistered engine only while its address can be no other service's

Cause: any JSON body at the report's path, of a 404 too, counted as the report of the engine that had started again.

Change: a report is a successful answer, and an engine is used before it registers only within contract_params.addr_reuse_s of the last sign of life at its address.

Test on: failed, the replica got streams in its name; now holds, and an engine that is back after 0.7 s is used before it registers, as before.

--- a/src/relay/progress.rs
+++ b/src/relay/progress.rs
@@ -79,5 +79,6 @@
 ) -> Option<EngineReport> {
     let request = get_request(addr, relay.dialect.report_path)?;
     let response = relay.request(key, addr, request, Purpose::Probe).await?;
-    (relay.dialect.parse_report)(response.body())
+    let is_report = response.status().is_success();
+    is_report.then(|| (relay.dialect.parse_report)(response.body()))?
 }
--- a/src/relay/recovery.rs
+++ b/src/relay/recovery.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use slog::info;
 use smol_str::SmolStr;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -26,17 +27,25 @@
     pub(crate) async fn check_dead_targets(self: Arc<Self>) {
         let mut ticks = interval(CHECK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last_alive = IndexMap::new();
         loop {
             ticks.tick().await;
-            self.expire_targets(Instant::now());
-            for target in self.router.found_dead(Instant::now()) {
+            let now = Instant::now();
+            self.expire_targets(now);
+            let dead = self.router.found_dead(now);
+            last_alive.retain(|key, _| dead.iter().any(|target| target.key == *key));
+            for target in dead {
+                let age = self.router.alive_age(target.key, now);
+                let seen = now.checked_sub(age.unwrap_or(Duration::MAX));
+                let seen = *last_alive.entry(target.key).or_insert(seen);
                 self.pool.close_idle(target.key);
-                tokio::spawn(Arc::clone(&self).check(target));
+                tokio::spawn(Arc::clone(&self).check(target, seen));
             }
         }
     }
 
-    async fn check(self: Arc<Self>, target: ProbeTarget) {
+    /// Checks a target that showed life at `last_alive` for the last time.
+    async fn check(self: Arc<Self>, target: ProbeTarget, last_alive: Option<Instant>) {
         let started = Instant::now();
         let Ok(Some(name)) = timeout(CHECK_TIMEOUT, self.name_at(&target)).await else {
             return;
@@ -51,14 +60,17 @@
                 info!(log, "target: replaced by another at its address";
                     "target" => target.name.as_str(), "other" => name.as_str());
                 self.router.mark_leaving(target.key, started);
-                self.add_replacement(&target, name).await;
+                let reuse = self.settings.address_reuse;
+                if last_alive.is_some_and(|at| at.elapsed() < reuse) {
+                    self.add_replacement(&target, name).await;
+                }
             }
         }
     }
 
     /// Uses a restarted engine before it has registered, which takes a second or more, and longer
-    /// during a platform outage. Only done where the service is certain: an address may be
-    /// reassigned to another service, and targets other than engines do not report theirs.
+    /// during a platform outage. Only done where the service is certain, before the address may be
+    /// reassigned to another one, as neither targets nor their reports name theirs.
     async fn add_replacement(self: &Arc<Self>, dead: &ProbeTarget, name: SmolStr) {
         let is_certain = self
             .rules()
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -34,6 +34,8 @@
     pub memory: Option<usize>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
+    /// Time after which the address of a target that is gone may be another service's.
+    pub address_reuse: Duration,
     /// Maximum wait for running requests at a graceful shutdown.
     pub drain_timeout: Duration,
     /// Retry budget of the whole fleet.
