Release the retry budget before it is locked again in a report

Seen by callers: instances of a fleet of 16 and more answered nothing. Cause: since both guards of one expression lived to its end, so each report locked itself out.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -250,11 +250,15 @@
     pub(crate) async fn report(self: &Arc<Self>, sources: Sources, reporter: &mut Reporter) {
         let me = &self.settings.instance.name;
         let now = Instant::now();
+        let (usage, is_settled) = {
+            let retries = self.retries.lock();
+            (retries.usage(now), retries.is_settled(now))
+        };
         let load = LoadSummary {
             report: self.router.peer_report(now),
-            usage: self.retries.lock().usage(now),
+            usage,
             members: 1,
-            settled: u32::from(self.retries.lock().is_settled(now)),
+            settled: u32::from(is_settled),
         };
         let mut runs = std::mem::take(&mut reporter.runs);
         runs.extend(self.runs.lock().take_unsent());
