Leave the limit on a response's headers to their bytes

Seen by callers: 502 for a sound answer with 150 short headers, which had run. The same cause as for requests: the HTTP library allows 100 by default. Now 512, below what the buffer of 16 KiB holds. The test in proper_requests.rs failed on with 502.

--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -46,6 +46,9 @@
 /// Read and write buffer of a connection; large enough for a message head.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Most headers of a response; the buffer bounds their bytes.
+const MAX_HEADERS: usize = 512;
+
 /// Connection task, aborted on drop.
 #[derive(Debug)]
 struct Driver(JoinHandle<()>);
@@ -92,7 +95,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
         let mut builder = Builder::new();
-        builder.max_buf_size(BUFFER_BYTES);
+        builder.max_buf_size(BUFFER_BYTES).max_headers(MAX_HEADERS);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
