--- a/src/relay/body_memory.rs
+++ b/src/relay/body_memory.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Share of the instance's memory that bodies may fill.
-const USABLE_SHARE: f64 = 0.4;
+const USABLE_SHARE: f64 = 1.0 / 3.0;
 
 /// Size in bytes up to which a body is not accounted: the limit on connections bounds these.
 const SMALL_BODY: usize = 16 * 1024;
