--- a/src/http.rs
+++ b/src/http.rs
@@ -212,9 +212,9 @@
     read.map(Option::unwrap_or_default)
 }
 
-/// As [`read_body`], into a buffer for whose capacity in bytes `reserve` is asked first: once for a body
-/// that states its length, again whenever it grows otherwise. A body for which there is no memory is
-/// read and discarded: `None`.
+/// As [`read_body`], into a buffer for whose capacity in bytes `reserve` is asked first: once if the
+/// body states its length, or else whenever the buffer grows. A body for which there is no memory
+/// is read and discarded: `None`.
 ///
 /// # Errors
 /// When the body is too large or incomplete.
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -39,8 +39,7 @@
 /// `Retry-After` while this instance has no rules yet.
 pub(super) const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Shortest `Retry-After` while bodies fill the memory: that of a stream which ends is free again,
-/// and other instances may have room at once.
+/// Shortest `Retry-After` while bodies fill the memory; another instance may have room at once.
 const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout when the caller names none.
@@ -212,8 +211,14 @@
     };
     let limits = rules.limits;
     let mut memory = relay.body_memory.reserve();
+    let read = collect_body(
+        body,
+        limits.body_bytes,
+        limits.idle_timeout,
+        (&id, &mut memory),
+    );
     let body = tokio::select! {
-        body = collect_body(body, limits.body_bytes, limits.idle_timeout, (&id, &mut memory)) => body,
+        body = read => body,
         () = relay.drain.expiring() => Err(relay.refuse_late()),
     };
     let body = body.map_err(with_id)?;
@@ -271,12 +276,8 @@
     time: Duration,
     (id, memory): (&str, &mut Reservation),
 ) -> Result<Bytes, LocalReply> {
-    match timeout(
-        time,
-        read_reserved(body, limit, |bytes| memory.resize(bytes)),
-    )
-    .await
-    {
+    let read = read_reserved(body, limit, |bytes| memory.resize(bytes));
+    match timeout(time, read).await {
         Ok(Ok(Some(body))) => Ok(body),
         Ok(Ok(None)) => {
             metrics::counter!("endivefork_bodies_refused_total").increment(1);
--- a/src/relay/recovery.rs
+++ b/src/relay/recovery.rs
@@ -33,6 +33,7 @@
             let now = Instant::now();
             self.expire_targets(now);
             let dead = self.router.found_dead(now);
+            // A probe of the address may take another process there for a sign of life.
             last_alive.retain(|key, _| dead.iter().any(|target| target.key == *key));
             for target in dead {
                 let age = self.router.alive_age(target.key, now);
