--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -179,6 +179,7 @@
     /// one, or a timeout has passed.
     pub(crate) async fn wait_for_peers(&self) {
         let max_wait = match self.settings.first_start {
+            _ if self.peers.has_no_seeds() => Duration::ZERO,
             true => BOOTSTRAP_TIMEOUT,
             false => DISCOVERY_TIMEOUT,
         };
