Keep the watches at five seconds

With 4 s, watch_goes_on_after_an_event_whose_end_cannot_be_told counted 13 calls of the store where it allows 12.

--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -17,7 +17,7 @@
 use crate::platform::{self, Error};
 
 /// Time between the ends of two watches of a topic. Each watch is billed.
-const WATCH_PERIOD: Duration = Duration::from_secs(4);
+const WATCH_PERIOD: Duration = Duration::from_secs(5);
 
 /// Shortest wait of a watch; one that would end sooner lasts for another period.
 const WATCH_MIN: Duration = Duration::from_millis(100);
