--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -41,8 +41,7 @@
 /// Bytes of a head that a connection can read at least, as the limit may rise while it is open.
 const HEAD_BUFFER: usize = 64 * 1024;
 
-/// Most headers of a request. The limit on their bytes is to decide: this many of the shortest
-/// headers fill 16 KiB.
+/// Most headers of a request, so that the limit on their bytes decides.
 const MAX_HEADERS: usize = 2_048;
 
 /// Interval at which the first bytes of a connection are polled.
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -21,8 +21,8 @@
 /// Interval at which a request that waits polls whether it still has time.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Age of the shutdown from which load balancers have stopped to send requests here, so that one in
-/// twenty of those that still arrive must not be cut either.
+/// Age of the shutdown from which load balancers no longer send requests here, so that none of those
+/// that still arrive may be cut.
 const BALANCER_TIME: Duration = Duration::from_millis(2900);
 
 /// Time that a request with `budget` until its deadline is given to end, where the streams of its
