Keep newer locations of runs when stored ones are read late

Since what is stored is read until the platform answers, and by an instance that becomes a candidate later: a stored location could replace a newer one that peers had told, and cost its caller a refused request. Found by reading; not seen in a run. A unit test covers it.

--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -143,7 +143,7 @@
             stored.locations().for_each(|read| match read {
                 Ok(location) => {
                     count += 1;
-                    runs.insert(location, false, now);
+                    runs.recall(location, now);
                 }
                 Err(e) => self.report_entry(id, &object.value, &e),
             });
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -61,6 +61,13 @@
         self.runs.insert(location.digest, (location, now));
     }
 
+    /// Records a stored run unless a location of it is known, which is newer.
+    pub(crate) fn recall(&mut self, location: RunLocation, now: Instant) {
+        if !self.runs.contains_key(&location.digest) {
+            self.insert(location, false, now);
+        }
+    }
+
     /// Removes a run of this instance that has ended.
     pub(crate) fn remove(&mut self, digest: u128) {
         self.runs.shift_remove(&digest);
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -38,6 +38,20 @@
     assert_eq!(runs.take(1, now), None);
 }
 
+#[test]
+fn a_stored_location_does_not_replace_a_known_one() {
+    let now = Instant::now();
+    let mut runs = RunDirectory::default();
+    runs.insert(location(1, Some("new")), false, now);
+
+    runs.recall(location(1, Some("old")), now);
+    runs.recall(location(2, Some("lost")), now);
+
+    let handle = |run: Option<(_, CopyRef)>| run.map(|(_, copied)| copied.handle);
+    assert_eq!(handle(runs.take(1, now)), Some("new".into()));
+    assert_eq!(handle(runs.take(2, now)), Some("lost".into()));
+}
+
 #[test]
 fn an_old_location_expires() {
     let now = Instant::now();
