Answer calls while the open connections to their targets are silent

Callers saw 504 after their whole budget: when the open connections to a service's targets fell silent, each call took the next of the idle ones, up to eight a target, and its second attempt took another silent one. With one target there was no second attempt at all.

Cause: a call sent again may reuse an idle connection, and nothing that a stalled call showed was used for the next one.

A second attempt now opens its connection. A call that stalls on a reused connection closes those that have been idle since before it began, as they may be silent too, and may be sent again to the same target over a new connection if there is no other.

platform/tests/silent_targets.rs failed before the fix: two of sixteen calls one after the other ended with 504 after 2.0 s, by which time the other idle connections had expired. After it all are answered, with at most one late call a target.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -7,6 +7,7 @@
 
 use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -106,6 +107,8 @@
     relay: &'a Arc<Relay>,
     request: &'a CallerRequest,
     purpose: Purpose,
+    /// Whether it is sent over a connection that has carried an earlier request.
+    is_reused: Arc<AtomicBool>,
 }
 
 struct Call<'a> {
@@ -113,6 +116,8 @@
     request: &'a CallerRequest,
     patience: Patience,
     tried: Vec<TargetKey>,
+    /// Whether the last attempt is sent over a connection that has carried an earlier request.
+    is_reused: Arc<AtomicBool>,
     runs: u32,
     declined: u32,
     unreachable: u32,
@@ -128,6 +133,7 @@
         request,
         patience: Patience::of(request),
         tried: Vec::new(),
+        is_reused: Arc::default(),
         runs: 0,
         declined: 0,
         unreachable: 0,
@@ -234,6 +240,7 @@
     /// Starts an attempt.
     fn begin(&mut self, lease: Lease, trial: bool) -> impl Future<Output = Ended> + use<'a> {
         self.target = lease.name();
+        self.is_reused = Arc::default();
         let exchange = Exchange {
             relay: self.relay,
             request: self.request,
@@ -241,16 +248,17 @@
                 true => Purpose::First,
                 false => Purpose::Retry,
             },
+            is_reused: Arc::clone(&self.is_reused),
         };
         self.tried.push(lease.key);
-        let stall_time = self.may_repeat(0).then(|| self.stall_time());
+        let (stall_time, may_repeat) = (self.stall_time(), self.may_repeat(0));
         async move {
             let started = Instant::now();
             let deadline = exchange.request.deadline;
             let result = tokio::select! {
                 biased;
                 result = timeout_at(deadline, exchange.attempt(&lease)) => result,
-                () = exchange.target_lost(&lease, stall_time) => {
+                () = exchange.target_lost(&lease, stall_time, may_repeat) => {
                     Ok(AttemptResult::Lost("target found dead"))
                 }
             };
--- a/src/relay/call/exchange.rs
+++ b/src/relay/call/exchange.rs
@@ -1,10 +1,13 @@
 //! One attempt of a call: a request to its target and the response.
 
+use std::sync::atomic::Ordering;
+
 use tokio::time::Instant;
 
 use super::{AttemptResult, Exchange, LONG_BODY_BYTES, implies_not_run};
 use crate::relay::connections::{Connection, SendError};
 use crate::relay::dialect::AttemptHead;
+use crate::relay::limits::Purpose;
 use crate::relay::rules::Kind;
 use crate::routing::Lease;
 
@@ -13,13 +16,18 @@
         let relay = self.relay;
         // Calls that may run only once always use a new connection: a late response to an earlier
         // request on a reused one would fail them, and they cannot be retried.
+        // So do further attempts: the connections that were idle may have fallen silent together.
         let reuse_for = match self.request.route.kind {
-            Kind::Idempotent => Some(self.request.ask.id.as_str()),
+            Kind::Idempotent if self.purpose == Purpose::First => {
+                Some(self.request.ask.id.as_str())
+            }
             _ => None,
         };
         let Ok(connection) = relay.pool.acquire(lease.key, lease.addr, reuse_for).await else {
             return AttemptResult::Unsent;
         };
+        self.is_reused
+            .store(connection.is_reused(), Ordering::Relaxed);
         match connection.is_reused() {
             true => match self.exchange(connection, lease).await {
                 // The target closed the idle connection, which says nothing about its health.
--- a/src/relay/call/second.rs
+++ b/src/relay/call/second.rs
@@ -1,7 +1,8 @@
 //! The second attempt of an idempotent call whose first target is silent.
 
 use std::future::pending;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use tokio::time::{sleep, timeout};
 
@@ -57,11 +58,22 @@
         if !relay.may_have_spare_retry(service, share) {
             return Err(KEPT_FOR_LOSSES);
         }
-        let lease = relay.choose_now(TargetCriteria {
+        let wanted = TargetCriteria {
             service,
             excluded: &self.tried,
             ..TargetCriteria::default()
-        });
+        };
+        let other = relay.choose_now(wanted);
+        // The same target may answer over a new connection.
+        let is_reused = self.is_reused.load(Ordering::Relaxed);
+        let same = || {
+            let unrestricted = TargetCriteria {
+                excluded: &[],
+                ..wanted
+            };
+            relay.choose_now(unrestricted).filter(|_| is_reused)
+        };
+        let lease = other.or_else(same);
         let lease = lease.ok_or("no other target takes it")?;
         match relay.take_spare_retry(service, share).await {
             true => Ok(lease),
@@ -79,13 +91,18 @@
 }
 
 impl Exchange<'_> {
-    /// Waits until the target is found dead. It is probed once the answer is later than
-    /// `stall_time`, if there is one.
-    pub(super) async fn target_lost(&self, lease: &Lease, stall_time: Option<Duration>) {
-        let Some(stall_time) = stall_time else {
-            return pending().await;
-        };
+    /// Waits until the target is found dead. It is probed once the answer is later than `stall_time`
+    /// if the call may be repeated.
+    pub(super) async fn target_lost(&self, lease: &Lease, stall_time: Duration, may_repeat: bool) {
+        let started = Instant::now();
         sleep(stall_time).await;
+        // The connection may be silent, and with it those that have been idle since.
+        if self.is_reused.load(Ordering::Relaxed) {
+            self.relay.pool.close_idle_before(lease.key, started);
+        }
+        if !may_repeat {
+            return pending().await;
+        }
         loop {
             let lost = lease.lost();
             self.relay.probe(lease);
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -233,6 +233,13 @@
         self.idle.lock().swap_remove(&key);
     }
 
+    /// Closes the connections to a target that have been idle since before `at`.
+    pub(crate) fn close_idle_before(&self, key: TargetKey, at: Instant) {
+        if let Some(idle) = self.idle.lock().get_mut(&key) {
+            idle.retain(|i| i.since >= at);
+        }
+    }
+
     /// Closes idle connections whose keep-alive time has passed.
     pub(crate) fn close_expired(&self) {
         let now = Instant::now();
