Test a change of the configuration after all connections fall silent at once

On the own interface instances can be reached through a forwarder by `advertise`; six of them learn a change within 4 s after all their connections, or those to the platform and between them, fall silent in one direction or both.

--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -8,6 +8,7 @@
 use endivefork::http::{Client, Via, request};
 use http::{Method, header};
 use serde_json::{Value, json};
+use support::forwarder::{Forwarder, Silence};
 use support::world::{LIMIT, World, until};
 
 /// Maximum time until an accepted configuration is in force at every instance.
@@ -252,3 +253,45 @@
     println!("configuration calls a second at 2 and 6 instances: {rates:?}");
     assert!(rates[1] <= 1.5 * rates[0] + 0.5, "{rates:?}");
 }
+
+/// Guards against changes that are late because instances wait for the answers of connections that
+/// fell silent at the same moment, to the platform and between instances, in one direction or both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_in_time_after_all_connections_fall_silent_at_once() {
+    let mut world = World::new();
+    world.configure().await;
+    let mut forwarders = Vec::new();
+    for _ in 0..6 {
+        let forwarder = Forwarder::start().await;
+        world.entry_behind(&forwarder).await;
+        forwarders.push(forwarder);
+    }
+    world.ready().await;
+    tokio::time::sleep(ELECTION_TIME).await;
+    let all: Vec<_> = (0..6).collect();
+    let mut version = 1;
+
+    for (silence, platform, wait) in [
+        (Silence::Both, false, Duration::ZERO),
+        (Silence::Answers, false, Duration::from_millis(300)),
+        (Silence::Both, true, Duration::from_millis(500)),
+        (Silence::Answers, true, Duration::from_millis(1_500)),
+    ] {
+        version += 1;
+        forwarders.iter().for_each(|f| f.silence_open(silence));
+        if platform {
+            fault(&world, json!({"silent": true})).await;
+        }
+        tokio::time::sleep(wait).await;
+        world.client = Client::connecting_within(LIMIT);
+        world.store("service", "desk", &service(version)).await;
+        let time = spread(&world, &all, "desk", Some(version)).await;
+
+        println!("{silence:?}, platform: {platform}, {wait:?} later: in force after {time:?}");
+        assert!(time <= MAX_SPREAD, "{silence:?}, {platform}: {time:?}");
+        if platform {
+            fault(&world, json!({"silent": false})).await;
+        }
+        tokio::time::sleep(ELECTION_TIME).await;
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of these fixtures")]
 
 pub mod caller;
+pub mod forwarder;
 pub mod process;
 pub mod relay;
 pub mod returning;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+use super::forwarder::Forwarder;
 use super::process::{Process, example};
 
 /// Timeout of a call or a condition.
@@ -188,6 +189,19 @@
         self.entries.len() - 1
     }
 
+    /// Like [`Self::entry`], but other instances reach it through a forwarder.
+    pub async fn entry_behind(&mut self, forwarder: &Forwarder) -> usize {
+        let name = format!("entry-{}", self.entries.len());
+        let advertise = format!("[peers]\nadvertise = {}\n", forwarder.addr);
+        let settings = self.settings(&name, "").replace("[peers]\n", &advertise);
+        let instance = start_entry(&name, settings);
+        forwarder.forward_to(instance.peer);
+        self.list(&name, "entry", instance.caller, Some(forwarder.addr), None)
+            .await;
+        self.entries.push(instance);
+        self.entries.len() - 1
+    }
+
     fn settings(&self, name: &str, more: &str) -> String {
         let operator = hex::encode(Sha256::digest(b"operator-key"));
         format!(
