Use a run's copy only if no other run has the same content

Cause: the directory of runs held one location per digest of the content, so the later run replaced the earlier one, and nothing said that there were two. What a returning caller brings can't tell equal runs apart.

A run now has an id of its own. The directory keeps all runs of one content for as long as their callers may come back, also those that have ended, and a copy is used only if its run is the only one. A run that goes on from another one's copy replaces it, and one whose caller got no event is withdrawn. Locations stored without an id serve as evidence only.

--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -389,6 +389,14 @@
         !refusing.is_empty() && seeds.all(|addr| refusing.contains(addr))
     }
 
+    /// Whether any instance is known to have another key or protocol version, so that what it knows
+    /// does not reach this one.
+    #[must_use]
+    pub fn is_split(&self) -> bool {
+        let is_foreign = |m: Gossip| matches!(m.reach, Reach::OtherVersion);
+        !self.hub.refusing.lock().is_empty() || self.view().into_iter().any(is_foreign)
+    }
+
     /// Whether a network partition seems to separate this instance from a failure domain.
     #[must_use]
     pub fn is_partitioned(&self, domain: &str) -> bool {
--- a/src/relay/copies.rs
+++ b/src/relay/copies.rs
@@ -16,6 +16,7 @@
 use super::dialect::CopyRef;
 use super::limits::Purpose;
 use super::relay::{Relay, TargetCriteria};
+use super::run_location::RunKey;
 use crate::ident::TargetKey;
 use crate::routing::{Lease, ProbeTarget, Work};
 
@@ -66,7 +67,7 @@
     pub(crate) id: SmolStr,
     pub(crate) engine: ProbeTarget,
     pub(crate) memory: u32,
-    pub(crate) digest: u128,
+    pub(crate) run: RunKey,
 }
 
 /// Background task that maintains the copy of one run until dropped.
@@ -113,7 +114,7 @@
 
 async fn maintain(relay: Arc<Relay>, source: CopySource, copy: Arc<Mutex<Option<RunCopy>>>) {
     let mut failed = Vec::new();
-    relay.record_run(&source, copy.lock().as_ref());
+    relay.record_run(source.run, copy.lock().as_ref());
     loop {
         sleep(CHECK_PERIOD).await;
         let now = Instant::now();
@@ -131,7 +132,7 @@
             Some(at) => request_copy(&relay, &source, at).await.is_ok(),
             None => match place_copy(&relay, &source, &mut failed).await {
                 Some(new) => {
-                    relay.record_run(&source, Some(&new));
+                    relay.record_run(source.run, Some(&new));
                     *copy.lock() = Some(new);
                     true
                 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -22,7 +22,7 @@
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use super::retries::Coverage;
-use super::runs::RunLocation;
+use super::run_location::RunLocation;
 use crate::peer::{CANDIDATES, Member, Tag, ranked};
 use crate::quarantine;
 
@@ -265,6 +265,7 @@
         let to = self.aggregators().into_iter().next();
         let to = to.map_or_else(|| me.clone(), |m| m.name);
         if reporter.retarget(&to) {
+            runs.extend(self.runs.lock().own(now));
             info!(self.decisions.log, "load: reported to an aggregator"; "aggregator" => to.as_str());
         }
         let report = Report {
@@ -276,6 +277,9 @@
             suspects: self.suspect_reports(false),
         };
         if to == *me {
+            if self.remote_aggregators().is_empty() {
+                self.runs.lock().set_told(&report.runs);
+            }
             let reply = self.handle_report(sources, me, report);
             self.apply_delta(reporter, reply.delta);
             return;
@@ -286,6 +290,7 @@
         match sent.await {
             Ok(reply) => {
                 reporter.record_success();
+                self.runs.lock().set_told(&report.runs);
                 self.peer_readers
                     .lock()
                     .insert(to.clone(), reply.held.reads);
@@ -342,12 +347,14 @@
             drop(aggregate);
             let Some(load) = load else {
                 self.runs_requested.store(false, Ordering::Relaxed);
+                self.runs.lock().set_unreported();
                 continue;
             };
             let recipients = self.summary_recipients();
             self.outbox.lock().retain(&recipients);
-            if let Some(peer) = recipients.first() {
-                self.fetch_runs(peer);
+            match recipients.first() {
+                Some(peer) => self.fetch_runs(peer),
+                None => self.runs.lock().set_fetched(false),
             }
             for name in recipients {
                 if !busy.lock().insert(name.clone()) {
@@ -403,7 +410,10 @@
             .peers
             .call::<_, ()>(name, Tag::Summary, &summary, SEND_TIMEOUT);
         match sent.await {
-            Ok(()) => self.outbox.lock().ack(name, next),
+            Ok(()) => {
+                self.outbox.lock().ack(name, next);
+                self.runs.lock().set_told(&summary.runs);
+            }
             Err(e) => {
                 metrics::counter!("endivefork_summaries_untaken_total").increment(1);
                 info!(self.decisions.log, "load: summary not taken";
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use smol_str::SmolStr;
@@ -20,7 +21,7 @@
 use super::pacing::{Decision, Pacing, Snapshot};
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
-use super::runs::RunLocation;
+use super::run_location::RunLocation;
 use crate::peer::{Tag, encode};
 use crate::quarantine::Report;
 use crate::routing::PeerReport;
@@ -65,7 +66,7 @@
             });
         let me = Arc::clone(self);
         self.peers
-            .on(Tag::Journal, move |_, ()| ready(me.runs.lock().all()));
+            .on(Tag::Journal, move |_, ()| ready(me.journal()));
         self.handle_platform_updates(sources);
         self.handle_exchange(sources);
         self.handle_queries();
@@ -90,6 +91,13 @@
         self.check_revisions(sources, from, message.held, now);
     }
 
+    /// All known runs, and whether none is missing.
+    fn journal(&self) -> (Vec<RunLocation>, bool) {
+        let is_alone = self.is_alone();
+        let runs = self.runs.lock();
+        (runs.all(Instant::now()), runs.is_whole(is_alone))
+    }
+
     /// Fetches the known runs of the first reachable peer, since their callers may come to this
     /// instance.
     pub(crate) fn fetch_runs(self: &Arc<Self>, peer: &SmolStr) {
@@ -99,16 +107,20 @@
         let (me, peer) = (Arc::clone(self), peer.clone());
         tokio::spawn(async move {
             me.fetch_suspects(&peer).await;
-            let runs =
-                me.peers
-                    .call::<(), Vec<RunLocation>>(&peer, Tag::Journal, &(), SEND_TIMEOUT);
-            match runs.await {
-                Ok(runs) => {
+            let asked = me.peers.call::<(), (Vec<RunLocation>, bool)>(
+                &peer,
+                Tag::Journal,
+                &(),
+                SEND_TIMEOUT,
+            );
+            match asked.await {
+                Ok((runs, is_whole)) => {
                     info!(me.decisions.log, "runs: loaded from a peer"; "peer" => peer.as_str(), "runs" => runs.len());
                     let now = Instant::now();
                     let mut known = me.runs.lock();
                     runs.into_iter()
-                        .for_each(|location| known.insert(location, false, now));
+                        .for_each(|location| known.recall(location, now));
+                    known.set_fetched(is_whole);
                 }
                 Err(e) => {
                     info!(me.decisions.log, "runs: could not load from a peer"; "peer" => peer.as_str(), "error" => %e);
@@ -199,7 +211,7 @@
                 limits: self.limits.lock().news(Instant::now()),
                 suspects: self.suspect_reports(false),
             };
-            self.broadcast(snapshot.recipients, &message);
+            self.broadcast(snapshot.recipients, message);
         }
     }
 
@@ -217,16 +229,39 @@
         metrics::gauge!("endivefork_peer_refused").set(f64::from(u8::from(is_refused)));
     }
 
-    fn broadcast(self: &Arc<Self>, recipients: Vec<SmolStr>, message: &GossipMessage) {
-        let body = encode(message);
-        for name in recipients {
-            let (me, body) = (Arc::clone(self), body.clone());
-            tokio::spawn(async move {
+    /// Sends a message to all recipients, each with the runs that it has missed.
+    fn broadcast(self: &Arc<Self>, recipients: Vec<SmolStr>, message: GossipMessage) {
+        let now = Instant::now();
+        let missed = self
+            .missed_runs
+            .lock()
+            .take(&recipients, &message.runs, now);
+        let body = encode(&message);
+        let sends = recipients.into_iter().zip(missed).map(|(name, missed)| {
+            let runs = missed.iter().chain(&message.runs).cloned().collect();
+            let body = match missed.is_empty() {
+                true => body.clone(),
+                false => encode(&GossipMessage {
+                    runs,
+                    ..message.clone()
+                }),
+            };
+            let me = Arc::clone(self);
+            let mut runs = missed;
+            runs.extend_from_slice(&message.runs);
+            async move {
                 let sent = me.peers.send(&name, Tag::Load, body, SEND_TIMEOUT);
                 if sent.await.is_err() {
                     metrics::counter!("endivefork_words_untold_total").increment(1);
+                    me.missed_runs.lock().put_back(&name, &runs);
                 }
-            });
-        }
+            }
+        });
+        let sends: Vec<_> = sends.collect();
+        let (me, runs) = (Arc::clone(self), message.runs);
+        tokio::spawn(async move {
+            join_all(sends).await;
+            me.runs.lock().set_told(&runs);
+        });
     }
 }
--- a/src/relay/queries.rs
+++ b/src/relay/queries.rs
@@ -1,19 +1,19 @@
-//! Queries to aggregators in a large fleet: the location of a run's copy, and a loan of retry
-//! budget.
+//! Queries to aggregators in a large fleet: the runs with some content, and a loan of retry budget.
 
 use std::future::ready;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use slog::info;
 use smol_str::SmolStr;
 
-use super::dialect::CopyRef;
+use super::equal_runs::EqualRuns;
 use super::relay::Relay;
 use super::retries::Loan;
 use crate::peer::{Member, Tag};
 
-/// Timeout of a query for a run's copy: twice the network delay between regions.
+/// Timeout of a query for runs: twice the network delay between regions.
 const FIND_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Timeout of a loan of a retry: a fraction of the pause that a stream may have.
@@ -30,7 +30,7 @@
             .on(Tag::Usage, move |_, loan: Loan| ready(me.lend_retry(&loan)));
         let me = Arc::clone(self);
         self.peers.on(Tag::Run, move |_, digest: u128| {
-            ready(me.runs.lock().take(digest, Instant::now()))
+            ready(me.known_runs(digest))
         });
     }
 
@@ -79,30 +79,40 @@
         self.retries.lock().lend(loan, reporters, Instant::now())
     }
 
-    /// Asks aggregators for the location of a run's copy: first that of this failure domain, then
-    /// one of another.
-    pub(crate) async fn find_run(&self, digest: u128) -> Option<(SmolStr, CopyRef)> {
+    /// What this instance knows of the runs with this content.
+    fn known_runs(&self, digest: u128) -> EqualRuns {
+        let is_alone = self.is_alone();
+        self.runs.lock().equals(digest, is_alone, Instant::now())
+    }
+
+    /// The known runs with this content. In a large fleet each aggregator is asked, as a run is
+    /// known first to that of its own failure domain.
+    pub(crate) async fn equal_runs(&self, digest: u128) -> EqualRuns {
+        let mut equals = self.known_runs(digest);
         if !self.peers.is_tiered() {
-            return None;
+            return equals;
         }
+        // Only to an aggregator are the runs of other instances reported.
+        equals.is_whole &= self.is_aggregator();
         let me = &self.settings.instance;
-        let local = self.aggregators().into_iter().next();
-        let remote = self.remote_aggregators().into_iter().take(1);
-        let aggregators = local.into_iter().chain(remote);
-        for peer in aggregators.filter(|m| m.name != me.name) {
-            let found = self.peers.call::<_, Option<(SmolStr, CopyRef)>>(
-                &peer.name,
-                Tag::Run,
-                &digest,
-                FIND_TIMEOUT,
-            );
-            match found.await {
-                Ok(Some(found)) => return Some(found),
-                Ok(None) => {}
-                Err(e) => info!(self.decisions.log, "run: could not ask an aggregator";
-                    "aggregator" => peer.name.as_str(), "error" => %e),
-            }
+        let local = self.aggregators().into_iter().take(1);
+        let others = local.chain(self.remote_aggregators());
+        let others = others.filter(|m| m.name != me.name);
+        let answers = others.map(|m| async move {
+            let asked = self
+                .peers
+                .call::<_, EqualRuns>(&m.name, Tag::Run, &digest, FIND_TIMEOUT);
+            asked
+                .await
+                .inspect_err(|e| {
+                    info!(self.decisions.log, "run: could not ask an aggregator";
+                        "aggregator" => m.name.as_str(), "error" => %e);
+                })
+                .ok()
+        });
+        for answer in join_all(answers).await.into_iter().flatten() {
+            equals.merge(answer);
         }
-        None
+        equals
     }
 }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,18 +14,20 @@
 use super::buffers::ResponseBuffers;
 use super::catalog::Catalog;
 use super::connections::ConnectionPool;
-use super::copies::{CopySource, RunCopy};
+use super::copies::RunCopy;
 use super::dialect::Dialect;
 use super::election::ReadState;
 use super::exchange::{Outbox, RecentFailures};
 use super::limits::{Issuer, Limits};
+use super::missed_runs::MissedRuns;
 use super::placing::WaitLine;
 use super::probe::Probes;
 use super::quarantine;
 use super::record::DecisionLog;
 use super::retries::RetryBudget;
 use super::rules::{Engine, Rules};
-use super::runs::{RunDirectory, RunLocation};
+use super::run_location::{RunId, RunKey, RunLocation};
+use super::runs::RunDirectory;
 use super::settings::Settings;
 use super::silence::RetryShare;
 use crate::caller::{Drain, StreamDurations};
@@ -78,6 +80,8 @@
     /// Requests that wait for a permit, by service.
     pub(crate) wait_lines: Mutex<IndexMap<SmolStr, Arc<WaitLine>>>,
     pub(crate) runs: Mutex<RunDirectory>,
+    /// Run locations that peers have missed.
+    pub(crate) missed_runs: Mutex<MissedRuns>,
     /// Requests that may crash their targets.
     pub(crate) suspects: Mutex<Suspects>,
     /// Number of quarantines in force.
@@ -159,6 +163,7 @@
             permits_changed: Notify::new(),
             wait_lines: Mutex::default(),
             runs: Mutex::default(),
+            missed_runs: Mutex::default(),
             suspects: Mutex::new(Suspects::new(quarantine::policy())),
             quarantines: AtomicUsize::new(0),
             quarantined: Notify::new(),
@@ -287,28 +292,35 @@
     }
 
     /// Records the location of a run's copy, to be gossiped to peers.
-    pub(crate) fn record_run(&self, source: &CopySource, copy: Option<&RunCopy>) {
+    pub(crate) fn record_run(&self, run: RunKey, copy: Option<&RunCopy>) {
         let location = RunLocation {
-            digest: source.digest,
             engine: copy.map(|c| c.lease.name()),
             copied: copy.map(|c| c.copied.clone()),
+            ..RunLocation::without_copy(run)
         };
         self.runs.lock().record(location, Instant::now());
     }
 
-    /// Finds the copy of a run with this content at this instance or at another one.
-    pub(crate) async fn find_copy(&self, digest: u128) -> Option<RunCopy> {
-        let own = self.runs.lock().take(digest, Instant::now());
-        let (engine, copied) = match own {
-            Some(known) => known,
-            None => self.find_run(digest).await?,
-        };
+    /// Finds the copy of the only run with this content, of whatever instance. `None` if there are
+    /// several, or if one of them may be unknown here: the caller may have come back for another.
+    pub(crate) async fn find_copy(&self, digest: u128) -> Option<(RunId, RunCopy)> {
+        let found = self.equal_runs(digest).await.only()?;
+        if self.peers.is_split() {
+            return None;
+        }
+        self.runs.lock().take(digest, found.id);
         let now = Instant::now();
-        let key = self.router.key_named(&engine)?;
+        let key = self.router.key_named(&found.engine)?;
         let lease = self
             .router
             .claim(key, &self.settings.instance.region, now)?;
-        Some(RunCopy::new(lease, copied))
+        Some((found.id, RunCopy::new(lease, found.copied)))
+    }
+
+    /// Whether there is no other instance from which runs can be known.
+    pub(crate) fn is_alone(&self) -> bool {
+        let is_settled = self.peers.has_no_seeds() || self.age() >= DISCOVERY_TIME;
+        is_settled && self.peers.others() == 0
     }
 
     /// Number of instances, if it is known: not in the time in which they get to know each other,
--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::relay::Relay;
-use super::runs::RunLocation;
+use super::run_location::RunLocation;
 use crate::platform::{Error, Expect};
 use crate::quarantine::StoredQuarantine;
 
@@ -22,6 +22,9 @@
 /// those in progress, have their prompts read again if all instances are lost.
 const WRITE_PERIOD: Duration = Duration::from_millis(1200);
 
+/// How long a run that shares its content waits to be stored in one write with others.
+const SHARED_WINDOW: Duration = Duration::from_millis(100);
+
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Stored {
     /// Each a [`StoredRun`], if it can be read.
@@ -86,6 +89,7 @@
         self.wait_for_peers().await;
         let mut expect = None;
         let mut quarantines = Vec::new();
+        let shared = self.runs.lock().shared();
         loop {
             // In a large fleet only candidates for aggregator need what is stored.
             if expect.is_none() && (!self.peers.is_tiered() || self.is_candidate()) {
@@ -94,6 +98,8 @@
             tokio::select! {
                 () = sleep(WRITE_PERIOD) => {}
                 () = self.quarantined.notified() => {}
+                // Stored at once, as the copy of neither run may be used if all instances are lost.
+                () = shared.notified() => sleep(SHARED_WINDOW).await,
             }
             if !self.is_run_writer() {
                 continue;
@@ -148,6 +154,7 @@
                 Err(e) => self.report_entry(id, &object.value, &e),
             });
         }
+        self.runs.lock().set_stored();
         self.judge_suspects(now);
         info!(self.decisions.log, "runs: loaded from the platform"; "runs" => count);
         Some(expect)
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -1,106 +1,288 @@
-//! Directory of runs in progress and the engines that hold copies of them. A caller that lost its
-//! instance or its connection resumes at any other instance without the prompt being read again.
+//! Directory of runs and the engines that hold copies of them. A caller that lost its instance or
+//! its connection resumes at any other instance without the prompt being read again.
+//!
+//! A returning caller brings only the content of its request, which it may share with other runs.
+//! A copy is used if it is the only run with that content, so each run is recorded before its
+//! caller gets an event, and stays known for as long as its caller may come back.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use tokio::sync::Notify;
 
-use super::dialect::CopyRef;
+use super::equal_runs::EqualRuns;
+use super::run_location::{RunId, RunKey, RunLocation};
 
 /// How long a run is kept: longer than any run lasts.
-const RUN_TTL: Duration = Duration::from_secs(60);
+pub(crate) const RUN_TTL: Duration = Duration::from_secs(60);
 
 /// How long a run is stored on the platform: most runs have ended by then.
 const STORE_TTL: Duration = Duration::from_secs(20);
 
-/// Maximum number of runs kept.
-const RUNS_MAX: usize = 20_000;
-
-/// Location of a run's copy, as sent between instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct RunLocation {
-    /// Digest of the request's content, and of what runs it.
-    pub(crate) digest: u128,
-    /// Engine that holds the copy; `None` when the run has no copy.
-    pub(crate) engine: Option<SmolStr>,
-    /// Address and handle by which the copy is requested.
-    pub(crate) copied: Option<CopyRef>,
+/// Maximum number of different contents of which runs are kept.
+const CONTENTS_MAX: usize = 20_000;
+
+/// Maximum number of runs kept with the same content.
+const EQUALS_MAX: usize = 8;
+
+/// Which instance relays a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// This one.
+    Own,
+    /// Another one of this failure domain.
+    Domain,
+    /// One of another failure domain, or one that is not known.
+    Other,
+}
+
+#[derive(Debug)]
+struct Known {
+    location: RunLocation,
+    at: Instant,
+    origin: Origin,
+    has_ended: bool,
+}
+
+impl Known {
+    fn is_local(&self) -> bool {
+        self.origin != Origin::Other
+    }
+}
+
+/// Runs with the same content, the oldest first.
+#[derive(Debug, Default)]
+struct Equals {
+    known: Vec<Known>,
+    /// Until when a run that is no longer kept counts as one of them.
+    crowded: Option<Instant>,
+}
+
+impl Equals {
+    fn expire(&mut self, now: Instant) {
+        self.known.retain(|k| is_younger(k.at, RUN_TTL, now));
+        self.crowded = self.crowded.filter(|until| now < *until);
+    }
+
+    fn is_shared(&self) -> bool {
+        self.known.len() > 1 || self.crowded.is_some()
+    }
+}
+
+fn is_younger(at: Instant, age: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < age
+}
+
+/// From where the runs of other instances that began before this one are known.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sources {
+    /// Those that all instances stored.
+    stored: bool,
+    /// Those that a peer knew.
+    fetched: bool,
+    /// Those that a peer knew to which none was missing.
+    whole: bool,
 }
 
 /// Known runs of all instances.
 #[derive(Debug, Default)]
 pub(crate) struct RunDirectory {
-    runs: IndexMap<u128, (RunLocation, Instant)>,
+    contents: IndexMap<u128, Equals>,
     unsent: Vec<RunLocation>,
-    /// Runs of this failure domain.
-    local: IndexSet<u128>,
+    /// Recorded runs that the other instances may not know yet.
+    untold: IndexSet<RunId>,
+    /// Notified when [`Self::untold`] changes.
+    told: Arc<Notify>,
+    /// Notified when a second run with the same content becomes known.
+    shared: Arc<Notify>,
     changed: bool,
+    sources: Sources,
 }
 
 impl RunDirectory {
     /// Records a run of this instance, and queues it for the other instances.
     pub(crate) fn record(&mut self, location: RunLocation, now: Instant) {
+        let equals = self.contents.get(&location.digest);
+        let mut known = equals.into_iter().flat_map(|e| &e.known);
+        if known.any(|k| k.location == location && !k.has_ended) {
+            return;
+        }
         self.unsent.push(location.clone());
-        self.insert(location, true, now);
+        self.untold.insert(location.id);
+        self.place(location, Origin::Own, now);
+    }
+
+    /// Records another instance's run; `is_local` when that instance is in this failure domain.
+    pub(crate) fn insert(&mut self, location: RunLocation, is_local: bool, now: Instant) {
+        let origin = match is_local {
+            true => Origin::Domain,
+            false => Origin::Other,
+        };
+        self.place(location, origin, now);
     }
 
-    /// Records another instance's run; `local` when that instance is in this failure domain.
-    pub(crate) fn insert(&mut self, location: RunLocation, local: bool, now: Instant) {
-        if local {
-            self.local.insert(location.digest);
+    fn place(&mut self, location: RunLocation, origin: Origin, now: Instant) {
+        self.changed |= origin != Origin::Other;
+        let digest = location.digest;
+        let mut equals = self.contents.shift_remove(&digest).unwrap_or_default();
+        equals.expire(now);
+        let was_shared = equals.is_shared();
+        let is_followed = |k: &Known| k.location.follows == Some(location.id);
+        let is_outdated = equals.known.iter().any(is_followed);
+        let is_replaced =
+            |k: &Known| k.location.id == location.id || location.follows == Some(k.location.id);
+        equals.known.retain(|k| !is_replaced(k));
+        if !location.withdrawn && !is_outdated {
+            equals.known.push(Known {
+                location,
+                at: now,
+                origin,
+                has_ended: false,
+            });
+        }
+        if equals.known.len() > EQUALS_MAX {
+            let oldest = equals.known.remove(0);
+            equals.crowded = equals.crowded.max(Some(oldest.at + RUN_TTL));
+        }
+        if !was_shared && equals.is_shared() {
             self.changed = true;
+            self.shared.notify_one();
+        }
+        if equals.known.is_empty() && equals.crowded.is_none() {
+            return;
         }
-        let is_full = self.runs.len() >= RUNS_MAX;
-        let oldest = is_full.then(|| self.runs.shift_remove_index(0)).flatten();
-        if let Some((digest, _)) = oldest {
-            self.local.swap_remove(&digest);
+        if self.contents.len() >= CONTENTS_MAX {
+            self.contents.shift_remove_index(0);
         }
-        self.runs.shift_remove(&location.digest);
-        self.runs.insert(location.digest, (location, now));
+        self.contents.insert(digest, equals);
     }
 
-    /// Records a stored run unless a location of it is known, which is newer.
+    /// Records a run that was stored, or known to a peer, unless a location of it is known, which is
+    /// newer. The copy of one without an id is not used, as another run may have been stored in its
+    /// place.
     pub(crate) fn recall(&mut self, location: RunLocation, now: Instant) {
-        if !self.runs.contains_key(&location.digest) {
+        let equals = self.contents.get(&location.digest);
+        let mut known = equals.into_iter().flat_map(|e| &e.known);
+        let location = match location.id {
+            RunId::UNKNOWN => location.stripped(),
+            _ => location,
+        };
+        if !known.any(|k| k.location.id == location.id) {
             self.insert(location, false, now);
         }
     }
 
-    /// Removes a run of this instance that has ended.
-    pub(crate) fn remove(&mut self, digest: u128) {
-        self.runs.shift_remove(&digest);
-        self.changed |= self.local.swap_remove(&digest);
+    /// Removes the copy of a run of this instance that has ended. The run stays known, as its
+    /// caller may not have got the last events.
+    pub(crate) fn end(&mut self, key: RunKey) {
+        self.changed |= self.drop_copy(key.digest, key.id);
     }
 
-    /// Removes and returns the location of a run's copy, which can be used once.
-    pub(crate) fn take(&mut self, digest: u128, now: Instant) -> Option<(SmolStr, CopyRef)> {
-        let (location, at) = self.runs.shift_remove(&digest)?;
-        let is_fresh = now.saturating_duration_since(at) < RUN_TTL;
-        Some((location.engine?, location.copied?)).filter(|_| is_fresh)
+    /// Withdraws a run of this instance whose caller got no event.
+    pub(crate) fn withdraw(&mut self, key: RunKey, now: Instant) {
+        let withdrawn = RunLocation {
+            withdrawn: true,
+            ..RunLocation::without_copy(key)
+        };
+        self.unsent.push(withdrawn.clone());
+        self.place(withdrawn, Origin::Own, now);
+    }
+
+    /// Removes the copy of a run, which can be used once.
+    pub(crate) fn take(&mut self, digest: u128, id: RunId) {
+        self.drop_copy(digest, id);
+    }
+
+    /// Removes the copy of a run. Returns whether it is one of this failure domain.
+    fn drop_copy(&mut self, digest: u128, id: RunId) -> bool {
+        let equals = self.contents.get_mut(&digest);
+        let mut known = equals.into_iter().flat_map(|e| &mut e.known);
+        let Some(run) = known.find(|k| k.location.id == id) else {
+            return false;
+        };
+        run.location = run.location.stripped();
+        run.has_ended = true;
+        run.is_local()
+    }
+
+    /// What is known of the runs with one content. `is_alone` when there is no other instance.
+    pub(crate) fn equals(&self, digest: u128, is_alone: bool, now: Instant) -> EqualRuns {
+        let equals = self.contents.get(&digest);
+        let is_crowded = equals.is_some_and(|e| e.crowded.is_some_and(|until| now < until));
+        let known = equals.into_iter().flat_map(|e| &e.known);
+        let fresh = known.filter(|k| is_younger(k.at, RUN_TTL, now));
+        EqualRuns {
+            runs: fresh
+                .map(|k| match is_crowded {
+                    true => k.location.stripped(),
+                    false => k.location.clone(),
+                })
+                .collect(),
+            is_whole: self.is_whole(is_alone),
+        }
+    }
+
+    /// Whether the runs that began before this instance did are known.
+    pub(crate) fn is_whole(&self, is_alone: bool) -> bool {
+        let Sources {
+            stored,
+            fetched,
+            whole,
+        } = self.sources;
+        whole || stored && (fetched || is_alone)
+    }
+
+    /// Records that all stored runs were read.
+    pub(crate) fn set_stored(&mut self) {
+        self.sources.stored = true;
+    }
+
+    /// Records that the runs that a peer knows were read, and whether none was missing to it.
+    pub(crate) fn set_fetched(&mut self, is_whole: bool) {
+        self.sources.fetched = true;
+        self.sources.whole |= is_whole;
+    }
+
+    /// Records that runs of other instances are no longer reported to this one.
+    pub(crate) fn set_unreported(&mut self) {
+        self.sources.fetched = false;
+        self.sources.whole = false;
     }
 
     /// All runs, for an instance that has just started.
-    pub(crate) fn all(&self) -> Vec<RunLocation> {
-        self.runs
-            .values()
-            .map(|(location, _)| location.clone())
-            .collect()
+    pub(crate) fn all(&self, now: Instant) -> Vec<RunLocation> {
+        let known = self.contents.values().flat_map(|e| &e.known);
+        let fresh = known.filter(|k| is_younger(k.at, RUN_TTL, now));
+        fresh.map(|k| k.location.clone()).collect()
+    }
+
+    /// All runs of this instance, for an aggregator that has none of them.
+    pub(crate) fn own(&self, now: Instant) -> Vec<RunLocation> {
+        let known = self.contents.values().flat_map(|e| &e.known);
+        let own = known.filter(|k| k.origin == Origin::Own && is_younger(k.at, RUN_TTL, now));
+        own.map(|k| k.location.clone()).collect()
     }
 
-    /// Runs of this failure domain, to be stored. `None` when nothing has changed since the last
-    /// call, unless they are wanted `anyway`.
+    /// Runs of this failure domain, to be stored: those with a copy and, without theirs, those that
+    /// share their content. `None` when nothing has changed since the last call, unless they are
+    /// wanted `anyway`.
     pub(crate) fn take_changed(&mut self, now: Instant, anyway: bool) -> Option<Vec<RunLocation>> {
         if !std::mem::take(&mut self.changed) && !anyway {
             return None;
         }
-        let local = &self.local;
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < STORE_TTL;
-        let own = self.runs.values();
-        let own = own.filter(|(location, at)| local.contains(&location.digest) && is_fresh(*at));
-        let own = own.filter(|(location, _)| location.copied.is_some());
-        Some(own.map(|(location, _)| location.clone()).collect())
+        let mut stored = Vec::new();
+        for equals in self.contents.values_mut() {
+            equals.expire(now);
+            let is_shared = equals.is_shared();
+            let own = equals.known.iter();
+            let own = own.filter(|k| k.is_local() && is_younger(k.at, STORE_TTL, now));
+            stored.extend(own.filter_map(|k| match is_shared {
+                true => Some(k.location.stripped()),
+                false => k.location.copied.is_some().then(|| k.location.clone()),
+            }));
+        }
+        Some(stored)
     }
 
     /// Whether there are runs that were not sent to other instances.
@@ -112,4 +294,34 @@
     pub(crate) fn take_unsent(&mut self) -> Vec<RunLocation> {
         std::mem::take(&mut self.unsent)
     }
+
+    /// Records that the other instances know of these runs, or cannot be reached.
+    pub(crate) fn set_told(&mut self, runs: &[RunLocation]) {
+        for run in runs {
+            self.untold.swap_remove(&run.id);
+        }
+        if !runs.is_empty() {
+            self.told.notify_waiters();
+        }
+    }
+
+    /// Forgets whether the other instances know of a run, once its stream is gone.
+    pub(crate) fn forget_untold(&mut self, id: RunId) {
+        self.untold.swap_remove(&id);
+    }
+
+    /// Whether the other instances know of a run.
+    pub(crate) fn is_told(&self, id: RunId) -> bool {
+        !self.untold.contains(&id)
+    }
+
+    /// Notified when the other instances know of further runs.
+    pub(crate) fn told(&self) -> Arc<Notify> {
+        Arc::clone(&self.told)
+    }
+
+    /// Notified when a second run with the same content becomes known.
+    pub(crate) fn shared(&self) -> Arc<Notify> {
+        Arc::clone(&self.shared)
+    }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -4,6 +4,7 @@
 
 mod ends;
 mod open;
+mod registration;
 mod sequence;
 mod silent;
 mod waits;
@@ -32,6 +33,7 @@
 use super::quarantine::LostRun;
 use super::record::{FailedAttempt, count_abandoned};
 use super::relay::Relay;
+use super::run_location::{RunId, RunKey};
 use super::stall::{Loss, StallDetector};
 use super::stall_timeouts::StallTimeouts;
 use super::successor::{Mover, Successor};
@@ -40,6 +42,7 @@
 use crate::quarantine::BEGIN_WINDOW;
 use crate::routing::{Lease, Work};
 use crate::telemetry::Stage;
+use registration::Registration;
 use sequence::{Next, Rest, Sequence};
 use silent::SilentRun;
 
@@ -103,7 +106,7 @@
     relay: Arc<Relay>,
     request: CallerRequest,
     patience: Patience,
-    digest: u128,
+    registration: Registration,
     upstream: Option<Upstream>,
     /// The run before, until the current one has begun.
     silent: Option<SilentRun>,
@@ -155,17 +158,25 @@
     let repeats = request.route.kind.is_repeatable();
     let resumed = last.filter(|_| repeats);
     let service = request.service.clone();
-    let copy = match resumed {
-        Some(_) => relay.find_copy(digest).await,
-        None => None,
+    let keeps_copy = repeats && relay.keeps_copies(&service);
+    let found = match resumed {
+        Some(_) if keeps_copy => relay.find_copy(digest).await,
+        _ => None,
     };
+    let (follows, copy) = found.unzip();
+    let key = RunKey {
+        digest,
+        id: RunId::random(),
+        follows,
+    };
+    let registration = Registration::new(relay, key, keeps_copy, last.is_some());
     let mut stream = Stream {
         relay: Arc::clone(relay),
         patience: Patience::of(&request),
         request,
         upstream: None,
         silent: None,
-        digest,
+        registration,
         backup: None,
         copy_task: None,
         successor: Mutex::default(),
@@ -178,7 +189,7 @@
         gap_start: None,
         runs: 0,
         declined: 0,
-        keeps_copy: repeats && relay.keeps_copies(&service),
+        keeps_copy,
         excluded: Vec::new(),
         avoid_domains: Vec::new(),
         target: SmolStr::default(),
@@ -187,6 +198,7 @@
     };
     let (response, reason) = match stream.next_step().await {
         Step::Event(bytes) => {
+            stream.registration.publish().await;
             stream.pending.push_back(bytes);
             return stream.into_reply();
         }
@@ -249,7 +261,7 @@
             Step::Event(bytes) => Some(Ok(bytes)),
             Step::End => {
                 self.ended = true;
-                self.relay.runs.lock().remove(self.digest);
+                self.registration.end();
                 self.record_duration();
                 self.log_end(200, "stream complete");
                 None
@@ -325,7 +337,7 @@
                         let span = self.relay.metrics.span(account.unwrap_or_default());
                         span.record(Stage::ResumeGap, now - since);
                     }
-                    let source = copy_source(&self.request, self.digest, upstream);
+                    let source = copy_source(&self.request, self.registration.run, upstream);
                     let copy_task = source
                         .map(|source| CopyTask::start(&self.relay, source, self.backup.take()));
                     self.copy_task = copy_task.filter(|_| self.keeps_copy);
@@ -442,12 +454,12 @@
     }
 }
 
-fn copy_source(request: &CallerRequest, digest: u128, upstream: &Upstream) -> Option<CopySource> {
+fn copy_source(request: &CallerRequest, run: RunKey, upstream: &Upstream) -> Option<CopySource> {
     Some(CopySource {
         id: request.ask.id.clone(),
         engine: upstream.lease.probe_target()?,
         memory: estimate_work(request).memory,
-        digest,
+        run,
     })
 }
 
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -275,6 +275,9 @@
         if holder.is_some_and(|key| !self.relay.still_takes(key)) {
             self.backup = None;
         }
+        if !self.has_begun() {
+            self.registration.record(self.backup.as_ref());
+        }
         let now = Instant::now();
         let name = lease.name();
         let attempt = AttemptHead {
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -9,6 +9,7 @@
 mod heads;
 mod limits;
 mod local_reply;
+mod missed_runs;
 mod pacing;
 mod retries;
 mod rules;
--- a/src/relay/tests/run_store.rs
+++ b/src/relay/tests/run_store.rs
@@ -1,7 +1,7 @@
 use serde_json::{Value, json};
 
+use super::super::run_location::{RunId, RunKey, RunLocation};
 use super::super::run_store::Stored;
-use super::super::runs::RunLocation;
 
 fn run(digest: &str) -> Value {
     json!({ "digest": digest, "note": { "digest": 0, "engine": "e", "copied": null } })
@@ -29,10 +29,14 @@
 
 #[test]
 fn stored_runs_are_read_as_they_were_written() {
-    let location = RunLocation {
+    let key = RunKey {
         digest: u128::MAX,
+        id: RunId::random(),
+        follows: None,
+    };
+    let location = RunLocation {
         engine: Some("e".into()),
-        copied: None,
+        ..RunLocation::without_copy(key)
     };
 
     let text = serde_json::to_string(&Stored::of(vec![location], &[])).unwrap();
@@ -40,7 +44,7 @@
 
     let read = stored.locations().next().unwrap().unwrap();
     assert_eq!(
-        (read.digest, read.engine.as_deref()),
-        (u128::MAX, Some("e"))
+        (read.digest, read.id, read.engine.as_deref()),
+        (u128::MAX, key.id, Some("e"))
     );
 }
