Repeat a lost write of the runs with the next one

After a write of the runs had failed, as over a connection that fell silent, nothing was stored until another run began or ended in the failure domain. If all instances were lost meanwhile, the caller of a stream that had begun last had its prompt read again.

Cause: what has changed was marked as stored when it was taken for the write. It is marked as changed again when the write is not known to be accepted; the write is conditional, so that it may be repeated whether it took effect or not.

platform/tests/stored_runs.rs fails without `set_unstored` (the resumed run has no Kv-From) and holds with it.

--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -114,8 +114,9 @@
             let stored = Stored::of(runs, &current);
             let (next, is_written) = self.write(&stored, expect.unwrap_or(Expect::Absent)).await;
             expect = Some(next);
-            if is_written {
-                quarantines = current;
+            match is_written {
+                true => quarantines = current,
+                false => self.runs.lock().set_unstored(),
             }
         }
     }
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -285,6 +285,11 @@
         Some(stored)
     }
 
+    /// Records that the runs of the last [`Self::take_changed`] may not be stored.
+    pub(crate) fn set_unstored(&mut self) {
+        self.changed = true;
+    }
+
     /// Whether there are runs that were not sent to other instances.
     pub(crate) fn has_unsent(&self) -> bool {
         !self.unsent.is_empty()
