Send a new peer all own runs, and tell when more runs are known than listed

Found when the change was read: an instance that has just started has read a peer's runs, but not those that began at another instance before that one saw it; it is now sent all of them with the first message. What aggregators know is merged, so that one which has dropped old equal runs has to say so.

--- a/src/relay/equal_runs.rs
+++ b/src/relay/equal_runs.rs
@@ -18,13 +18,16 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct EqualRuns {
     pub(crate) runs: Vec<RunLocation>,
-    /// Whether no run can be missing.
+    /// Whether there are more runs than these.
+    pub(crate) is_crowded: bool,
+    /// Whether no run is unknown.
     pub(crate) is_whole: bool,
 }
 
 impl EqualRuns {
     /// Adds what another instance knows.
     pub(crate) fn merge(&mut self, other: Self) {
+        self.is_crowded |= other.is_crowded;
         self.is_whole |= other.is_whole;
         let is_newer = |known: &RunLocation, run: &RunLocation| known.follows == Some(run.id);
         for run in other.runs {
@@ -38,7 +41,8 @@
 
     /// The run with this content if it is the only one and has a copy.
     pub(crate) fn only(self) -> Option<FoundRun> {
-        let mut runs = self.runs.into_iter().filter(|_| self.is_whole);
+        let is_complete = self.is_whole && !self.is_crowded;
+        let mut runs = self.runs.into_iter().filter(|_| is_complete);
         let (run, None) = (runs.next()?, runs.next()) else {
             return None;
         };
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -232,10 +232,9 @@
     /// Sends a message to all recipients, each with the runs that it has missed.
     fn broadcast(self: &Arc<Self>, recipients: Vec<SmolStr>, message: GossipMessage) {
         let now = Instant::now();
-        let missed = self
-            .missed_runs
-            .lock()
-            .take(&recipients, &message.runs, now);
+        let own = || self.runs.lock().own(now);
+        let mut missed = self.missed_runs.lock();
+        let missed = missed.take(&recipients, &message.runs, own, now);
         let body = encode(&message);
         let sends = recipients.into_iter().zip(missed).map(|(name, missed)| {
             let runs = missed.iter().chain(&message.runs).cloned().collect();
--- a/src/relay/missed_runs.rs
+++ b/src/relay/missed_runs.rs
@@ -33,12 +33,13 @@
 }
 
 impl MissedRuns {
-    /// Takes what each of the `recipients` of `runs` has missed before. Recent recipients that are
-    /// not among them miss these runs.
+    /// Takes what each of the `recipients` of `runs` has missed before: for a new one, all of this
+    /// instance's `own` runs. Recent recipients that are not among them miss these runs.
     pub(crate) fn take(
         &mut self,
         recipients: &[SmolStr],
         runs: &[RunLocation],
+        own: impl Fn() -> Vec<RunLocation>,
         now: Instant,
     ) -> Vec<Vec<RunLocation>> {
         self.peers
@@ -51,7 +52,7 @@
         let taken = recipients.iter().map(|name| {
             let missed = self.peers.entry(name.clone()).or_insert_with(|| Missed {
                 seen: now,
-                runs: Vec::new(),
+                runs: own(),
             });
             missed.seen = now;
             std::mem::take(&mut missed.runs)
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -2,7 +2,7 @@
 //! its connection resumes at any other instance without the prompt being read again.
 //!
 //! A returning caller brings only the content of its request, which it may share with other runs.
-//! A copy is used if it is the only run with that content, so each run is recorded before its
+//! A copy is used if its run is the only one with that content. So each run is recorded before its
 //! caller gets an event, and stays known for as long as its caller may come back.
 
 use std::sync::Arc;
@@ -209,16 +209,12 @@
     /// What is known of the runs with one content. `is_alone` when there is no other instance.
     pub(crate) fn equals(&self, digest: u128, is_alone: bool, now: Instant) -> EqualRuns {
         let equals = self.contents.get(&digest);
-        let is_crowded = equals.is_some_and(|e| e.crowded.is_some_and(|until| now < until));
+        let crowded = equals.and_then(|e| e.crowded);
         let known = equals.into_iter().flat_map(|e| &e.known);
         let fresh = known.filter(|k| is_younger(k.at, RUN_TTL, now));
         EqualRuns {
-            runs: fresh
-                .map(|k| match is_crowded {
-                    true => k.location.stripped(),
-                    false => k.location.clone(),
-                })
-                .collect(),
+            runs: fresh.map(|k| k.location.clone()).collect(),
+            is_crowded: crowded.is_some_and(|until| now < until),
             is_whole: self.is_whole(is_alone),
         }
     }
@@ -257,7 +253,7 @@
         fresh.map(|k| k.location.clone()).collect()
     }
 
-    /// All runs of this instance, for an aggregator that has none of them.
+    /// All runs of this instance, for another one that may have none of them.
     pub(crate) fn own(&self, now: Instant) -> Vec<RunLocation> {
         let known = self.contents.values().flat_map(|e| &e.known);
         let own = known.filter(|k| k.origin == Origin::Own && is_younger(k.at, RUN_TTL, now));
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -259,6 +259,7 @@
 fn what_aggregators_know_together_decides_whether_a_run_is_the_only_one() {
     let equals = |runs: &[RunLocation], is_whole| EqualRuns {
         runs: runs.to_vec(),
+        is_crowded: false,
         is_whole,
     };
     let (a, b) = (located(key(1, 1), Some("a")), located(key(1, 2), Some("b")));
