Wait until the runs of before a start are known before a prompt is read again

Callers come back in the moment in which an instance is ready again.

A resumed request now waits, 400 ms at most, until they are known. A prompt of 8,000 tokens takes a second.

--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 use super::aggregate::Aggregate;
 use super::body_memory::BodyMemory;
@@ -17,6 +18,7 @@
 use super::copies::RunCopy;
 use super::dialect::Dialect;
 use super::election::ReadState;
+use super::equal_runs::EqualRuns;
 use super::exchange::{Outbox, RecentFailures};
 use super::limits::{Issuer, Limits};
 use super::missed_runs::MissedRuns;
@@ -48,6 +50,12 @@
 /// Time in which instances that start together get to know each other: a few heartbeats.
 const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
+/// Maximum time that a resumed request waits until the runs of before the start are known.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Interval at which it looks whether they are.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// State of one relay instance.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -304,7 +312,7 @@
     /// Finds the copy of the only run with this content, of whatever instance. `None` if there are
     /// several, or if one of them may be unknown here: the caller may have come back for another.
     pub(crate) async fn find_copy(&self, digest: u128) -> Option<(RunId, RunCopy)> {
-        let found = self.equal_runs(digest).await.only()?;
+        let found = self.settled_runs(digest).await.only()?;
         if self.peers.is_split() {
             return None;
         }
@@ -317,6 +325,19 @@
         Some((found.id, RunCopy::new(lease, found.copied)))
     }
 
+    /// The known runs with this content. Callers come back in the moment in which an instance is
+    /// ready again, when it is still reading the runs of before; a prompt takes longer to read.
+    async fn settled_runs(&self, digest: u128) -> EqualRuns {
+        let until = Instant::now() + SETTLE_TIMEOUT;
+        loop {
+            let equals = self.equal_runs(digest).await;
+            if equals.is_whole || Instant::now() >= until {
+                return equals;
+            }
+            sleep(SETTLE_INTERVAL).await;
+        }
+    }
+
     /// Whether there is no other instance from which runs can be known.
     pub(crate) fn is_alone(&self) -> bool {
         let is_settled = self.peers.has_no_seeds() || self.age() >= DISCOVERY_TIME;
