--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -236,18 +236,17 @@
         let mut missed = self.missed_runs.lock();
         let missed = missed.take(&recipients, &message.runs, own, now);
         let body = encode(&message);
-        let sends = recipients.into_iter().zip(missed).map(|(name, missed)| {
-            let runs = missed.iter().chain(&message.runs).cloned().collect();
-            let body = match missed.is_empty() {
+        let sends = recipients.into_iter().zip(missed).map(|(name, mut runs)| {
+            let is_up_to_date = runs.is_empty();
+            runs.extend_from_slice(&message.runs);
+            let body = match is_up_to_date {
                 true => body.clone(),
                 false => encode(&GossipMessage {
-                    runs,
+                    runs: runs.clone(),
                     ..message.clone()
                 }),
             };
             let me = Arc::clone(self);
-            let mut runs = missed;
-            runs.extend_from_slice(&message.runs);
             async move {
                 let sent = me.peers.send(&name, Tag::Load, body, SEND_TIMEOUT);
                 if sent.await.is_err() {
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -42,7 +42,6 @@
     location: RunLocation,
     at: Instant,
     origin: Origin,
-    has_ended: bool,
 }
 
 impl Known {
@@ -105,7 +104,7 @@
     pub(crate) fn record(&mut self, location: RunLocation, now: Instant) {
         let equals = self.contents.get(&location.digest);
         let mut known = equals.into_iter().flat_map(|e| &e.known);
-        if known.any(|k| k.location == location && !k.has_ended) {
+        if known.any(|k| k.location == location) {
             return;
         }
         self.unsent.push(location.clone());
@@ -138,7 +137,6 @@
                 location,
                 at: now,
                 origin,
-                has_ended: false,
             });
         }
         if equals.known.len() > EQUALS_MAX {
@@ -202,7 +200,6 @@
             return false;
         };
         run.location = run.location.stripped();
-        run.has_ended = true;
         run.is_local()
     }
 
