Take the first event, not the head, for the beginning of an answer

Cause: a run counted as begun with the head of its answer. An engine that sends the head before it reads the prompt had begun a second before its first token, so its crash with the first events was the loss of an old run, and the first event counted as a survival of the part.

Change: a run has begun with its first event and survives 300 ms after it. A run without an event waits, unless its head is younger than that.

--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::ident::digest;
 
-/// Time from the head of an answer for which a request counts as just begun.
+/// Time from the first event of an answer for which a request counts as just begun.
 pub(crate) const BEGIN_WINDOW: Duration = Duration::from_millis(300);
 
 /// Parts of one request that are weighed; further ones are ignored.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -24,7 +24,7 @@
 use super::limits::Purpose;
 use super::local_reply::{LocalReply, retry_after};
 use super::placing::{Patience, PlaceError};
-use super::quarantine::LostRun;
+use super::quarantine::{LostRun, RunStage};
 use super::record::{FailedAttempt, count_abandoned};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
@@ -338,7 +338,7 @@
         self.relay.probe(lease);
         let run = LostRun {
             lease,
-            begun: Some(Duration::ZERO),
+            stage: RunStage::Began,
             is_dead: false,
             trial,
         };
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -14,9 +14,7 @@
 use super::relay::Relay;
 use crate::ident::fraction;
 use crate::peer::Tag;
-use crate::quarantine::{
-    BEGIN_WINDOW, Crash, NewQuarantine, PartKey, Phase, Policy, Report, SuspectStatus,
-};
+use crate::quarantine::{Crash, NewQuarantine, PartKey, Phase, Policy, Report, SuspectStatus};
 use crate::routing::{Lease, ProbeTarget};
 
 /// Length of a first quarantine.
@@ -43,12 +41,22 @@
     Policy::parts(FIRST_QUARANTINE)
 }
 
+/// How far a run was when it was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunStage {
+    /// It was queued or in prefill.
+    Waiting,
+    /// Its answer had just begun.
+    Began,
+    /// Its answer had gone on for longer than those of requests that crash their targets.
+    Outlived,
+}
+
 /// A lost run of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LostRun<'a> {
     pub(crate) lease: &'a Lease,
-    /// Time since the head of its answer; `None` if there was none.
-    pub(crate) begun: Option<Duration>,
+    pub(crate) stage: RunStage,
     /// Whether its target is known to be dead.
     pub(crate) is_dead: bool,
     /// Whether it was the trial of a quarantine that is over.
@@ -123,10 +131,10 @@
     /// Records that a request was lost as it waited or had just begun, and finds out whether its
     /// target has crashed.
     pub(crate) fn report_loss(self: &Arc<Self>, request: &CallerRequest, run: LostRun<'_>) {
-        let phase = match run.begun {
-            Some(age) if age >= BEGIN_WINDOW && !run.trial => return,
-            Some(_) => Phase::Began,
-            None => Phase::Waiting,
+        let phase = match run.stage {
+            RunStage::Waiting => Phase::Waiting,
+            RunStage::Outlived if !run.trial => return,
+            RunStage::Began | RunStage::Outlived => Phase::Began,
         };
         let Some(target) = run.lease.probe_target() else {
             return;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -30,7 +30,7 @@
 use super::events::EventSplitter;
 use super::local_reply::LocalReply;
 use super::placing::Patience;
-use super::quarantine::LostRun;
+use super::quarantine::{LostRun, RunStage};
 use super::record::{FailedAttempt, count_abandoned};
 use super::relay::Relay;
 use super::run_location::{RunId, RunKey};
@@ -61,6 +61,8 @@
     last_seen: Instant,
     /// Arrival time of the response head.
     begun: Option<Instant>,
+    /// Arrival time of the first event.
+    first_event: Option<Instant>,
     /// Events received, including those that the caller already has.
     events: u64,
 }
@@ -82,11 +84,24 @@
     has_survived: bool,
 }
 
+impl RunProgress {
+    /// How far a run was when it was lost.
+    fn stage(&self) -> RunStage {
+        match (self.first_event, self.begun) {
+            (Some(first), _) if self.last_seen - first >= BEGIN_WINDOW => RunStage::Outlived,
+            (Some(_), _) => RunStage::Began,
+            (None, Some(head)) if head.elapsed() < BEGIN_WINDOW => RunStage::Began,
+            (None, _) => RunStage::Waiting,
+        }
+    }
+}
+
 impl Upstream {
     /// Returns `true` once, when the run has lasted longer than those that crash their targets.
     fn outlives_its_beginning(&mut self, now: Instant) -> bool {
-        let begun = self.progress.begun;
-        let survives = begun.is_some_and(|at| now - at >= BEGIN_WINDOW);
+        // An engine may send the head before it reads the prompt.
+        let first = self.progress.first_event;
+        let survives = first.is_some_and(|at| now - at >= BEGIN_WINDOW);
         survives && !std::mem::replace(&mut self.has_survived, survives)
     }
 
@@ -95,6 +110,7 @@
         let first = !self.timeouts.has_started();
         self.timeouts.record_gap(now - self.progress.last_seen);
         self.progress.last_seen = now;
+        self.progress.first_event.get_or_insert(now);
         self.progress.events += 1;
         self.wait_start = None;
         first
@@ -423,7 +439,7 @@
             &self.request,
             LostRun {
                 lease,
-                begun: progress.begun.map(|at| at.elapsed()),
+                stage: progress.stage(),
                 is_dead: loss == Loss::Dead,
                 trial: self.trial,
             },
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -387,6 +387,7 @@
             progress: RunProgress {
                 last_seen: now,
                 begun: Some(Instant::now()),
+                first_event: None,
                 events: 0,
             },
             wait_start: None,
@@ -422,6 +423,7 @@
         let progress = RunProgress {
             last_seen: since,
             begun: None,
+            first_event: None,
             events: 0,
         };
         self.exclude(lease, loss, progress);
