Weigh crashes of requests that had sent nothing of an answer

Cause: a request without a head counted as one that waits, at most 0.9 of the 8.5 that a verdict needs, and only if its part had also begun somewhere. Sound streams that resumed on the same engines took the blame: two were quarantined.

Change: five waits at crashed targets without a survival are enough. For a part that also survived, waits within half a second count once. Crashes that a shared part with fewer survivals explains count for no other part, also not for other requests at the same target. A trial fails with any crash of its target.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -241,9 +241,24 @@
         self.of_part(part).next().is_some()
     }
 
-    /// Whether a crash counts against a part that had just begun.
-    pub(super) fn has_begun(&self, part: PartKey) -> bool {
-        self.of_part(part).any(|c| c.crash.phase == Phase::Began)
+    /// Whether a part had just begun when a target crashed, or waited at several that crashed
+    /// without a request that had just begun.
+    pub(super) fn may_be_deadly(&self, part: PartKey) -> bool {
+        let is_begun = |c: &CrashRecord| c.crash.phase == Phase::Began;
+        let is_explained = |incident: u32| {
+            let mut of_incident = self.crashes.iter().filter(|c| c.incident == incident);
+            of_incident.any(is_begun)
+        };
+        let mut waited = None;
+        for record in self.of_part(part) {
+            match waited {
+                _ if is_begun(record) => return true,
+                _ if is_explained(record.incident) => {}
+                Some(incident) if incident != record.incident => return true,
+                _ => waited = Some(record.incident),
+            }
+        }
+        false
     }
 
     /// Drops what no longer counts.
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -189,7 +189,7 @@
             Standing::Trial => return SuspectStatus::Suspect,
             Standing::Free => {}
         }
-        match parts.iter().any(|p| self.evidence.has_begun(*p)) {
+        match parts.iter().any(|p| self.evidence.may_be_deadly(*p)) {
             true => self.pending(parts, now),
             false => SuspectStatus::Clear,
         }
--- a/src/quarantine/tests/days.rs
+++ b/src/quarantine/tests/days.rs
@@ -48,6 +48,8 @@
     chance: f64,
     /// Instances that do not hear from others from 10 s to 20 s.
     cut: usize,
+    /// Whether a target that a part crashes has sent nothing of its answer.
+    is_mute: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -288,6 +290,7 @@
             seen = true;
             let phase = match now - run.begins {
                 age if age < 0.0 => Some(Phase::Waiting),
+                _ if self.plan.is_mute && run.crashes.is_some() => Some(Phase::Waiting),
                 age if age < 0.3 => Some(Phase::Began),
                 _ => None,
             };
@@ -358,6 +361,7 @@
         deadly: Vec::new(),
         chance: 1.0,
         cut: 0,
+        is_mute: false,
     }
 }
 
@@ -414,7 +418,7 @@
 
 #[test]
 fn deadly_parts_are_contained_on_all_days() {
-    let mut verdicts = Vec::new();
+    let (mut verdicts, mut failed) = (Vec::new(), Vec::new());
     for seed in 0..days(12) {
         let base = plan(seed);
         let plan = match seed % 6 {
@@ -455,15 +459,62 @@
             "seed {seed}: ended {ended:?}, late {late:?}, refused {}",
             day.refused
         );
-        assert!(late.iter().all(|late| *late <= 3), "seed {seed}: {late:?}");
-        assert_eq!(day.refused, 0, "seed {seed}: sound requests refused");
+        if late.iter().any(|late| *late > 3) || day.refused > 0 {
+            failed.push(seed);
+        }
         verdicts.extend(day.verdict);
     }
+    assert!(failed.is_empty(), "seeds {failed:?}");
     println!("verdicts at the last instance after the fifth crash: {verdicts:.2?}");
 }
 
+#[test]
+fn deadly_parts_without_an_answer_are_contained_on_all_days() {
+    let mut failed = Vec::new();
+    for seed in 0..days(12) {
+        let base = Plan {
+            is_mute: true,
+            ..plan(seed)
+        };
+        let plan = match seed % 4 {
+            0 => Plan {
+                deadly: vec![0.05],
+                ..base
+            },
+            1 => Plan {
+                deadly: vec![0.3],
+                ..base
+            },
+            2 => Plan {
+                deadly: vec![0.05, 0.05],
+                burst: None,
+                ..base
+            },
+            _ => Plan {
+                deadly: vec![0.1],
+                single: 0.3,
+                ..base
+            },
+        };
+
+        let day = Fleet::play(&plan);
+
+        let late: Vec<_> = (0..plan.deadly.len()).map(|part| day.late(part)).collect();
+        let ended: Vec<_> = day.crashes.iter().map(Vec::len).collect();
+        println!(
+            "seed {seed}: ended {ended:?}, late {late:?}, refused {}",
+            day.refused
+        );
+        if late.iter().any(|late| *late > 3) || day.refused > 0 {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds {failed:?}");
+}
+
 #[test]
 fn part_that_crashes_some_of_its_targets_is_contained() {
+    let mut failed = Vec::new();
     for seed in 0..days(6) {
         let plan = Plan {
             deadly: vec![0.15],
@@ -478,7 +529,9 @@
             day.crashes[0].len(),
             day.late(0)
         );
-        assert!(day.late(0) <= 3, "seed {seed}: {}", day.late(0));
-        assert_eq!(day.refused, 0, "seed {seed}");
+        if day.late(0) > 3 || day.refused > 0 {
+            failed.push(seed);
+        }
     }
+    assert!(failed.is_empty(), "seeds {failed:?}");
 }
--- a/src/quarantine/weight.rs
+++ b/src/quarantine/weight.rs
@@ -20,12 +20,19 @@
 /// Probability that a request which has just begun sees its target crash for another reason.
 const CHANCE_BEGUN: f64 = 0.05;
 
-/// The same for a request that waits, which it does for far longer.
-const CHANCE_WAITING: f64 = 0.4;
+/// The same for a request that waits, which it does for longer. A deadly one may crash its target
+/// before anything of its answer arrives, so five such crashes must be enough.
+const CHANCE_WAITING: f64 = 0.15;
+
+/// Time for which a request waits for its first event.
+const WAITING_TIME: Duration = Duration::from_secs(2);
 
 /// Probabilities with which a deadly part may crash a target.
 const DEADLY_CHANCES: [f64; 3] = [0.3, 0.6, 0.95];
 
+/// Crashes from which a part explains what happened to the other requests at the same targets.
+const EXPLAINING_MIN: usize = 3;
+
 /// Weight by which two parts are told apart: less than one survival.
 const WEIGHT_MARGIN: f64 = 0.3;
 
@@ -138,8 +145,7 @@
         stats
     }
 
-    /// Logarithm of the likelihood ratio of a part, and the incidents that count against it. `None`
-    /// if it never began when a target crashed.
+    /// Logarithm of the likelihood ratio of a part, and the incidents that count against it.
     fn weigh(
         &self,
         part: PartKey,
@@ -160,25 +166,37 @@
                 && own_stats.incidents.contains(&c.incident)
                 && !c.crash.parts.iter().any(explains)
         };
-        let own: Vec<_> = crashes.iter().filter(counts).collect();
-        if !own.iter().any(|c| c.crash.phase == Phase::Began) {
-            return None;
-        }
-        let begun = crashes.iter().filter(|c| c.crash.phase == Phase::Began);
-        let begun: IndexSet<_> = begun.map(|c| c.incident).collect();
+        let explained = self.explained_incidents(own_stats, crashes, stats);
+        let own: Vec<_> = crashes
+            .iter()
+            .filter(counts)
+            .filter(|c| !explained.contains(&c.incident))
+            .collect();
         let others = unexplained
             .iter()
             .filter(|c| !own_stats.incidents.contains(&c.incident));
         let others: IndexMap<_, _> = others.map(|c| (c.incident, c.at)).collect();
-        let rate = self.chance_by_rate(&others, now);
+        let (begun_by_rate, waiting_by_rate) = (
+            self.chance_by_rate(&others, BEGIN_WINDOW, now),
+            self.chance_by_rate(&others, WAITING_TIME, now),
+        );
         let mut chances: IndexMap<u32, f64> = IndexMap::new();
+        let mut last_wait: Option<Instant> = None;
         for record in &own {
-            let chance = match record.crash.phase {
-                Phase::Began => CHANCE_BEGUN,
-                // A request that had just begun there explains the crash better.
-                _ if begun.contains(&record.incident) => continue,
-                Phase::Running => CHANCE_BEGUN,
-                Phase::Waiting => CHANCE_WAITING,
+            let (chance, rate) = match record.crash.phase {
+                Phase::Began => (CHANCE_BEGUN, begun_by_rate),
+                // Requests with a common part wait at most of the targets that are lost together.
+                Phase::Waiting
+                    if own_stats.survivals > 0
+                        && last_wait.is_some_and(|at| distance(at, record.at) < BURST_WINDOW) =>
+                {
+                    continue;
+                }
+                Phase::Running => (CHANCE_BEGUN, begun_by_rate),
+                Phase::Waiting => {
+                    last_wait = Some(record.at);
+                    (CHANCE_WAITING, waiting_by_rate)
+                }
             };
             let near = others
                 .values()
@@ -203,6 +221,28 @@
         Some((weight, chances.into_keys().collect()))
     }
 
+    /// Incidents that hit a request with another part, which several requests share, was in many
+    /// crashes and survived less often than the one with `own` statistics.
+    fn explained_incidents(
+        &self,
+        own: &PartStats,
+        crashes: &[&CrashRecord],
+        stats: &IndexMap<PartKey, PartStats>,
+    ) -> IndexSet<u32> {
+        let explains = |part: &PartKey| {
+            let other = stats.get(part).filter(|o| o.is_shared);
+            other.is_some_and(|o| {
+                let crashes = o.incidents.len();
+                let is_frequent = crashes >= EXPLAINING_MIN && 2 * crashes >= own.incidents.len();
+                is_frequent && o.is_worse_than(own)
+            })
+        };
+        let explaining = crashes
+            .iter()
+            .filter(|c| c.crash.parts.iter().any(explains));
+        explaining.map(|c| c.incident).collect()
+    }
+
     /// Survivals of a part since shortly before its first crash.
     fn survivals_since(&self, part: PartKey, first: Instant) -> usize {
         let since = first.checked_sub(LOOKBACK).unwrap_or(first);
@@ -210,12 +250,12 @@
         survivals.filter(|s| s.at >= since).count()
     }
 
-    /// Probability that a request which begins sees its target crash, by the rate of other crashes.
-    fn chance_by_rate(&self, others: &IndexMap<u32, Instant>, now: Instant) -> f64 {
+    /// Probability that a request sees its target crash within `time`, by the rate of other crashes.
+    fn chance_by_rate(&self, others: &IndexMap<u32, Instant>, time: Duration, now: Instant) -> f64 {
         let recent = others
             .values()
             .filter(|at| now.saturating_duration_since(**at) < RATE_WINDOW);
-        let share = BEGIN_WINDOW.as_secs_f64() / RATE_WINDOW.as_secs_f64();
+        let share = time.as_secs_f64() / RATE_WINDOW.as_secs_f64();
         recent.count() as f64 / self.targets as f64 * share
     }
 }
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -158,7 +158,8 @@
                 return;
             }
             suspects.confirm(&crash, at, now);
-            if trial && phase == Phase::Began {
+            // A deadly part may crash its target before its answer arrives.
+            if trial {
                 suspects.fail_trial(&crash.parts, now);
             }
             drop(suspects);
