Tell an engine that breaks off new connections from a live one

Cause: a target whose port took a connection was alive, so each crash was taken back as a lost answer, nothing was held against the part, and the engine got further requests.

Change: after a loss that looks like a crash, an engine that a probe finds alive is asked for its report. If that connection breaks off it is dead. A late answer says nothing; engines at their own limit and plain services are not asked.

Measured: part_that_crashes_engines_behind_an_open_port_is_quarantined failed before and holds now, 4 engines ended, 0 requests after the bound; all 13 tests of deadly_parts at a load of 15.

--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use slog::info;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::caller_request::CallerRequest;
+use super::connections::get_request;
+use super::limits::Purpose;
 use super::local_reply::LocalReply;
 use super::relay::Relay;
 use crate::ident::fraction;
@@ -175,7 +177,7 @@
     }
 
     /// Waits for the probe of a target. One that began before the loss says nothing, so a target
-    /// that is found alive is probed once more.
+    /// that is found alive is probed once more, and an engine is asked for its report.
     async fn has_crashed(self: &Arc<Self>, target: &ProbeTarget) -> bool {
         let until = Instant::now() + CONFIRM_TIMEOUT;
         for _ in 0..2 {
@@ -188,7 +190,26 @@
                 return true;
             }
         }
-        false
+        let is_gone = self.breaks_connections(target).await;
+        if is_gone {
+            let log = &self.decisions.log;
+            info!(log, "target: takes connections without an answer"; "target" => target.name.as_str());
+            self.router.mark_dead(target.key, Instant::now());
+        }
+        is_gone
+    }
+
+    /// Whether an engine's port takes a connection and breaks it off, as behind a forwarder or while
+    /// its process starts. One that answers late may be busy.
+    async fn breaks_connections(self: &Arc<Self>, target: &ProbeTarget) -> bool {
+        let is_limited = self.limits.lock().limited_at(target.addr).is_some();
+        let may_ask = self.has_engines(&target.service) && !is_limited;
+        let request = get_request(target.addr, self.dialect.report_path);
+        let Some(request) = request.filter(|_| may_ask) else {
+            return false;
+        };
+        let report = self.request(target.key, target.addr, request, Purpose::Probe);
+        matches!(timeout(CONFIRM_TIMEOUT, report).await, Ok(None))
     }
 
     /// Records that a run began and its target survived.
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -285,6 +285,11 @@
         }
     }
 
+    /// Whether the service's targets are engines.
+    pub(crate) fn has_engines(&self, service: &str) -> bool {
+        self.engine(service).is_some()
+    }
+
     /// Whether the service's engines continuously copy the KV cache of their runs.
     pub(crate) fn keeps_copies(&self, service: &str) -> bool {
         self.engine(service).is_some_and(|e| e.backups)
