Eject targets that fail their calls though they look healthy

Cause: the loss of a plain call only starts a probe, and a connection that opens counts as life, so the nearest target got everything on.

Change: each instance counts the outcomes of its calls by target. At most half of the targets of a service are ejected.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -17,6 +17,7 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use http::response::Parts;
+use slog::info;
 use smol_str::SmolStr;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -274,6 +275,7 @@
     /// Records how an attempt ended, and returns the final answer if it is one. `others` attempts
     /// are still under way.
     fn settle(&mut self, ended: Ended, others: u32) -> Option<(Response, &'static str)> {
+        self.record_outcome(&ended);
         let Ended { lease, started, .. } = ended;
         let reason = match ended.result {
             AttemptResult::Response(full) if !self.should_retry(&full, others) => {
@@ -333,6 +335,24 @@
         None
     }
 
+    /// Records whether the target served the request. A refusal says nothing of that.
+    fn record_outcome(&self, ended: &Ended) {
+        let now = Instant::now().into_std();
+        let key = ended.lease.key;
+        let is_failure = match &ended.result {
+            AttemptResult::Response((head, _)) => head.status.is_server_error(),
+            AttemptResult::Lost(_) | AttemptResult::TimedOut => true,
+            _ => return,
+        };
+        if !is_failure {
+            self.relay.router.record_answer(key, now);
+        } else if self.relay.router.record_failure(key, now) {
+            metrics::counter!("endivefork_targets_ejected_total").increment(1);
+            info!(self.relay.decisions.log, "target: ejected, as it fails its requests";
+                "target" => ended.lease.name().as_str(), "service" => self.request.service.as_str());
+        }
+    }
+
     /// A call is short, so one that is lost counts as just begun.
     fn report_loss(&self, lease: &Lease, trial: bool) {
         self.relay.probe(lease);
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::outlier::{Outcomes, Standing};
+
 /// Time in which a suspicion score decays by half.
 const SUSPICION_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -91,6 +93,8 @@
     own_dead: bool,
     last_alive: Option<Instant>,
     peer_alive: Option<Instant>,
+    /// Outcomes of this instance's requests.
+    pub(crate) outcomes: Outcomes,
 }
 
 impl Health {
@@ -262,6 +266,8 @@
                 Availability::Unavailable
             }
             () if self.suspicion_score(now) >= SUSPECT_SCORE => Availability::Suspected,
+            () if self.outcomes.standing(now) == Standing::Ejected => Availability::Suspected,
+            () if self.outcomes.standing(now) == Standing::Trial => Availability::HalfOpen,
             () if self.blocked_until.is_some() => Availability::HalfOpen,
             () if self.notices.quiet.is_some_and(|q| !q.is_over) => Availability::HalfOpen,
             () => Availability::Healthy,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod notices;
 mod outage;
+mod outlier;
 mod peer_report;
 mod policy;
 mod poll;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -17,6 +17,7 @@
 use super::lease::{Lease, ProbeTarget};
 use super::load::{LoadReport, Work};
 use super::outage::Outages;
+use super::outlier::Standing;
 use super::peer_report::{Departure, InflightCount, PeerReport};
 use super::policy::{Costs, EngineCapacity, Policy, Selection, sample_fraction};
 use super::table::{Entry, Table};
@@ -300,6 +301,36 @@
         self.with_entry(key, |entry| entry.state.lock().health.mark_alive(since));
     }
 
+    /// Records that the target answered a request.
+    pub(crate) fn record_answer(&self, key: TargetKey, now: Instant) {
+        self.with_entry(key, |entry| {
+            entry.state.lock().health.outcomes.record_answer(now);
+        });
+    }
+
+    /// Records that the target failed a request. Returns whether it is ejected by it: unless all
+    /// others are worse, it gets no requests for a time. At most half of the targets of a service
+    /// are, as a cause that they share is none of theirs.
+    pub(crate) fn record_failure(&self, key: TargetKey, now: Instant) -> bool {
+        let table = self.table();
+        let Some(entry) = table.entry(key) else {
+            return false;
+        };
+        let target = &entry.target;
+        let pool = table.pool(&target.service, &target.version);
+        let members = pool.map_or(&[][..], |p| &p.members);
+        let is_ejected = |key: &&TargetKey| {
+            table.entry(**key).is_some_and(|e| {
+                let standing = e.state.lock().health.outcomes.standing(now);
+                standing != Standing::Included
+            })
+        };
+        let ejected = members.iter().filter(is_ejected).count();
+        let may_eject = 2 * (ejected + 1) <= members.len();
+        let mut state = entry.state.lock();
+        state.health.outcomes.record_failure(may_eject, now)
+    }
+
     /// Time since the target last showed life to this instance or a peer.
     pub fn alive_age(&self, key: TargetKey, now: Instant) -> Option<Duration> {
         let entry = self.table().entry(key).cloned()?;
