Read priorities of routes and accounts, and tell them to engines

Cause: the configuration gives routes and client accounts a `priority`, and engines admit by `X-Request-Urgency`, but nothing read the one or sent the other. A caller's own header is stripped, as before.

Change: routes hold a priority of 0 to 9 (5 if there is none), accounts may hold one that overrides it. A missing or null value is not reported. Requests keep the priority that they were accepted with.

--- a/src/relay/call/exchange.rs
+++ b/src/relay/call/exchange.rs
@@ -47,11 +47,13 @@
         let request = self.request;
         let dialect = &self.relay.dialect;
         let name = lease.name();
+        let rules = self.relay.rules();
         let attempt = AttemptHead {
             id: &request.ask.id,
             time_left: Some(request.left(Instant::now())),
             target: &name,
             account: request.account.as_deref(),
+            urgency: request.urgency(rules.as_deref()),
             last_event: None,
             backup: None,
             resume_from: None,
--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -12,8 +12,9 @@
 
 use super::body_memory::Reservation;
 use super::dialect::{AttemptHead, Dialect, RequestHead};
+use super::priority::Priority;
 use super::record::FailedAttempt;
-use super::rules::Route;
+use super::rules::{Route, Rules};
 use crate::ident::digest;
 use crate::quarantine::{PARTS_MAX, PartKey};
 
@@ -37,6 +38,10 @@
     /// Parts of the request that may crash a target: the shared ones of its prompt, and the request
     /// as a whole.
     pub(crate) suspect_parts: Vec<PartKey>,
+    /// Priority by the rules that were applied.
+    pub(crate) priority: Priority,
+    /// Whether those rules give the service's requests different priorities.
+    pub(crate) is_ranked: bool,
     /// Version of the rules that were applied.
     pub(crate) rules: u64,
     pub(crate) arrived: Instant,
@@ -50,6 +55,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Priority that an engine is told. Older requests keep theirs while `rules`, those in force
+    /// now, or the rules that were applied give the service's requests different ones.
+    pub(crate) fn urgency(&self, rules: Option<&Rules>) -> Option<Priority> {
+        let is_ranked = self.is_ranked || rules.is_some_and(|r| r.is_ranked(&self.service));
+        is_ranked.then_some(self.priority)
+    }
+
     /// Tokens that a stream generates at most.
     pub(crate) fn output_tokens(&self) -> u32 {
         match self.ask.output_tokens {
--- a/src/relay/dialect.rs
+++ b/src/relay/dialect.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use super::limits::Rate;
+use super::priority::Priority;
 use super::progress::EngineReport;
 
 /// Head of a caller's request.
@@ -59,6 +60,8 @@
     pub target: &'a str,
     /// Client account.
     pub account: Option<&'a str>,
+    /// Urgency at an engine; `None` if all requests of its service have the same.
+    pub urgency: Option<Priority>,
     /// Event after which the stream resumes.
     pub last_event: Option<u64>,
     /// Engine that is to hold a copy of the run's KV cache.
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -22,9 +22,10 @@
 use super::call::FinalReply;
 use super::caller_request::CallerRequest;
 use super::local_reply::{LocalReply, retry_after};
+use super::priority::effective;
 use super::record::Outcome;
 use super::relay::Relay;
-use super::rules::{Kind, Rules, host_key};
+use super::rules::{Account, Kind, Rules, host_key};
 use super::shutdown::SHUTTING_DOWN;
 use super::{call, stream};
 use crate::caller::{OpenRequest, close_on_drain};
@@ -237,13 +238,15 @@
     Ok(CallerRequest {
         deadline: arrived + caller_timeout.min(route.timeout),
         rules: rules.version,
+        priority: effective(&route, account),
+        is_ranked: rules.is_ranked(&service),
         method: head.method,
         ask,
         path,
         headers,
         body,
         _memory: memory,
-        account,
+        account: account.map(|a| a.name.clone()),
         route,
         service,
         suspect_parts: Vec::new(),
@@ -259,11 +262,15 @@
     host_key(head.uri.host().or(header).unwrap_or_default())
 }
 
-fn account(rules: &Rules, open: bool, key: Option<&str>) -> Result<Option<SmolStr>, LocalReply> {
+fn account<'a>(
+    rules: &'a Rules,
+    open: bool,
+    key: Option<&str>,
+) -> Result<Option<&'a Account>, LocalReply> {
     let Some(accounts) = &rules.accounts else {
         return Ok(None);
     };
-    let account = key.and_then(|k| accounts.get(k)).cloned();
+    let account = key.and_then(|k| accounts.get(k));
     match account {
         None if !open => Err(LocalReply::reject(StatusCode::UNAUTHORIZED, "unknown key")),
         account => Ok(account),
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -252,6 +252,8 @@
     pub(crate) fn put_rules(&self, rules: Rules, value: &Value, source: &str) -> bool {
         let version = rules.version;
         let routes = rules.routes().count();
+        let ignored = rules.ignored.len();
+        let first = rules.ignored.first().cloned().unwrap_or_default();
         let is_newer = self.catalog.lock().apply_rules(rules);
         if is_newer {
             *self.rules_text.lock() = Some(value.to_string().into());
@@ -259,6 +261,10 @@
             info!(self.decisions.log, "rules: in force";
                 "version" => version, "routes" => routes, "from" => source);
         }
+        if is_newer && ignored > 0 {
+            warn!(self.decisions.log, "rules: values ignored";
+                "version" => version, "count" => ignored, "first" => first);
+        }
         is_newer
     }
 
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 
+use super::priority::Priority;
 use crate::routing::Work;
 
 /// Average rate limit: ten lines for each request of the usual load.
@@ -59,6 +60,7 @@
     pub(crate) from: &'a str,
     /// Event after which it resumes.
     pub(crate) last: u64,
+    pub(crate) priority: Priority,
     pub(crate) work: Work,
 }
 
@@ -137,6 +139,7 @@
         info!(self.log, "stream: placed";
             "id" => placed.id, "target" => placed.target, "backup" => placed.backup,
             "from" => placed.from, "last" => placed.last,
+            "priority" => placed.priority.level(),
             "queued" => placed.work.prompt, "runs" => placed.work.runs,
             "memory" => placed.work.memory, "left_out" => suppressed);
     }
--- a/src/relay/rules.rs
+++ b/src/relay/rules.rs
@@ -3,9 +3,11 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
+use super::priority::{Priority, are_distinct};
+
 /// How often the requests of a route may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -58,6 +60,8 @@
     pub shares: Vec<TrafficShare>,
     /// Whether requests need no key.
     pub public: bool,
+    /// Urgency of its requests, unless their account has one.
+    pub priority: Priority,
 }
 
 impl Route {
@@ -94,6 +98,15 @@
     pub engine: Option<Engine>,
 }
 
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Name.
+    pub name: SmolStr,
+    /// Urgency of its requests; `None` if that of their routes applies.
+    pub priority: Option<Priority>,
+}
+
 /// Limits on the requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -125,8 +138,13 @@
     /// Limits on requests.
     pub limits: Limits,
     /// Accounts by key; `None` if no keys are required.
-    pub accounts: Option<IndexMap<SmolStr, SmolStr>>,
+    pub accounts: Option<IndexMap<SmolStr, Account>>,
+    /// Values of the configuration that are not usable and for which a default applies, each with
+    /// where it stands.
+    pub ignored: Vec<String>,
     hosts: IndexMap<SmolStr, Vec<Route>>,
+    /// Services with engines whose requests can have different priorities.
+    ranked: IndexSet<SmolStr>,
 }
 
 impl Rules {
@@ -137,8 +155,9 @@
         routes: Vec<Route>,
         services: IndexMap<SmolStr, Service>,
         limits: Limits,
-        accounts: Option<IndexMap<SmolStr, SmolStr>>,
+        accounts: Option<IndexMap<SmolStr, Account>>,
     ) -> Self {
+        let ranked = ranked_services(&routes, &services, accounts.as_ref());
         let mut hosts: IndexMap<SmolStr, Vec<Route>> = IndexMap::new();
         for route in routes {
             hosts.entry(host_key(&route.host)).or_default().push(route);
@@ -151,7 +170,9 @@
             services,
             limits,
             accounts,
+            ignored: Vec::new(),
             hosts,
+            ranked,
         }
     }
 
@@ -170,8 +191,29 @@
         engines.next().is_some_and(|(name, _)| name == service) && engines.next().is_none()
     }
 
+    /// Whether `service` has engines and its requests can have different priorities.
+    #[must_use]
+    pub fn is_ranked(&self, service: &str) -> bool {
+        self.ranked.contains(service)
+    }
+
     /// Iterates over all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.hosts.values().flatten()
     }
 }
+
+fn ranked_services(
+    routes: &[Route],
+    services: &IndexMap<SmolStr, Service>,
+    accounts: Option<&IndexMap<SmolStr, Account>>,
+) -> IndexSet<SmolStr> {
+    let priorities: Option<IndexSet<_>> =
+        accounts.map(|accounts| accounts.values().map(|a| a.priority).collect());
+    let engines = services.iter().filter(|(_, s)| s.engine.is_some());
+    let ranked = engines.map(|(name, _)| name).filter(|name| {
+        let uses = |r: &&Route| r.shares.iter().any(|s| s.service == **name);
+        are_distinct(routes.iter().filter(uses), priorities.as_ref())
+    });
+    ranked.cloned().collect()
+}
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -161,6 +161,7 @@
             backup: &backup.unwrap_or_default(),
             from: if from_copy { "copy" } else { "prompt" },
             last: self.last_id.unwrap_or_default(),
+            priority: self.request.priority,
             work: self.relay.router.work(lease.key, now),
         });
     }
@@ -280,11 +281,13 @@
         }
         let now = Instant::now();
         let name = lease.name();
+        let rules = self.relay.rules();
         let attempt = AttemptHead {
             id: &self.request.ask.id,
             time_left: Some(self.request.left(now)),
             target: &name,
             account: self.request.account.as_deref(),
+            urgency: self.request.urgency(rules.as_deref()),
             last_event: self.last_id,
             backup: self.backup.as_ref().map(|c| c.lease.addr),
             resume_from: copied.as_ref(),
--- a/src/relay/tests/rules.rs
+++ b/src/relay/tests/rules.rs
@@ -2,7 +2,8 @@
 
 use indexmap::IndexMap;
 
-use crate::relay::rules::{Engine, Kind, Limits, Route, Rules, Service, TrafficShare};
+use crate::relay::priority::{Priority, effective};
+use crate::relay::rules::{Account, Engine, Kind, Limits, Route, Rules, Service, TrafficShare};
 
 fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, f64)]) -> Route {
     let share = |(service, weight): &(&str, f64)| TrafficShare {
@@ -19,6 +20,7 @@
         max_attempts: 2,
         shares: shares.iter().map(share).collect(),
         public: false,
+        priority: Priority::default(),
     }
 }
 
@@ -41,6 +43,17 @@
     Rules::new(1, routes, services, limits, None)
 }
 
+fn level(level: u8) -> Priority {
+    Priority::new(level).unwrap()
+}
+
+fn account(priority: Option<u8>) -> Account {
+    Account {
+        name: "a".into(),
+        priority: priority.map(level),
+    }
+}
+
 #[test]
 fn longest_prefix_of_the_host_wins() {
     let routes = vec![
@@ -83,3 +96,69 @@
     assert!(!rules(Vec::new(), &["llm", "chat"]).is_sole_engine("llm"));
     assert!(!rules(Vec::new(), &["llm"]).is_sole_engine("app"));
 }
+
+#[test]
+fn priority_of_the_account_overrides_that_of_the_route() {
+    let route = Route {
+        priority: level(2),
+        ..route("r", "h", "/", &[])
+    };
+
+    assert_eq!(effective(&route, None), level(2));
+    assert_eq!(effective(&route, Some(&account(None))), level(2));
+    assert_eq!(effective(&route, Some(&account(Some(0)))), level(0));
+    assert_eq!(effective(&route, Some(&account(Some(9)))), level(9));
+}
+
+/// An engine that is told a priority where there is only one would treat the requests of instances
+/// with older rules differently.
+#[test]
+fn service_is_ranked_only_by_different_priorities_of_requests_to_its_engines() {
+    type Accounts<'a> = Option<&'a [Option<u8>]>;
+    // Service, priority and whether keys are optional, by route.
+    type Routes<'a> = &'a [(&'a str, u8, bool)];
+    let cases: [(Routes<'_>, Accounts<'_>, bool); 12] = [
+        (&[], None, false),
+        (&[("llm", 1, false)], None, false),
+        (&[("llm", 1, false), ("llm", 1, false)], None, false),
+        (&[("llm", 1, false), ("llm", 2, false)], None, true),
+        (&[("llm", 1, false), ("app", 2, false)], None, false),
+        (&[("llm", 1, false), ("chat", 2, false)], None, false),
+        (&[("llm", 1, false), ("llm", 2, false)], Some(&[]), false),
+        (
+            &[("llm", 1, false), ("llm", 2, false)],
+            Some(&[Some(3)]),
+            false,
+        ),
+        (
+            &[("llm", 1, false), ("llm", 2, false)],
+            Some(&[Some(3), None]),
+            true,
+        ),
+        (&[("llm", 1, false)], Some(&[Some(3), None]), true),
+        (&[("llm", 1, false)], Some(&[Some(1), None]), false),
+        (&[("llm", 1, true)], Some(&[Some(3)]), true),
+    ];
+    for (routes, priorities, expected) in cases {
+        let built = routes.iter().map(|(service, priority, public)| Route {
+            priority: level(*priority),
+            public: *public,
+            ..route("r", "h", "/", &[(*service, 1.0)])
+        });
+        let accounts = priorities.map(|all| {
+            let keyed = all.iter().enumerate();
+            let keyed = keyed.map(|(n, p)| (n.to_string().into(), account(*p)));
+            keyed.collect()
+        });
+        let base = rules(Vec::new(), &["llm", "chat"]);
+
+        let rules = Rules::new(1, built.collect(), base.services, base.limits, accounts);
+
+        assert_eq!(
+            rules.is_ranked("llm"),
+            expected,
+            "{routes:?} {priorities:?}"
+        );
+        assert!(!rules.is_ranked("app"), "{routes:?} {priorities:?}");
+    }
+}
