Place waiting requests by priority, without starving any

Cause: requests that waited for a target at its limit or in a quiet were placed in their order of arrival. Kinds with a long objective filled the line up to their own patience, and urgent kinds with a shorter one were refused.

Change: a line's order is state of its own (WaitOrder), without I/O. More urgent requests go first, equal ones in their order of arrival. A priority of which less than 0.4 of the share of all is placed is owed the next turns, by outcomes of about the last ten seconds. A stream that has begun rises by a level each second. A request is refused by what is before it only; the last in line looks again when another enters before it. `Retry-After` counts callers that are at least as urgent. With one priority the order is as before. `endivefork_placements_total` counts by priority and result.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -26,7 +26,7 @@
 use super::local_reply::{LocalReply, retry_after};
 use super::placing::{Patience, PlaceError};
 use super::quarantine::{LostRun, RunStage};
-use super::record::{FailedAttempt, count_abandoned};
+use super::record::{FailedAttempt, count_abandoned, count_placement};
 use super::relay::{Relay, TargetCriteria};
 use super::rules::Kind;
 use super::shutdown::SHUTTING_DOWN;
@@ -240,6 +240,7 @@
 
     /// Starts an attempt.
     fn begin(&mut self, lease: Lease, trial: bool) -> impl Future<Output = Ended> + use<'a> {
+        count_placement(self.request.priority, "placed");
         self.target = lease.name();
         self.is_reused = Arc::default();
         let exchange = Exchange {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -55,6 +55,7 @@
 mod successor;
 #[cfg(test)]
 mod tests;
+mod wait_order;
 
 pub use catalog::{Registration, TargetInfo};
 pub use dialect::{AttemptHead, CopyRef, Dialect, Notice, QuietTime, RequestHead, ResponseHead};
--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -1,17 +1,21 @@
 //! Places requests at targets that may get them: those without a limit, and those for which this
 //! instance has a permit. When all are at their limits or want no requests for a time, requests wait
-//! in line or are refused.
+//! in line, in the order of [`WaitOrder`], or are refused.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::caller_request::CallerRequest;
 use super::permits::ASK_TIMEOUT;
+use super::priority::Priority;
+use super::record::count_placement;
 use super::relay::{Relay, TargetCriteria};
+use super::wait_order::{WaitOrder, Waiting};
 use crate::ident::TargetKey;
 use crate::routing::{Lease, ProbeTarget, RETURN_INTERVAL};
 
@@ -20,12 +24,14 @@
 const RETURN_MAX: Duration = Duration::from_secs(10);
 
 /// How long a request may still wait for a target that takes requests again, in all its waits
-/// together.
+/// together, and how urgent it is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
     rest: Duration,
     /// Deadline of the request.
     deadline: Instant,
+    priority: Priority,
+    has_begun: bool,
 }
 
 impl Patience {
@@ -34,6 +40,8 @@
         Self {
             rest: request.route.latency_objective,
             deadline: request.deadline,
+            priority: request.priority,
+            has_begun: false,
         }
     }
 
@@ -41,7 +49,8 @@
     pub(crate) fn of_begun(request: &CallerRequest) -> Self {
         Self {
             rest: Duration::MAX,
-            deadline: request.deadline,
+            has_begun: true,
+            ..Self::of(request)
         }
     }
 
@@ -55,6 +64,15 @@
         self.rest.min(self.left(now) / 2)
     }
 
+    /// The request as it begins to wait.
+    fn waiting(&self, now: Instant) -> Waiting {
+        Waiting {
+            priority: self.priority,
+            since: now.into_std(),
+            has_begun: self.has_begun,
+        }
+    }
+
     fn spend(&mut self, time: Duration) {
         self.rest = self.rest.saturating_sub(time);
     }
@@ -85,49 +103,95 @@
     AtLimit(Duration),
 }
 
-/// Requests to one service that wait for a permit or for a target to return, in their order of
-/// arrival.
+/// Requests to one service that wait for a permit or for a target to return.
 #[derive(Debug, Default)]
 pub(crate) struct WaitLine {
-    head: tokio::sync::Mutex<()>,
-    waiting: AtomicUsize,
-    /// When the callers that were refused are to return.
-    returns: parking_lot::Mutex<VecDeque<Instant>>,
+    order: Mutex<WaitOrder>,
+    /// Wakes each request that waits, by its number.
+    wakes: Mutex<IndexMap<u64, Arc<Notify>>>,
+    /// When the callers that were refused are to return, and the priorities of their requests.
+    returns: Mutex<Vec<(Instant, Priority)>>,
 }
 
 /// A place in a [`WaitLine`].
-struct Place<'a>(&'a WaitLine);
+struct Place<'a> {
+    line: &'a WaitLine,
+    number: u64,
+    wake: Arc<Notify>,
+    is_placed: bool,
+}
 
 impl<'a> Place<'a> {
-    fn enter(line: &'a WaitLine) -> Self {
-        line.waiting.fetch_add(1, Ordering::Relaxed);
-        Self(line)
+    fn enter(line: &'a WaitLine, request: Waiting) -> Self {
+        let number = line.order.lock().enter(request);
+        let wake = Arc::new(Notify::new());
+        line.wakes.lock().insert(number, Arc::clone(&wake));
+        // The last one may have no chance any more behind this one.
+        let last = line.order.lock().last(Instant::now().into_std());
+        line.wake(last.filter(|last| *last != number));
+        Self {
+            line,
+            number,
+            wake,
+            is_placed: false,
+        }
+    }
+
+    /// Whether it is this request's turn. If it is another's, that one is woken.
+    fn is_first(&self) -> bool {
+        let first = self.line.order.lock().first(Instant::now().into_std());
+        let is_first = first == Some(self.number);
+        self.line.wake(first.filter(|_| !is_first));
+        is_first
+    }
+
+    fn ahead(&self) -> usize {
+        let order = self.line.order.lock();
+        order.ahead_of(self.number, Instant::now().into_std())
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+        let now = Instant::now().into_std();
+        self.line.wakes.lock().swap_remove(&self.number);
+        let first = {
+            let mut order = self.line.order.lock();
+            order.leave(self.number, self.is_placed, now);
+            order.first(now)
+        };
+        self.line.wake(first);
     }
 }
 
 impl WaitLine {
     fn len(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
+        self.order.lock().len()
+    }
+
+    /// Number of requests before one that would arrive now.
+    fn ahead(&self, request: &Waiting) -> usize {
+        self.order.lock().ahead(request, request.since)
+    }
+
+    fn wake(&self, number: Option<u64>) {
+        let wakes = self.wakes.lock();
+        if let Some(wake) = number.and_then(|n| wakes.get(&n)) {
+            wake.notify_one();
+        }
     }
 
     /// Time after which a refused caller is to return. `expected` is the expected wait behind a
-    /// number of requests; those that are to return before it are ahead of this one. A caller whose
-    /// `left` time is over by then does not return.
-    fn return_after(&self, left: Duration, expected: impl Fn(usize) -> Duration) -> Duration {
+    /// number of requests; those as urgent that are to return before it are ahead of this one. A
+    /// caller whose time is over by then does not return.
+    fn return_after(&self, patience: Patience, expected: impl Fn(usize) -> Duration) -> Duration {
         let now = Instant::now();
         let mut returns = self.returns.lock();
-        while returns.front().is_some_and(|at| *at <= now) {
-            returns.pop_front();
-        }
-        let wait = expected(self.len() + returns.len());
-        if wait < left.min(RETURN_MAX) {
-            returns.push_back(now + wait);
+        returns.retain(|(at, _)| *at > now);
+        let before = returns.iter().filter(|(_, p)| *p <= patience.priority);
+        let wait = expected(self.ahead(&patience.waiting(now)) + before.count());
+        if wait < patience.left(now).min(RETURN_MAX) {
+            returns.push((now + wait, patience.priority));
         }
         // Behind nobody, the wait depends on no other caller.
         wait.min(RETURN_MAX.max(expected(0)))
@@ -205,18 +269,30 @@
         let wait = patience.wait(now);
         let deadline = now + wait;
         let line = self.wait_line(wanted.service);
-        if self.expected_wait(&later, line.len()) > wait {
+        let waiting = patience.waiting(now);
+        if self.expected_wait(&later, line.ahead(&waiting)) > wait {
+            let mut order = line.order.lock();
+            order.record(patience.priority, false, waiting.since);
+            drop(order);
             return Err(self.refuse(&line, &later, patience));
         }
-        let _place = Place::enter(&line);
-        let Ok(_head) = timeout_at(deadline, line.head.lock()).await else {
-            return Err(self.refuse(&line, &later, patience));
-        };
+        let mut place = Place::enter(&line, waiting);
         loop {
+            if !place.is_first() {
+                let is_woken = timeout_at(deadline, place.wake.notified()).await.is_ok();
+                let later = self.later_targets(wanted);
+                let left = deadline.saturating_duration_since(Instant::now());
+                let stays = patience.has_begun || self.may_be_placed(&place, &later, left);
+                if !is_woken || !stays {
+                    return Err(self.refuse(&line, &later, patience));
+                }
+                continue;
+            }
             let changed = self.permits_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
             if let Some(lease) = self.choose_permitted(wanted) {
+                place.is_placed = true;
                 return Ok(lease);
             }
             let later = self.later_targets(wanted);
@@ -230,6 +306,13 @@
         }
     }
 
+    /// Whether the turn of a request that waits is expected within the time that it has left. More
+    /// urgent ones that came after it may have taken it.
+    fn may_be_placed(&self, place: &Place<'_>, later: &LaterTargets, left: Duration) -> bool {
+        let ahead = place.ahead();
+        ahead == 0 || later.is_empty() || self.expected_wait(later, ahead) <= left
+    }
+
     /// Waits until a request may be sent to a given target. `false` if there is no permit within
     /// the time of one ask, or if the target wants no requests.
     pub(crate) async fn permit(self: &Arc<Self>, key: TargetKey) -> bool {
@@ -288,8 +371,8 @@
 
     fn refuse(&self, line: &WaitLine, later: &LaterTargets, patience: Patience) -> PlaceError {
         metrics::counter!("endivefork_limit_refusals_total").increment(1);
-        let left = patience.left(Instant::now());
-        PlaceError::AtLimit(line.return_after(left, |ahead| self.expected_wait(later, ahead)))
+        count_placement(patience.priority, "refused");
+        PlaceError::AtLimit(line.return_after(patience, |ahead| self.expected_wait(later, ahead)))
     }
 
     /// Time after which a request that was refused may be placed; `None` if a target takes requests
@@ -302,8 +385,8 @@
         let later = self.later_targets(wanted);
         let is_later = !later.is_empty() && self.preferred(wanted).is_none();
         let line = self.wait_line(wanted.service);
-        let left = request.left(Instant::now());
-        is_later.then(|| line.return_after(left, |ahead| self.expected_wait(&later, ahead)))
+        let patience = Patience::of(request);
+        is_later.then(|| line.return_after(patience, |ahead| self.expected_wait(&later, ahead)))
     }
 
     fn expected_wait(&self, later: &LaterTargets, ahead: usize) -> Duration {
--- a/src/relay/priority.rs
+++ b/src/relay/priority.rs
@@ -4,8 +4,8 @@
 
 use super::rules::{Account, Route};
 
-/// Least urgent level.
-const LEVEL_MAX: u8 = 9;
+/// Number of levels.
+pub(crate) const LEVEL_COUNT: usize = 10;
 
 /// Urgency of a request. 0 is served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,7 +15,7 @@
     /// The priority of a level in `0..=9`.
     #[must_use]
     pub fn new(level: u8) -> Option<Self> {
-        (level <= LEVEL_MAX).then_some(Self(level))
+        (usize::from(level) < LEVEL_COUNT).then_some(Self(level))
     }
 
     /// Level in `0..=9`.
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -181,6 +181,15 @@
     }
 }
 
+/// Counts a request that was placed at a target, or refused because none takes it in time.
+pub(crate) fn count_placement(priority: Priority, result: &'static str) {
+    metrics::counter!(
+        "endivefork_placements_total",
+        "priority" => priority.level().to_string(), "result" => result
+    )
+    .increment(1);
+}
+
 /// Counts a run that was given up at a target that no probe found dead.
 pub(crate) fn count_abandoned(reason: &'static str) {
     metrics::counter!("endivefork_runs_abandoned_total", "reason" => reason).increment(1);
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -23,7 +23,7 @@
 use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
 use crate::relay::placing::{Patience, PlaceError};
-use crate::relay::record::Placement;
+use crate::relay::record::{Placement, count_placement};
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::shutdown::SHUTTING_DOWN;
 use crate::relay::stall::{Loss, StallDetector};
@@ -153,6 +153,7 @@
     }
 
     fn log_placement(&self, lease: &Lease, from_copy: bool) {
+        count_placement(self.request.priority, "placed");
         let backup = self.backup.as_ref().map(|c| c.lease.name());
         let now = std::time::Instant::now();
         self.relay.decisions.placed(&Placement {
