Judge removals of targets by the failed reads of their reader

Cause: while the store rejects one failure domain, its instances learn of removals from another domain, 1 to 2 s late. They took their own failed reads for an outage of the store and kept removed targets for another 2.5 s, up to 4.2 s after the store's acknowledgement (4.8 s when the store does not respond at all).

Change: a forwarded update and a full copy carry the last failed read of the instance that sends them only if it is its own, and a removal is deferred by the failures of the instance that read it. A copy also names the removed targets that its sender still uses, so that a copy of a copy is judged alike, and how long the sender has known targets: one that has just started can't tell whether there was an outage. An instance that reads a removal after failures of its own asks the other failure domains, and drops the target when one of them is sure. A watch from before a copy no longer restores a target that the copy lacks. A late instance fetches only from peers that are ahead; before, the second's lag could begin anew after a fetch from a peer that was behind itself.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -69,6 +69,36 @@
     pub(crate) info: Option<TargetInfo>,
 }
 
+/// All registrations known to one instance, for another one.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct TargetsCopy {
+    /// Platform revision up to which the list is complete, and the highest revision in it.
+    pub(crate) revs: (u64, u64),
+    pub(crate) list: Vec<Registration>,
+    /// Names of removed targets that the sender still uses, and for how long.
+    pub(crate) kept: Vec<(SmolStr, Duration)>,
+    /// Time since the last failed read of the sender.
+    pub(crate) outage: Option<Duration>,
+    /// Time for which the sender has known targets.
+    pub(crate) known: Duration,
+}
+
+impl TargetsCopy {
+    /// Whether a target that the copy lacks was removed while the platform served the sender, or
+    /// its time after an outage is over. A sender that has known targets for a shorter time may
+    /// have missed an outage.
+    fn is_conclusive(&self) -> bool {
+        self.known >= OUTAGE_GRACE
+    }
+}
+
+/// Until when a removed target is used, if the reader of the removal last failed to read at
+/// `outage`.
+fn grace(outage: Option<Instant>, now: Instant) -> Option<Instant> {
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < OUTAGE_GRACE;
+    outage.is_some_and(is_recent).then(|| now + OUTAGE_GRACE)
+}
+
 #[derive(Debug)]
 struct KeyEntry {
     incarnation: u64,
@@ -90,7 +120,12 @@
     /// Highest platform revision among the known registrations and removals. Unlike
     /// [`Self::as_of`], it does not advance when other objects are written.
     newest: Option<u64>,
+    /// Last failed read of this instance.
     outage: Option<Instant>,
+    /// Last failed read of a peer that forwarded what it read.
+    peer_outage: Option<Instant>,
+    /// When targets became known.
+    known: Option<Instant>,
 }
 
 impl Catalog {
@@ -128,13 +163,30 @@
         self.outage = self.outage.max(Some(now));
     }
 
-    /// When a read of the platform last failed.
+    /// Records a peer's last failed read.
+    pub(crate) fn record_peer_outage(&mut self, at: Option<Instant>) {
+        self.peer_outage = self.peer_outage.max(at);
+    }
+
+    /// When a read of the platform by this instance last failed.
     pub(crate) fn last_outage(&self) -> Option<Instant> {
         self.outage
     }
 
-    /// Replaces all registrations by a list read at revision `as_of`.
+    /// Replaces all registrations by a list that this instance read at revision `as_of`.
     pub(crate) fn apply_list(&mut self, as_of: u64, list: Vec<Registration>, now: Instant) {
+        let until = grace(self.outage, now);
+        self.replace(as_of, list, |_| until, now);
+    }
+
+    /// Replaces all registrations; `until` tells how long one that the list lacks is still used.
+    fn replace(
+        &mut self,
+        as_of: u64,
+        list: Vec<Registration>,
+        until: impl Fn(&str) -> Option<Instant>,
+        now: Instant,
+    ) {
         if self.as_of.is_some_and(|known| known > as_of) {
             return;
         }
@@ -145,43 +197,85 @@
         }
         // The list does not tell the revisions of removals.
         let removed = (!old.is_empty()).then_some(as_of);
-        for (_, registration) in old {
-            self.lapse(registration, now);
+        for (name, registration) in old {
+            self.lapse(registration, until(&name), now);
         }
         self.as_of = Some(as_of);
+        self.known.get_or_insert(now);
         let newest = self.targets.values().map(|r| r.rev).max();
         self.newest = self.newest.max(newest).max(removed).max(Some(0));
     }
 
-    /// Applies a peer's full list of registrations, read at revision `as_of`; `newest` is the
-    /// highest revision in it.
-    pub(crate) fn apply_copy(
-        &mut self,
-        (as_of, newest): (u64, u64),
-        list: Vec<Registration>,
-        now: Instant,
-    ) {
+    /// Applies a peer's full list of registrations. The removals that it shows were judged by the
+    /// instance that read them: failed reads of this one do not mean that the platform was down.
+    /// Returns the names of the targets whose grace period here is ended by the copy.
+    pub(crate) fn apply_copy(&mut self, copy: TargetsCopy, now: Instant) -> Vec<SmolStr> {
+        let at = copy.outage.and_then(|outage| now.checked_sub(outage));
+        self.record_peer_outage(at);
+        let settled = self.settle(&copy);
+        let (as_of, newest) = copy.revs;
         // Targets known here up to a later revision include the peer's.
         if self.as_of < Some(as_of) {
-            self.apply_list(as_of, list, now);
+            let unknown = match copy.is_conclusive() {
+                true => None,
+                false => grace(self.outage.max(at), now),
+            };
+            let kept: IndexMap<_, _> = copy.kept.into_iter().collect();
+            let until = |name: &str| kept.get(name).map(|left| now + *left).or(unknown);
+            self.replace(as_of, copy.list, until, now);
         }
         self.newest = self.newest.max(Some(newest));
+        settled
+    }
+
+    /// Ends the grace period of targets whose removal is final at the sender of a copy.
+    fn settle(&mut self, copy: &TargetsCopy) -> Vec<SmolStr> {
+        let listed = copy.list.iter().map(|r| &r.info.name);
+        let used: IndexSet<_> = listed.chain(copy.kept.iter().map(|(n, _)| n)).collect();
+        let is_final =
+            |name: &SmolStr, r: &Registration| r.rev <= copy.revs.0 && !used.contains(name);
+        let lapsed = self.lapsed.iter();
+        let settled = lapsed.filter(|(name, (r, _))| copy.is_conclusive() && is_final(name, r));
+        let settled: Vec<_> = settled.map(|(name, _)| name.clone()).collect();
+        self.lapsed.retain(|name, _| !settled.contains(name));
+        settled
+    }
+
+    /// Whether removed targets are in use for a grace period.
+    pub(crate) fn has_lapsed(&self) -> bool {
+        !self.lapsed.is_empty()
     }
 
     /// Applies the changes up to revision `as_of`, in order. Some may have been applied before: the
-    /// last change of a target decides.
-    pub(crate) fn apply_changes(&mut self, as_of: u64, changes: &[Change], now: Instant) {
+    /// last change of a target decides. `outage` is the last failed read of the instance that read
+    /// them.
+    pub(crate) fn apply_changes(
+        &mut self,
+        as_of: u64,
+        changes: &[Change],
+        outage: Option<Instant>,
+        now: Instant,
+    ) {
+        let removed = changes.iter().filter(|c| c.info.is_none());
+        for change in removed.filter(|_| grace(outage, now).is_none()) {
+            let is_older = |(r, _): &(Registration, Instant)| r.rev <= change.rev;
+            if self.lapsed.get(&change.name).is_some_and(is_older) {
+                self.lapsed.swap_remove(&change.name);
+            }
+        }
         if self.as_of >= Some(as_of) {
             return;
         }
         for change in changes {
             self.newest = self.newest.max(Some(change.rev));
             match &change.info {
+                // Known, or removed since: the target would be used again until the removal.
+                Some(_) if self.as_of >= Some(change.rev) => {}
                 Some(info) => self.put(Registration {
                     rev: change.rev,
                     info: info.clone(),
                 }),
-                None => self.remove(&change.name, now),
+                None => self.remove(&change.name, outage, now),
             }
         }
         self.as_of = Some(as_of);
@@ -201,20 +295,20 @@
         }
     }
 
-    /// Removes a registration.
-    pub(crate) fn remove(&mut self, name: &str, now: Instant) {
+    /// Removes a registration; `outage` is the last failed read of the instance that read the
+    /// removal.
+    pub(crate) fn remove(&mut self, name: &str, outage: Option<Instant>, now: Instant) {
         if let Some(registration) = self.targets.swap_remove(name) {
-            self.lapse(registration, now);
+            self.lapse(registration, grace(outage, now), now);
         }
     }
 
-    fn lapse(&mut self, registration: Registration, now: Instant) {
+    fn lapse(&mut self, registration: Registration, until: Option<Instant>, now: Instant) {
         // Records the incarnation, even if the target was added and removed in one batch.
         self.key(&registration.info, now);
-        let is_recent = |outage: Instant| now.saturating_duration_since(outage) < OUTAGE_GRACE;
-        if self.outage.is_some_and(is_recent) {
+        if let Some(until) = until {
             let name = registration.info.name.clone();
-            self.lapsed.insert(name, (registration, now + OUTAGE_GRACE));
+            self.lapsed.insert(name, (registration, until));
         }
     }
 
@@ -246,9 +340,18 @@
         self.unregistered = unregistered;
     }
 
-    /// All registrations, for a peer.
-    pub(crate) fn registrations(&self) -> Vec<Registration> {
-        self.targets.values().cloned().collect()
+    /// All registrations, for a peer; `None` when none were read.
+    pub(crate) fn copy(&self, now: Instant) -> Option<TargetsCopy> {
+        let left = |until: &Instant| until.saturating_duration_since(now);
+        let kept = self.lapsed.iter().map(|(n, (_, u))| (n.clone(), left(u)));
+        let since = |at: Instant| now.saturating_duration_since(at);
+        Some(TargetsCopy {
+            revs: self.as_of.zip(self.newest)?,
+            list: self.targets.values().cloned().collect(),
+            kept: kept.filter(|(_, left)| !left.is_zero()).collect(),
+            outage: self.outage.map(since),
+            known: self.known.map_or(Duration::ZERO, since),
+        })
     }
 
     /// Whether a target is in use whose time without a registration is over.
@@ -263,7 +366,8 @@
 
     /// Whether a target that was found at `since` still has time to register.
     fn may_register(&self, since: Instant, now: Instant) -> bool {
-        let since = self.outage.map_or(since, |outage| outage.max(since));
+        let outage = self.outage.max(self.peer_outage);
+        let since = outage.map_or(since, |outage| outage.max(since));
         now.saturating_duration_since(since) < REGISTRATION_TIMEOUT
     }
 
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -141,7 +141,8 @@
     ) {
         let own = self.held_revisions();
         let mut behind = self.newer_peer.lock();
-        match remote.targets > own.targets {
+        let is_ahead = remote.targets > own.targets;
+        match is_ahead {
             true => {
                 behind.get_or_insert((from.clone(), now));
             }
@@ -156,7 +157,8 @@
             FOLLOWER_LAG_MAX
         };
         let is_late = |at: &Instant| now.saturating_duration_since(*at) > lag_max;
-        let is_lagging = behind.as_ref().is_some_and(|(_, at)| is_late(at));
+        // A peer that is behind itself has nothing to fetch.
+        let is_lagging = is_ahead && behind.as_ref().is_some_and(|(_, at)| is_late(at));
         if is_lagging {
             *behind = None;
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -40,6 +40,7 @@
     reason = "the aggregate that the module is named after"
 )]
 mod relay;
+mod removals;
 mod retries;
 mod rules;
 mod run;
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use smol_str::SmolStr;
 
-use super::catalog::{Change, Registration};
+use super::catalog::{Change, TargetsCopy};
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
@@ -25,15 +25,7 @@
     /// JSON text of the rules, if the requesting instance's are older.
     rules: Option<String>,
     /// Registrations, if the requesting instance's are older.
-    targets: Option<Targets>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Targets {
-    /// Platform revision up to which the list is complete, and the highest revision in it.
-    revs: (u64, u64),
-    list: Vec<Registration>,
-    outage: Option<Duration>,
+    targets: Option<TargetsCopy>,
 }
 
 /// Changes read from the platform.
@@ -48,7 +40,7 @@
         /// Platform revision after these.
         as_of: u64,
         changes: Vec<Change>,
-        /// Time since the last failed read of the platform.
+        /// Time since the last failed read of the platform by the sender, which read the changes.
         outage: Option<Duration>,
     },
 }
@@ -105,14 +97,15 @@
                 changes,
                 outage,
             } => {
-                self.record_outage(outage);
+                let at = outage.and_then(|outage| Instant::now().checked_sub(outage));
+                self.catalog.lock().record_peer_outage(at);
                 let is_stale = self.catalog.lock().newest() < Some(since);
                 match is_stale {
                     true => {
                         let (me, from) = (Arc::clone(self), from.clone());
                         tokio::spawn(async move { me.fetch_config(sources, &from).await });
                     }
-                    false => self.apply_changes(as_of, &changes),
+                    false => self.apply_changes(as_of, &changes, at),
                 }
             }
         }
@@ -130,33 +123,26 @@
         }
     }
 
-    fn record_outage(&self, outage: Option<Duration>) {
-        let at = outage.and_then(|outage| Instant::now().checked_sub(outage));
-        if let Some(at) = at {
-            self.catalog.lock().record_outage(at);
-        }
-    }
-
     /// The rules and targets that a peer with `held` lacks.
     fn config_for(&self, held: HeldRevisions) -> Config {
         let text = self.rules_text.lock().clone();
         let catalog = self.catalog.lock();
         let rules = (catalog.version() > held.rules).then_some(text).flatten();
         let is_newer = catalog.newest() > held.targets;
-        let revs = catalog.as_of.zip(catalog.newest()).filter(|_| is_newer);
+        let copy = || catalog.copy(Instant::now());
         Config {
             rules: rules.map(|text| text.to_string()),
-            targets: revs.map(|revs| Targets {
-                revs,
-                list: catalog.registrations(),
-                outage: catalog.last_outage().map(|at| at.elapsed()),
-            }),
+            targets: is_newer.then(copy).flatten(),
         }
     }
 
     /// Fetches from the peer `name` the rules and targets that this instance lacks.
-    pub(crate) async fn fetch_config(&self, sources: Sources, name: &SmolStr) {
-        let held = self.held_revisions();
+    pub(crate) async fn fetch_config(self: &Arc<Self>, sources: Sources, name: &SmolStr) {
+        let mut held = self.held_revisions();
+        if self.catalog.lock().has_lapsed() {
+            // A copy that is no newer may tell that removals are final.
+            held.targets = None;
+        }
         let config = self
             .peers
             .call::<_, Config>(name, Tag::Config, &held, CALL_TIMEOUT)
@@ -172,12 +158,13 @@
             self.apply_rules_text(sources, &text, name);
         }
         if let Some(targets) = config.targets {
-            self.record_outage(targets.outage);
-            let now = Instant::now();
-            self.catalog
-                .lock()
-                .apply_copy(targets.revs, targets.list, now);
+            let settled = self.catalog.lock().apply_copy(targets, Instant::now());
+            if !settled.is_empty() {
+                info!(self.decisions.log, "target: removals confirmed by a peer";
+                    "peer" => name.as_str(), "targets" => settled.join(","));
+            }
             self.refresh_targets();
+            self.forward_settled(settled);
         }
     }
 }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -284,9 +284,11 @@
                 Some(Registration { rev: o.rev, info })
             };
             let registrations = list.items.iter().filter_map(read).collect();
+            let had_lapsed = self.catalog.lock().has_lapsed();
             let now = Instant::now();
             self.catalog.lock().apply_list(list.rev, registrations, now);
             self.refresh_targets();
+            self.confirm_new_removals(sources, had_lapsed);
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, wait).await?;
@@ -297,9 +299,12 @@
         };
         let list: Vec<_> = changes.events.iter().map(to_change).collect();
         let since = self.catalog.lock().newest().unwrap_or_default();
-        self.apply_changes(changes.rev, &list);
+        let (outage, had_lapsed) = {
+            let catalog = self.catalog.lock();
+            (catalog.last_outage(), catalog.has_lapsed())
+        };
+        self.apply_changes(changes.rev, &list, outage);
         if !list.is_empty() {
-            let outage = self.catalog.lock().last_outage();
             self.forward(PlatformUpdate::Targets {
                 since,
                 as_of: changes.rev,
@@ -307,12 +312,15 @@
                 outage: outage.map(|at| at.elapsed()),
             });
         }
+        self.confirm_new_removals(sources, had_lapsed);
         Ok(changes.rev)
     }
 
-    pub(crate) fn apply_changes(&self, as_of: u64, changes: &[Change]) {
+    pub(crate) fn apply_changes(&self, as_of: u64, changes: &[Change], outage: Option<Instant>) {
         let now = Instant::now();
-        self.catalog.lock().apply_changes(as_of, changes, now);
+        let mut catalog = self.catalog.lock();
+        catalog.apply_changes(as_of, changes, outage, now);
+        drop(catalog);
         if !changes.is_empty() {
             self.refresh_targets();
         }
--- /dev/null
+++ b/src/relay/removals.rs
@@ -0,0 +1,65 @@
+//! Confirmation of removals by other failure domains. An instance whose own reads of the platform
+//! failed can't tell whether the platform was down, in which case targets lost their registrations
+//! and register again. A domain that read without a gap can.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use super::catalog::Change;
+use super::platform_update::PlatformUpdate;
+use super::platform_watch::Sources;
+use super::relay::Relay;
+
+/// Time between two requests for confirmation: a reader in the other domain may learn of a removal
+/// this much later.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(500);
+
+impl Relay {
+    /// Asks an instance of each other failure domain about removed targets that are still in use,
+    /// until there are none: their grace period ends by itself, too. `had_lapsed` when there were
+    /// some before, which a task asks about already.
+    pub(crate) fn confirm_new_removals(self: &Arc<Self>, sources: Sources, had_lapsed: bool) {
+        if had_lapsed || !self.catalog.lock().has_lapsed() {
+            return;
+        }
+        let me = Arc::clone(self);
+        tokio::spawn(async move {
+            while me.catalog.lock().has_lapsed() {
+                for peer in me.remote_aggregators() {
+                    me.fetch_config(sources, &peer.name).await;
+                }
+                sleep(CONFIRM_PERIOD).await;
+            }
+        });
+    }
+
+    /// Forwards to the followers of a reader that the removal of these targets is final.
+    pub(crate) fn forward_settled(self: &Arc<Self>, mut names: Vec<SmolStr>) {
+        let revs = {
+            let catalog = self.catalog.lock();
+            // One may have registered again in the meantime.
+            names.retain(|name| catalog.info(name).is_none());
+            catalog.as_of.zip(catalog.newest())
+        };
+        let Some((as_of, newest)) = revs else {
+            return;
+        };
+        if names.is_empty() || !self.reader_role.lock().reads_all() {
+            return;
+        }
+        let change = |name| Change {
+            name,
+            rev: newest,
+            info: None,
+        };
+        self.forward(PlatformUpdate::Targets {
+            since: newest,
+            as_of,
+            changes: names.into_iter().map(change).collect(),
+            outage: None,
+        });
+    }
+}
