Confirm deferred removals wherever they are learned

Change: each instance of a small fleet, and each reader of a large one, asks while it uses a removed target for a grace period, in one task.

--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -105,7 +105,10 @@
                         let (me, from) = (Arc::clone(self), from.clone());
                         tokio::spawn(async move { me.fetch_config(sources, &from).await });
                     }
-                    false => self.apply_changes(as_of, &changes, at),
+                    false => {
+                        self.apply_changes(as_of, &changes, at);
+                        self.confirm_removals(sources);
+                    }
                 }
             }
         }
@@ -165,6 +168,7 @@
             }
             self.refresh_targets();
             self.forward_settled(settled);
+            self.confirm_removals(sources);
         }
     }
 }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -284,11 +284,10 @@
                 Some(Registration { rev: o.rev, info })
             };
             let registrations = list.items.iter().filter_map(read).collect();
-            let had_lapsed = self.catalog.lock().has_lapsed();
             let now = Instant::now();
             self.catalog.lock().apply_list(list.rev, registrations, now);
             self.refresh_targets();
-            self.confirm_new_removals(sources, had_lapsed);
+            self.confirm_removals(sources);
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, wait).await?;
@@ -299,10 +298,7 @@
         };
         let list: Vec<_> = changes.events.iter().map(to_change).collect();
         let since = self.catalog.lock().newest().unwrap_or_default();
-        let (outage, had_lapsed) = {
-            let catalog = self.catalog.lock();
-            (catalog.last_outage(), catalog.has_lapsed())
-        };
+        let outage = self.catalog.lock().last_outage();
         self.apply_changes(changes.rev, &list, outage);
         if !list.is_empty() {
             self.forward(PlatformUpdate::Targets {
@@ -312,7 +308,7 @@
                 outage: outage.map(|at| at.elapsed()),
             });
         }
-        self.confirm_new_removals(sources, had_lapsed);
+        self.confirm_removals(sources);
         Ok(changes.rev)
     }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -112,6 +112,8 @@
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
     /// Whether this instance is a reader of the platform.
     pub(crate) reader_role: Mutex<ReadState>,
+    /// Whether other failure domains are being asked about removed targets.
+    pub(crate) confirming: AtomicBool,
     /// Whether each peer last reported to be a reader.
     pub(crate) peer_readers: Mutex<IndexMap<SmolStr, bool>>,
     /// Since when this failure domain has had no other reader.
@@ -183,6 +185,7 @@
             runs_requested: AtomicBool::new(false),
             rules_text: Mutex::default(),
             reader_role: Mutex::default(),
+            confirming: AtomicBool::new(false),
             peer_readers: Mutex::default(),
             no_reader_since: Mutex::default(),
             newer_peer: Mutex::default(),
--- a/src/relay/removals.rs
+++ b/src/relay/removals.rs
@@ -3,6 +3,7 @@
 //! and register again. A domain that read without a gap can.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use smol_str::SmolStr;
@@ -19,10 +20,11 @@
 
 impl Relay {
     /// Asks an instance of each other failure domain about removed targets that are still in use,
-    /// until there are none: their grace period ends by itself, too. `had_lapsed` when there were
-    /// some before, which a task asks about already.
-    pub(crate) fn confirm_new_removals(self: &Arc<Self>, sources: Sources, had_lapsed: bool) {
-        if had_lapsed || !self.catalog.lock().has_lapsed() {
+    /// until there are none: their grace period ends by itself, too. In a large fleet only readers
+    /// ask, and forward the answer.
+    pub(crate) fn confirm_removals(self: &Arc<Self>, sources: Sources) {
+        let asks = !self.peers.is_tiered() || self.is_reader();
+        if !asks || !self.catalog.lock().has_lapsed() || self.confirming.swap(true, Relaxed) {
             return;
         }
         let me = Arc::clone(self);
@@ -33,6 +35,7 @@
                 }
                 sleep(CONFIRM_PERIOD).await;
             }
+            me.confirming.store(false, Relaxed);
         });
     }
 
@@ -47,7 +50,7 @@
         let Some((as_of, newest)) = revs else {
             return;
         };
-        if names.is_empty() || !self.reader_role.lock().reads_all() {
+        if names.is_empty() || !self.is_reader() {
             return;
         }
         let change = |name| Change {
