--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -85,6 +85,15 @@
         self.reports.add(kind, name, Some(rev), &cause);
     }
 
+    /// A client that shares everything with this one but the maximum wait for a response.
+    #[must_use]
+    pub(crate) fn with_timeout(&self, timeout: Duration) -> Self {
+        Self {
+            timeout,
+            ..self.clone()
+        }
+    }
+
     /// Maximum wait for a response.
     #[must_use]
     pub fn timeout(&self) -> Duration {
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -16,7 +16,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::body_memory::Reservation;
 use super::call::FinalReply;
@@ -27,17 +27,14 @@
 use super::relay::Relay;
 use super::rules::{Account, Kind, Rules, host_key};
 use super::shutdown::SHUTTING_DOWN;
-use super::{call, stream};
+use super::startup::{Known, head_bytes, rules_wait};
+use super::{call, startup, stream};
 use crate::caller::{OpenRequest, close_on_drain};
 use crate::http::{BodyError, read_reserved};
 use crate::ident::fraction;
 use crate::telemetry::Stage;
 
-/// Maximum wait for the rules at startup. From a platform in another region they arrive after 120
-/// to 180 ms, later on a slow processor; a refused caller would come back later still.
-const RULES_WAIT: Duration = Duration::from_millis(400);
-
-/// `Retry-After` while this instance has no rules yet.
+/// Shortest `Retry-After` of requests for which the rules name no service, or came too late.
 pub(super) const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Shortest `Retry-After` while bodies fill the memory; another instance may have room at once.
@@ -190,12 +187,24 @@
     })?;
     let id = ask.id.clone();
     let with_id = |reply| (reply, id.clone());
-    let ready = timeout(RULES_WAIT, relay.wait_ready()).await.is_ok();
-    let Some(rules) = relay.rules().filter(|_| ready) else {
-        return Err(with_id(LocalReply::unavailable(
-            STARTUP_RETRY_AFTER,
-            "no rules yet",
-        )));
+    let caller_timeout = ask.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let wait = StartupWait {
+        relay,
+        id: &id,
+        arrived,
+        caller_timeout,
+    };
+    let place = match relay.ready() {
+        true => None,
+        false => match relay.waiting_room.enter(head_bytes(&head.headers)) {
+            Some(place) => Some(place),
+            None => return Err(with_id(wait.refuse("too many requests wait for the rules"))),
+        },
+    };
+    let known = wait.wait(Known::Rules, caller_timeout, "no rules yet");
+    known.await.map_err(with_id)?;
+    let Some(rules) = relay.rules() else {
+        return Err(with_id(wait.refuse("no rules yet")));
     };
     let path = head.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
@@ -210,6 +219,17 @@
         Ok(account) => account,
         Err(reply) => return Err(with_id(reply)),
     };
+    let time = caller_timeout.min(route.timeout);
+    let known = wait.wait(Known::All, time, "no targets yet");
+    known.await.map_err(with_id)?;
+    let deadline = arrived + time;
+    if place.is_some() && Instant::now() >= deadline {
+        // Without the rules, the timeout of the route was not known.
+        let wait = retry_after(STARTUP_RETRY_AFTER, &id);
+        let reply = LocalReply::unavailable(wait, "the rules came too late");
+        return Err(with_id(reply));
+    }
+    drop(place);
     let limits = rules.limits;
     let mut memory = relay.body_memory.reserve();
     let read = collect_body(
@@ -232,11 +252,10 @@
             reason,
         )));
     };
-    let caller_timeout = ask.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let mut headers: HeaderMap = head.headers;
     (relay.dialect.strip_request)(&mut headers);
     Ok(CallerRequest {
-        deadline: arrived + caller_timeout.min(route.timeout),
+        deadline,
         rules: rules.version,
         priority: effective(&route, account),
         is_ranked: rules.is_ranked(&service),
@@ -255,6 +274,39 @@
     .with_suspect_parts())
 }
 
+/// The wait of a request for the rules and the targets at startup. Its body is not read meanwhile.
+#[derive(Clone, Copy)]
+struct StartupWait<'a> {
+    relay: &'a Relay,
+    id: &'a str,
+    arrived: Instant,
+    caller_timeout: Duration,
+}
+
+impl StartupWait<'_> {
+    /// Waits until `wanted` is known, for as long as a request that has `time` in all may.
+    async fn wait(
+        self,
+        wanted: Known,
+        time: Duration,
+        reason: &'static str,
+    ) -> Result<(), LocalReply> {
+        tokio::select! {
+            biased;
+            () = self.relay.wait_known(wanted) => Ok(()),
+            () = self.relay.drain.begun() => Err(self.relay.refuse_late()),
+            () = sleep_until(self.arrived + rules_wait(time)) => Err(self.refuse(reason)),
+        }
+    }
+
+    fn refuse(self, reason: &'static str) -> LocalReply {
+        metrics::counter!("endivefork_startup_refusals_total", "reason" => reason).increment(1);
+        let left = self.caller_timeout.saturating_sub(self.arrived.elapsed());
+        let wait = startup::retry_after(self.relay.age(), left, self.id);
+        LocalReply::unavailable(wait, reason)
+    }
+}
+
 /// The name of the host that a request is for, without its port.
 fn host(head: &Parts) -> SmolStr {
     let header = head.headers.get(HOST).and_then(|h| h.to_str().ok());
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod equal_runs;
 mod events;
 mod exchange;
+mod first_read;
 mod front;
 mod gossip;
 mod limits;
@@ -52,6 +53,7 @@
 mod silence;
 mod stall;
 mod stall_timeouts;
+mod startup;
 mod stream;
 mod successor;
 #[cfg(test)]
--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -60,7 +60,7 @@
     }
 
     /// Longest wait that begins now.
-    fn wait(&self, now: Instant) -> Duration {
+    pub(crate) fn wait(&self, now: Instant) -> Duration {
         self.rest.min(self.left(now) / 2)
     }
 
@@ -73,7 +73,7 @@
         }
     }
 
-    fn spend(&mut self, time: Duration) {
+    pub(crate) fn spend(&mut self, time: Duration) {
         self.rest = self.rest.saturating_sub(time);
     }
 }
@@ -389,6 +389,11 @@
         is_later.then(|| line.return_after(patience, |ahead| self.expected_wait(&later, ahead)))
     }
 
+    /// Whether no target takes a request now, and none is expected to take one later.
+    pub(crate) fn has_no_target(&self, wanted: TargetCriteria<'_>) -> bool {
+        self.preferred(wanted).is_none() && self.later_targets(wanted).is_empty()
+    }
+
     fn expected_wait(&self, later: &LaterTargets, ahead: usize) -> Duration {
         let now = Instant::now().into_std();
         let returns = later.returns.iter();
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -176,7 +176,8 @@
     }
 
     /// Waits until the fleet is known to be large, in which case other instances may read for this
-    /// one, or a timeout has passed.
+    /// one, or a timeout has passed. A request that waits for the rules ends it, as its caller may be
+    /// lost by then.
     pub(crate) async fn wait_for_peers(&self) {
         let max_wait = match self.settings.first_start {
             _ if self.peers.has_no_seeds() => Duration::ZERO,
@@ -185,6 +186,7 @@
         };
         let deadline = Instant::now() + max_wait;
         while Instant::now() < deadline
+            && self.waiting_room.is_empty()
             && !(self.peers.is_tiered() && self.has_reached_candidates())
         {
             sleep(DISCOVERY_PERIOD).await;
@@ -207,7 +209,7 @@
     ) -> Result<u64, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
-            let list = self.platform.list(kind, "").await?;
+            let list = self.list_at_start(kind).await?;
             for object in list.items.iter().filter(|o| o.name == name) {
                 self.apply_rules(sources, object.rev, &object.value);
             }
@@ -278,7 +280,7 @@
         // Peers may have forwarded changes later than the last watch.
         let cursor = cursor.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
         let Some(from) = cursor else {
-            let list = self.platform.list(kind, "").await?;
+            let list = self.list_at_start(kind).await?;
             let read = |o: &platform::Object| {
                 let info = self.parse_target(sources, &o.name, o.rev, &o.value)?;
                 Some(Registration { rev: o.rev, info })
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use rand::seq::IndexedRandom as _;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -24,6 +25,14 @@
 /// Delay of the second connection attempt, since one SYN packet may be lost.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Interval between two checks whether dead targets have returned: a fraction of the second or two
+/// in which they start.
+const REVIVAL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Dead targets that are checked together, so that those of a large service do not fill a connection
+/// table at once.
+const REVIVAL_COUNT: usize = 16;
+
 /// Weight of a new round trip in the moving average.
 const RTT_WEIGHT: f64 = 0.25;
 
@@ -32,6 +41,8 @@
 pub(crate) struct Probes {
     in_progress: Mutex<IndexMap<TargetKey, Instant>>,
     rtts: Mutex<IndexMap<SmolStr, Duration>>,
+    /// When dead targets were last checked.
+    last_revival: Mutex<Option<Instant>>,
 }
 
 enum ProbeResult {
@@ -75,6 +86,32 @@
         self.in_progress.lock().contains_key(&key)
     }
 
+    /// Checks whether targets that were found dead accept connections again, some of them at a time.
+    /// Those that do not stay blocked no longer than they were.
+    pub(crate) fn revive(self: &Arc<Self>, router: &Arc<Router>, service: &str) {
+        let now = Instant::now();
+        let mut last = self.last_revival.lock();
+        if last.is_some_and(|at| now < at + REVIVAL_INTERVAL) {
+            return;
+        }
+        *last = Some(now);
+        drop(last);
+        let mut dead = router.dead(service, now);
+        dead.retain(|target| !self.is_running(target.key));
+        for target in dead.sample(&mut rand::rng(), REVIVAL_COUNT) {
+            self.in_progress.lock().insert(target.key, now);
+            let (probes, router, target) = (Arc::clone(self), Arc::clone(router), target.clone());
+            tokio::spawn(async move {
+                let limit = probes.timeout_for(&target.domain);
+                if let ProbeResult::Alive(rtt) = connect(target.addr, limit).await {
+                    probes.record_rtt(&target.domain, rtt);
+                    router.mark_alive(target.key, now);
+                }
+                probes.in_progress.lock().swap_remove(&target.key);
+            });
+        }
+    }
+
     /// Marks a target dead, and probes the suspected targets of its domain.
     fn mark_dead(
         self: &Arc<Self>,
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -1,7 +1,7 @@
 //! Shared state of one relay instance and the choice of targets from it.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -32,6 +32,7 @@
 use super::runs::RunDirectory;
 use super::settings::Settings;
 use super::silence::RetryShare;
+use super::startup::{Known, WaitingRoom};
 use crate::caller::{Drain, StreamDurations};
 use crate::ident::TargetKey;
 use crate::peer::Peers;
@@ -122,8 +123,11 @@
     pub(crate) newer_peer: Mutex<Option<(SmolStr, Instant)>>,
     /// Whether all seeds refused this instance at the last look.
     pub(crate) refused: AtomicBool,
+    /// Requests that wait for the rules.
+    pub(crate) waiting_room: WaitingRoom,
     started: Instant,
-    is_ready: watch::Sender<bool>,
+    known: watch::Sender<Known>,
+    ready_at: OnceLock<Instant>,
 }
 
 /// Constraints on the choice of a target.
@@ -190,8 +194,10 @@
             no_reader_since: Mutex::default(),
             newer_peer: Mutex::default(),
             refused: AtomicBool::new(false),
+            waiting_room: WaitingRoom::default(),
             started: Instant::now(),
-            is_ready: watch::Sender::new(false),
+            known: watch::Sender::default(),
+            ready_at: OnceLock::new(),
         }
     }
 
@@ -206,14 +212,19 @@
 
     /// Whether the rules and the targets are known.
     pub(crate) fn ready(&self) -> bool {
-        *self.is_ready.borrow()
+        *self.known.borrow() == Known::All
     }
 
-    /// Waits until the rules and the targets are known.
-    pub(crate) async fn wait_ready(&self) {
-        let mut is_ready = self.is_ready.subscribe();
+    /// When the rules and the targets were first known.
+    pub(crate) fn ready_at(&self) -> Option<Instant> {
+        self.ready_at.get().copied()
+    }
+
+    /// Waits until this much is known.
+    pub(crate) async fn wait_known(&self, wanted: Known) {
+        let mut known = self.known.subscribe();
         // Cannot fail: the sender lives as long as the relay.
-        let _ = is_ready.wait_for(|is_ready| *is_ready).await;
+        let _ = known.wait_for(|known| *known >= wanted).await;
     }
 
     /// Removes targets from the router whose registration has expired.
@@ -252,11 +263,19 @@
         self.signal_ready();
     }
 
-    /// Wakes the tasks that wait for rules and targets, once both are known.
+    /// Wakes the tasks that wait for rules and targets, once they are known.
     fn signal_ready(&self) {
-        let ready = self.catalog.lock().is_complete();
-        self.is_ready
-            .send_if_modified(|is_ready| !std::mem::replace(is_ready, ready) && ready);
+        let catalog = self.catalog.lock();
+        let now_known = match catalog.is_complete() {
+            true => Known::All,
+            false if catalog.rules().is_some() => Known::Rules,
+            false => Known::Nothing,
+        };
+        if now_known == Known::All {
+            self.ready_at.get_or_init(Instant::now);
+        }
+        self.known
+            .send_if_modified(|known| std::mem::replace(known, now_known) < now_known);
     }
 
     fn region(&self, domain: &str) -> SmolStr {
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -116,6 +116,10 @@
                         holds_retry = wait <= RETRY_LIFE;
                         continue;
                     }
+                    if error == PlaceError::Unavailable && self.pause_early().await {
+                        holds_retry = true;
+                        continue;
+                    }
                     return Err(match error {
                         PlaceError::Unavailable => self.give_up("no engine can be reached"),
                         PlaceError::AtLimit(wait) => self.refuse_at_limit(wait),
--- a/src/relay/stream/waits.rs
+++ b/src/relay/stream/waits.rs
@@ -1,5 +1,6 @@
 //! Waits of a stream that has begun: no other answer is left for its caller, so it goes on looking for
-//! an engine and a retry until its deadline.
+//! an engine and a retry until its deadline. One that has not begun waits for an engine only if this
+//! instance has just become ready.
 
 use std::future::pending;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 
 use super::Stream;
 use crate::relay::relay::TargetCriteria;
+use crate::relay::startup;
 
 /// Attempts that did not run the request before the stream is refused.
 const MAX_DECLINED: u32 = 5;
@@ -19,6 +21,10 @@
 /// Interval at which a stream without an engine looks for one.
 pub(super) const ENGINE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a stream looks for an engine while this instance has just become ready. Longer
+/// than [`ENGINE_INTERVAL`], as all streams that were interrupted may wait together.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Pause before another attempt of a stream that more than [`MAX_DECLINED`] attempts have declined.
 const DECLINED_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -39,12 +45,15 @@
         self.declined <= MAX_DECLINED || self.pause(DECLINED_INTERVAL).await
     }
 
-    /// Waits, if the stream has begun, until an engine is available. `false` if none is in time.
-    pub(super) async fn engine_returns(&self) -> bool {
+    /// Waits, if the stream has begun or came early, until an engine is available. `false` if it has
+    /// begun and none is in time.
+    pub(super) async fn engine_returns(&mut self) -> bool {
+        let service = self.request.service.clone();
         let wanted = TargetCriteria {
-            service: &self.request.service,
+            service: &service,
             ..TargetCriteria::default()
         };
+        while self.relay.has_no_target(wanted) && self.pause_early().await {}
         while self.has_begun() && self.relay.preferred(wanted).is_none() {
             if !self.pause(ENGINE_INTERVAL).await {
                 return false;
@@ -63,6 +72,23 @@
         waits
     }
 
+    /// Pauses a stream that has not begun and came when this instance had only just become ready.
+    /// `false` at once if it did not, or if it has waited for the route's objective.
+    pub(super) async fn pause_early(&mut self) -> bool {
+        let ready_at = self.relay.ready_at().map(Instant::from_std);
+        let waits = !self.has_begun()
+            && startup::is_early(self.request.arrived, ready_at)
+            && SETTLE_INTERVAL < self.patience.wait(Instant::now())
+            && self.has_time();
+        if waits {
+            let relay = &self.relay;
+            relay.probes.revive(&relay.router, &self.request.service);
+            sleep(SETTLE_INTERVAL).await;
+            self.patience.spend(SETTLE_INTERVAL);
+        }
+        waits
+    }
+
     /// Whether another attempt may begin. A stream that has begun goes on to the end of the process.
     pub(super) fn has_time(&self) -> bool {
         self.has_begun() || self.relay.has_time_for(&self.request)
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -255,6 +255,11 @@
         self.own_dead && self.blocked(now)
     }
 
+    /// Whether it gets no requests only because it was found dead.
+    pub(crate) fn is_dead(&self, now: Instant) -> bool {
+        self.blocked(now) && !self.leaving(now)
+    }
+
     pub(crate) fn availability(&self, now: Instant) -> Availability {
         match () {
             () if self.leaving(now) || self.blocked(now) => Availability::Unavailable,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -185,6 +185,16 @@
         suspected.map(|e| ProbeTarget::of(&e.target)).collect()
     }
 
+    /// Targets of a service that get no requests because they were found dead.
+    #[must_use]
+    pub fn dead(&self, service: &str, now: Instant) -> Vec<ProbeTarget> {
+        let table = self.table();
+        let is_dead =
+            |e: &&Arc<Entry>| e.target.service == service && e.state.lock().health.is_dead(now);
+        let dead = table.entries().filter(is_dead);
+        dead.map(|e| ProbeTarget::of(&e.target)).collect()
+    }
+
     /// Whether a target is available at `now`.
     #[must_use]
     pub fn is_available(&self, key: TargetKey, now: Instant) -> bool {
