--- a/src/quarantine/tests/days.rs
+++ b/src/quarantine/tests/days.rs
@@ -416,12 +416,33 @@
     assert!(held * 1000 < sound, "{held} of {sound} held");
 }
 
+/// Plays a day for each seed, and asserts that its deadly parts are contained and no sound request is
+/// refused. Returns when the last instance judged, in seconds after the fifth crash.
+fn play_deadly(days: u64, plan: impl Fn(u64) -> Plan) -> Vec<f64> {
+    let (mut verdicts, mut failed) = (Vec::new(), Vec::new());
+    for seed in 0..days {
+        let plan = plan(seed);
+        let day = Fleet::play(&plan);
+        let late: Vec<_> = (0..plan.deadly.len()).map(|part| day.late(part)).collect();
+        let ended: Vec<_> = day.crashes.iter().map(Vec::len).collect();
+        println!(
+            "seed {seed}: ended {ended:?}, late {late:?}, refused {}",
+            day.refused
+        );
+        if late.iter().any(|late| *late > 3) || day.refused > 0 {
+            failed.push(seed);
+        }
+        verdicts.extend(day.verdict);
+    }
+    assert!(failed.is_empty(), "seeds {failed:?}");
+    verdicts
+}
+
 #[test]
 fn deadly_parts_are_contained_on_all_days() {
-    let (mut verdicts, mut failed) = (Vec::new(), Vec::new());
-    for seed in 0..days(12) {
+    let verdicts = play_deadly(days(12), |seed| {
         let base = plan(seed);
-        let plan = match seed % 6 {
+        match seed % 6 {
             0 => Plan {
                 deadly: vec![0.02],
                 ..base
@@ -449,34 +470,19 @@
                 common: 1,
                 ..base
             },
-        };
-
-        let day = Fleet::play(&plan);
-
-        let late: Vec<_> = (0..plan.deadly.len()).map(|part| day.late(part)).collect();
-        let ended: Vec<_> = day.crashes.iter().map(Vec::len).collect();
-        println!(
-            "seed {seed}: ended {ended:?}, late {late:?}, refused {}",
-            day.refused
-        );
-        if late.iter().any(|late| *late > 3) || day.refused > 0 {
-            failed.push(seed);
         }
-        verdicts.extend(day.verdict);
-    }
-    assert!(failed.is_empty(), "seeds {failed:?}");
+    });
     println!("verdicts at the last instance after the fifth crash: {verdicts:.2?}");
 }
 
 #[test]
 fn deadly_parts_without_an_answer_are_contained_on_all_days() {
-    let mut failed = Vec::new();
-    for seed in 0..days(12) {
+    play_deadly(days(12), |seed| {
         let base = Plan {
             is_mute: true,
             ..plan(seed)
         };
-        let plan = match seed % 4 {
+        match seed % 4 {
             0 => Plan {
                 deadly: vec![0.05],
                 ..base
@@ -495,21 +501,8 @@
                 single: 0.3,
                 ..base
             },
-        };
-
-        let day = Fleet::play(&plan);
-
-        let late: Vec<_> = (0..plan.deadly.len()).map(|part| day.late(part)).collect();
-        let ended: Vec<_> = day.crashes.iter().map(Vec::len).collect();
-        println!(
-            "seed {seed}: ended {ended:?}, late {late:?}, refused {}",
-            day.refused
-        );
-        if late.iter().any(|late| *late > 3) || day.refused > 0 {
-            failed.push(seed);
         }
-    }
-    assert!(failed.is_empty(), "seeds {failed:?}");
+    });
 }
 
 #[test]
