Leave generating neighbours out of crashes that a beginning request explains

Cause: the weighing of requests that wait dropped the rule for all phases, so on the own interface a request that was generating beside two crashes was quarantined.

Change: the rule holds again for requests that were generating.

--- a/src/quarantine/weight.rs
+++ b/src/quarantine/weight.rs
@@ -172,6 +172,8 @@
             .filter(counts)
             .filter(|c| !explained.contains(&c.incident))
             .collect();
+        let begun = crashes.iter().filter(|c| c.crash.phase == Phase::Began);
+        let begun: IndexSet<_> = begun.map(|c| c.incident).collect();
         let others = unexplained
             .iter()
             .filter(|c| !own_stats.incidents.contains(&c.incident));
@@ -192,6 +194,8 @@
                 {
                     continue;
                 }
+                // A request that had just begun there explains the crash better.
+                Phase::Running if begun.contains(&record.incident) => continue,
                 Phase::Running => (CHANCE_BEGUN, begun_by_rate),
                 Phase::Waiting => {
                     last_wait = Some(record.at);
