--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -220,8 +220,6 @@
         Err(reply) => return Err(with_id(reply)),
     };
     let time = caller_timeout.min(route.timeout);
-    let known = wait.wait(Known::All, time, "no targets yet");
-    known.await.map_err(with_id)?;
     let deadline = arrived + time;
     if place.is_some() && Instant::now() >= deadline {
         // Without the rules, the timeout of the route was not known.
@@ -229,6 +227,8 @@
         let reply = LocalReply::unavailable(wait, "the rules came too late");
         return Err(with_id(reply));
     }
+    let known = wait.wait(Known::All, time, "no targets yet");
+    known.await.map_err(with_id)?;
     drop(place);
     let limits = rules.limits;
     let mut memory = relay.body_memory.reserve();
