Follow a store that returns from a copy by the era that it states

Cause: after a restore from a copy the store's revisions go back and are given out again. Lists of lower revisions were ignored, changes below the cursor were missed, targets that had left were used again by the copy's entries, and stored runs and quarantines stayed lost.

Change: the client reads the era of each response through a function of its format. A later era ends watches and drops cursors and write conditions; the list of that era replaces the targets whatever its revisions. The catalog remembers departures of targets, which keep entries that may be from the copy out of use. The writer of runs writes its object again from memory.

--- a/src/platform/api_format.rs
+++ b/src/platform/api_format.rs
@@ -4,11 +4,11 @@
 use std::fmt;
 use std::time::Duration;
 
-use http::Method;
+use http::{HeaderMap, Method};
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::{Changes, EntryFormat, Expect, List, Object, PAGE_LIMIT};
+use super::{Changes, EntryFormat, Expect, List, Object, PAGE_LIMIT, StatedEra};
 use crate::http::encode;
 use crate::json::decode;
 
@@ -50,6 +50,8 @@
     pub read_changes: fn(kind: &str, body: &[u8]) -> Result<Changes, String>,
     /// Decodes the revision from the response of a conditional write or deletion.
     pub read_revision: fn(body: &[u8]) -> Result<u64, String>,
+    /// Reads the era of the platform's state from the headers of any response.
+    pub read_era: fn(headers: &HeaderMap) -> StatedEra,
 }
 
 impl fmt::Debug for ApiFormat {
@@ -108,6 +110,7 @@
         },
         read_changes: |kind, body| NATIVE_CHANGES.read_changes(kind, body, decode, |_| false),
         read_revision: |body| decode::<WriteResponse>(body).map(|w| w.rev),
+        read_era: |_| None,
     };
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -15,7 +15,10 @@
 
 use super::calls::{Calls, Op};
 use super::entries::Reports;
-use super::{ApiFormat, Changes, Error, Expect, InstanceList, List, Object, Page, PageRequest};
+use super::era::Eras;
+use super::{
+    ApiFormat, Changes, Error, Expect, InstanceList, List, Object, Page, PageRequest, is_restored,
+};
 use crate::http::{Answer, Client as Http, Error as HttpError, Via, request};
 
 /// Maximum number of objects in one page of a list.
@@ -38,6 +41,7 @@
     replaced: Arc<Notify>,
     calls: Arc<Calls>,
     reports: Arc<Reports>,
+    eras: Arc<Eras>,
 }
 
 /// The connection pool in use. After a timeout it is replaced as a whole, since a connection that
@@ -70,14 +74,20 @@
             replaced: Arc::default(),
             calls: Arc::default(),
             reports: Arc::default(),
+            eras: Arc::default(),
         }
     }
 
-    /// Logs the entries that can't be read to `log`.
+    /// Logs the entries and eras that can't be read to `log`.
     #[must_use]
     pub fn with_log(self, log: Logger) -> Self {
+        let eras = Arc::new(Eras::new(log.clone()));
         let reports = Arc::new(Reports::new(log));
-        Self { reports, ..self }
+        Self {
+            reports,
+            eras,
+            ..self
+        }
     }
 
     /// Reports an entry whose value can't be used, once for each revision.
@@ -85,6 +95,21 @@
         self.reports.add(kind, name, Some(rev), &cause);
     }
 
+    /// The latest known era of the platform's state; `None` when it stated none.
+    pub(crate) fn era(&self) -> Option<u64> {
+        self.eras.latest()
+    }
+
+    /// Records an era that another instance has seen.
+    pub(crate) fn learn_era(&self, era: Option<u64>) {
+        self.eras.learn(era);
+    }
+
+    /// Waits until the platform was restored since `era` was the latest known one.
+    pub(crate) async fn restored(&self, era: Option<u64>) {
+        self.eras.later_than(era).await;
+    }
+
     /// Maximum wait for a response.
     #[must_use]
     pub fn timeout(&self) -> Duration {
@@ -176,6 +201,7 @@
         };
         let (mut all, mut more) = self.list_page(kind, first).await?;
         let mut rev = all.rev;
+        let era = self.era();
         let mut after = SmolStr::default();
         while more {
             let last = all.items.last().map(|o| &o.name);
@@ -192,6 +218,9 @@
                 ..first
             };
             let (next, has_more) = self.list_page(kind, request).await?;
+            if self.era() != era {
+                return Err(Error::Unknown("the list's pages are of two eras".into()));
+            }
             more = has_more && !(next.items.is_empty() && next.unreadable.is_empty());
             rev = next.rev;
             all.items.extend(next.items);
@@ -232,19 +261,24 @@
     /// early when another one times out, as its own connection may be silent as well.
     ///
     /// # Errors
-    /// [`Error::Gone`] when the platform no longer keeps the history since `from`, or it can't be
-    /// read beyond an unclosed event.
+    /// [`Error::Gone`] when the platform no longer keeps the history since `from`, was restored
+    /// meanwhile, or the history can't be read beyond an unclosed event.
     pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
         let path = (self.format.watch)(kind, from, wait);
         let limit = wait + self.timeout;
+        let era = self.era();
         let replaced = self.replaced.notified();
         let sent = self.send_within(Op::Watch, Method::GET, &path, Bytes::new(), limit);
         let answer = tokio::select! {
             answer = sent => answer?,
+            () = self.restored(era) => return Err(Error::Gone),
             () = replaced => {
                 return Err(Error::Unknown("connections given up after a timeout".into()));
             }
         };
+        if is_restored(era, self.era()) {
+            return Err(Error::Gone);
+        }
         let changes = read(&answer, |b| (self.format.read_changes)(kind, b))?;
         self.reports.add_all(kind, &changes.unreadable);
         match changes.is_cut && changes.rev <= from {
@@ -288,9 +322,14 @@
         let url = format!("http://{}{path}", self.addr);
         let (generation, http) = self.current_pool();
         self.calls.add(op);
+        let era = self.era();
         let sent = http.send(Via::Pool, request(method, &url, body), limit);
         let result = match sent.await {
-            Ok(answer) => self.check(answer),
+            Ok(answer) => {
+                let stated = (self.format.read_era)(&answer.headers);
+                let observed = self.eras.observe(era, stated);
+                observed.and_then(|()| self.check(answer))
+            }
             Err(e @ HttpError::Timeout(_)) => {
                 self.replace_pool(generation);
                 Err(Error::Unknown(e.to_string()))
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod client;
 mod entries;
+mod era;
 mod error;
 mod model;
 
@@ -12,5 +13,7 @@
 pub use calls::{Calls, Counts};
 pub use client::{Client, PAGE_LIMIT, VALUE_LIMIT};
 pub use entries::{EntryFormat, Unreadable};
+pub use era::StatedEra;
+pub(crate) use era::is_restored;
 pub use error::Error;
 pub use model::{Changes, Event, Expect, InstanceEntry, InstanceList, List, Object, Role, State};
--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -11,9 +11,11 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::departures::{Departure, Departures};
 use super::rules::Rules;
 use crate::fleet::Target;
 use crate::ident::TargetKey;
+use crate::platform::is_restored;
 
 /// How long a target that is missing after a platform outage is still used. Targets register again
 /// within two seconds of the platform's return; the rest allows for propagation of the
@@ -91,9 +93,67 @@
     /// [`Self::as_of`], it does not advance when other objects are written.
     newest: Option<u64>,
     outage: Option<Instant>,
+    /// Era of the platform in which the targets were read.
+    pub(crate) era: Option<u64>,
+    /// Whether no list was applied since the platform was restored.
+    is_restored: bool,
+    departures: Departures,
+    /// Fingerprint of the targets that departures keep out of use; 0 when there are none.
+    kept_out: u64,
+}
+
+/// How an era relates to that of the targets held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EraChange {
+    Same,
+    /// The targets read then are outdated.
+    Earlier,
+    /// The platform was restored since the targets of this era and revision were read.
+    Restored {
+        era_before: Option<u64>,
+        as_of: Option<u64>,
+    },
 }
 
 impl Catalog {
+    /// Prepares for a full list read in `era`, whose revisions may be lower.
+    pub(crate) fn enter_era(&mut self, era: Option<u64>) -> EraChange {
+        if era < self.era {
+            return EraChange::Earlier;
+        }
+        let era_before = std::mem::replace(&mut self.era, era);
+        if !is_restored(era_before, era) {
+            return EraChange::Same;
+        }
+        self.is_restored = true;
+        self.newest = None;
+        self.departures.restore();
+        EraChange::Restored {
+            era_before,
+            as_of: self.as_of.take(),
+        }
+    }
+
+    /// Fingerprint of the targets that departures keep out of use; 0 when there are none.
+    pub(crate) fn kept_out(&self) -> u64 {
+        self.kept_out
+    }
+
+    /// Departures that keep targets out of use, for a peer.
+    pub(crate) fn departures(&self) -> Vec<Departure> {
+        let registered = self.targets.values();
+        let kept_out = registered.filter_map(|r| self.departures.of(r));
+        kept_out.cloned().collect()
+    }
+
+    /// Learns departures that keep targets out of use at a peer.
+    pub(crate) fn learn_departures(&mut self, departures: Vec<Departure>) {
+        for departure in departures {
+            let entry = self.targets.get(&departure.name);
+            self.departures.learn(departure, entry);
+        }
+    }
+
     /// The rules in force.
     pub(crate) fn rules(&self) -> Option<&Arc<Rules>> {
         self.rules.as_ref()
@@ -140,13 +200,27 @@
         }
         let mut old = std::mem::take(&mut self.targets);
         for registration in list {
-            old.swap_remove(&registration.info.name);
+            let before = old.swap_remove(&registration.info.name);
+            self.departures
+                .record_leaving(before.as_ref(), &registration);
             self.put(registration);
         }
         // The list does not tell the revisions of removals.
         let removed = (!old.is_empty()).then_some(as_of);
-        for (_, registration) in old {
-            self.lapse(registration, now);
+        let is_restored = std::mem::take(&mut self.is_restored);
+        for (name, registration) in old {
+            match is_restored && self.departures.of(&registration).is_none() {
+                // It may have registered after the copy was made, and registers again.
+                true => {
+                    self.key(&registration.info, now);
+                    let missing = Registration {
+                        rev: 0,
+                        ..registration
+                    };
+                    self.lapsed.insert(name, (missing, now + OUTAGE_GRACE));
+                }
+                false => self.lapse(registration, now),
+            }
         }
         self.as_of = Some(as_of);
         let newest = self.targets.values().map(|r| r.rev).max();
@@ -177,10 +251,16 @@
         for change in changes {
             self.newest = self.newest.max(Some(change.rev));
             match &change.info {
-                Some(info) => self.put(Registration {
-                    rev: change.rev,
-                    info: info.clone(),
-                }),
+                Some(info) => {
+                    let entry = Registration {
+                        rev: change.rev,
+                        info: info.clone(),
+                    };
+                    let before = self.targets.get(&change.name);
+                    self.departures.record_leaving(before, &entry);
+                    self.departures.record_written(&entry);
+                    self.put(entry);
+                }
                 None => self.remove(&change.name, now),
             }
         }
@@ -190,6 +270,7 @@
     /// Inserts or updates one registration.
     pub(crate) fn put(&mut self, registration: Registration) {
         let name = registration.info.name.clone();
+        self.departures.admit(&registration);
         self.lapsed.swap_remove(&name);
         let addr = registration.info.addr;
         self.unregistered.retain(|_, (info, _)| info.addr != addr);
@@ -212,10 +293,13 @@
         // Records the incarnation, even if the target was added and removed in one batch.
         self.key(&registration.info, now);
         let is_recent = |outage: Instant| now.saturating_duration_since(outage) < OUTAGE_GRACE;
-        if self.outage.is_some_and(is_recent) {
+        let is_departed = self.departures.of(&registration).is_some();
+        if self.outage.is_some_and(is_recent) && !is_departed {
             let name = registration.info.name.clone();
             self.lapsed.insert(name, (registration, now + OUTAGE_GRACE));
+            return;
         }
+        self.departures.record_gone(&registration);
     }
 
     /// Adds a target that was found at the address of a removed one and has not registered yet.
@@ -274,16 +358,30 @@
         region: impl Fn(&str) -> SmolStr,
         now: Instant,
     ) -> Vec<(Target, u32)> {
-        self.lapsed.retain(|_, (_, until)| *until > now);
+        self.lapsed.retain(|_, (registration, until)| {
+            let is_left = *until > now;
+            if !is_left {
+                self.departures.record_gone(registration);
+            }
+            is_left
+        });
         self.expire_unregistered(now);
         let unregistered = self.unregistered.values().map(|(info, _)| info);
         let lapsed = self.lapsed.values().map(|(r, _)| &r.info);
-        let registered = self.targets.values().map(|r| &r.info);
-        let all: Vec<TargetInfo> = registered
-            .chain(lapsed)
-            .chain(unregistered)
-            .cloned()
-            .collect();
+        let mut all: Vec<TargetInfo> = lapsed.chain(unregistered).cloned().collect();
+        self.kept_out = 0;
+        for registration in self.targets.values() {
+            let departure = self.departures.of(registration);
+            self.kept_out ^= departure.map_or(0, Departure::fingerprint);
+            let info = &registration.info;
+            match departure {
+                Some(departure) if departure.is_gone => {}
+                departure => all.push(TargetInfo {
+                    leaving: info.leaving || departure.is_some(),
+                    ..info.clone()
+                }),
+            }
+        }
         for keys in self.keys.values_mut().flatten() {
             keys.unused.get_or_insert(now);
         }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -141,7 +141,7 @@
     ) {
         let own = self.held_revisions();
         let mut behind = self.newer_peer.lock();
-        match remote.targets > own.targets {
+        match remote.progress() > own.progress() {
             true => {
                 behind.get_or_insert((from.clone(), now));
             }
@@ -161,7 +161,8 @@
             *behind = None;
         }
         drop(behind);
-        if remote.rules > own.rules || is_lagging || own.targets.is_none() {
+        let lacks_departures = remote.keeps_out_others(&own);
+        if remote.rules > own.rules || is_lagging || own.targets.is_none() || lacks_departures {
             let me = Arc::clone(self);
             tokio::spawn(async move { me.fetch_config(sources, &from).await });
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod catalog;
 mod connections;
 mod copies;
+mod departures;
 mod dialect;
 mod election;
 mod equal_runs;
@@ -50,6 +51,7 @@
 mod silence;
 mod stall;
 mod stall_timeouts;
+mod store_era;
 mod stream;
 mod successor;
 #[cfg(test)]
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use super::catalog::{Change, Registration};
+use super::departures::Departure;
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
@@ -30,9 +31,13 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Targets {
+    /// Era of the platform in which they were read.
+    era: Option<u64>,
     /// Platform revision up to which the list is complete, and the highest revision in it.
     revs: (u64, u64),
     list: Vec<Registration>,
+    /// Departures that keep some of them out of use.
+    departures: Vec<Departure>,
     outage: Option<Duration>,
 }
 
@@ -43,6 +48,8 @@
     Rules(String),
     /// Changes of targets.
     Targets {
+        /// Era of the platform in which they were read.
+        era: Option<u64>,
         /// Revision of the newest change before these.
         since: u64,
         /// Platform revision after these.
@@ -99,14 +106,18 @@
     fn handle_update(self: &Arc<Self>, sources: Sources, from: &SmolStr, update: PlatformUpdate) {
         match update {
             PlatformUpdate::Rules(text) => self.apply_rules_text(sources, &text, from),
+            PlatformUpdate::Targets { era, .. } if era < self.catalog.lock().era => {}
             PlatformUpdate::Targets {
+                era,
                 since,
                 as_of,
                 changes,
                 outage,
             } => {
                 self.record_outage(outage);
-                let is_stale = self.catalog.lock().newest() < Some(since);
+                let catalog = self.catalog.lock();
+                let is_stale = catalog.era < era || catalog.newest() < Some(since);
+                drop(catalog);
                 match is_stale {
                     true => {
                         let (me, from) = (Arc::clone(self), from.clone());
@@ -139,15 +150,18 @@
 
     /// The rules and targets that a peer with `held` lacks.
     fn config_for(&self, held: HeldRevisions) -> Config {
+        let own = self.held_revisions();
         let text = self.rules_text.lock().clone();
         let catalog = self.catalog.lock();
         let rules = (catalog.version() > held.rules).then_some(text).flatten();
-        let is_newer = catalog.newest() > held.targets;
+        let is_newer = own.progress() > held.progress() || own.keeps_out_others(&held);
         let revs = catalog.as_of.zip(catalog.newest()).filter(|_| is_newer);
         Config {
             rules: rules.map(|text| text.to_string()),
             targets: revs.map(|revs| Targets {
+                era: catalog.era,
                 revs,
+                departures: catalog.departures(),
                 list: catalog.registrations(),
                 outage: catalog.last_outage().map(|at| at.elapsed()),
             }),
@@ -173,10 +187,14 @@
         }
         if let Some(targets) = config.targets {
             self.record_outage(targets.outage);
-            let now = Instant::now();
-            self.catalog
-                .lock()
-                .apply_copy(targets.revs, targets.list, now);
+            self.platform.learn_era(targets.era);
+            let mut catalog = self.catalog.lock();
+            if self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
+                let now = Instant::now();
+                catalog.apply_copy(targets.revs, targets.list, now);
+                catalog.learn_departures(targets.departures);
+            }
+            drop(catalog);
             self.refresh_targets();
         }
     }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -14,7 +14,7 @@
 use super::platform_update::PlatformUpdate;
 use super::relay::Relay;
 use super::rules::Rules;
-use crate::platform::{self, Error};
+use crate::platform::{self, Error, is_restored};
 
 /// Time between the ends of two watches of a topic. Each watch is billed.
 const WATCH_PERIOD: Duration = Duration::from_secs(5);
@@ -113,12 +113,37 @@
 /// Revisions of the rules and targets that an instance holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct HeldRevisions {
+    /// Era of the platform in which the targets were read.
+    pub(crate) era: Option<u64>,
     /// Version of the rules.
     pub(crate) rules: u64,
     /// Platform revision of the newest registration or removal.
     pub(crate) targets: Option<u64>,
     /// Whether it reads the platform.
     pub(crate) reads: bool,
+    /// Fingerprint of the targets that are kept out of use as the platform's entries are older; 0
+    /// when there are none.
+    pub(crate) kept_out: u64,
+}
+
+impl HeldRevisions {
+    /// How far the targets are known. Revisions of an earlier era are behind all of a later one.
+    pub(crate) fn progress(&self) -> (Option<u64>, Option<u64>) {
+        (self.era, self.targets)
+    }
+
+    /// Whether an instance with `other` may have to keep out more targets.
+    pub(crate) fn keeps_out_others(&self, other: &Self) -> bool {
+        self.era == other.era && self.kept_out != 0 && self.kept_out != other.kept_out
+    }
+}
+
+/// Where the next watch starts.
+#[derive(Clone, Copy, Debug)]
+struct Cursor {
+    /// Era in which the revision was read.
+    era: Option<u64>,
+    rev: u64,
 }
 
 impl Relay {
@@ -126,16 +151,18 @@
         let reads = self.reader_role.lock().reads_all();
         let catalog = self.catalog.lock();
         HeldRevisions {
+            era: catalog.era,
             rules: catalog.version(),
             targets: catalog.newest(),
             reads,
+            kept_out: catalog.kept_out(),
         }
     }
 
     /// Reads the platform while elected.
     pub(crate) async fn watch_platform(self: Arc<Self>, sources: Sources, topic: Topic) {
         self.wait_for_peers().await;
-        let mut cursor = None;
+        let mut cursor: Option<Cursor> = None;
         let mut pause = BACKOFF_MIN;
         let mut is_cut = false;
         loop {
@@ -148,15 +175,18 @@
                 true => Duration::ZERO,
                 false => topic.wait(self.age()),
             };
+            cursor = cursor.filter(|c| c.era == self.platform.era());
+            let from = cursor.map(|c| c.rev);
             let read = match topic {
-                Topic::Rules => self.read_rules(sources, cursor, wait).await,
-                Topic::Targets => self.read_targets(sources, cursor, wait).await,
+                Topic::Rules => self.read_rules(sources, from, wait).await,
+                Topic::Targets => self.read_targets(sources, from, wait).await,
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
             match read {
                 Ok(rev) => {
                     self.recover(topic, &mut pause);
-                    cursor = Some(rev);
+                    let era = self.platform.era();
+                    cursor = Some(Cursor { era, rev });
                     if !was_cut {
                         sleep(topic.pause()).await;
                     }
@@ -278,9 +308,7 @@
                 Some(Registration { rev: o.rev, info })
             };
             let registrations = list.items.iter().filter_map(read).collect();
-            let now = Instant::now();
-            self.catalog.lock().apply_list(list.rev, registrations, now);
-            self.refresh_targets();
+            self.apply_list(list.rev, registrations);
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, wait).await?;
@@ -293,17 +321,41 @@
         let since = self.catalog.lock().newest().unwrap_or_default();
         self.apply_changes(changes.rev, &list);
         if !list.is_empty() {
-            let outage = self.catalog.lock().last_outage();
-            self.forward(PlatformUpdate::Targets {
-                since,
-                as_of: changes.rev,
-                changes: list,
-                outage: outage.map(|at| at.elapsed()),
-            });
+            self.forward_targets(since, changes.rev, list);
         }
         Ok(changes.rev)
     }
 
+    /// Applies a list that was just read.
+    fn apply_list(self: &Arc<Self>, as_of: u64, list: Vec<Registration>) {
+        let mut catalog = self.catalog.lock();
+        let era = self.platform.era();
+        let is_later = is_restored(catalog.era, era);
+        if self.enter_era(&mut catalog, era, as_of, "platform") {
+            catalog.apply_list(as_of, list, Instant::now());
+        }
+        let newest = catalog.newest().unwrap_or_default();
+        drop(catalog);
+        self.refresh_targets();
+        // Makes the followers fetch the targets of the new era at once.
+        if is_later {
+            self.forward_targets(newest, as_of, Vec::new());
+        }
+    }
+
+    fn forward_targets(self: &Arc<Self>, since: u64, as_of: u64, changes: Vec<Change>) {
+        let catalog = self.catalog.lock();
+        let (era, outage) = (catalog.era, catalog.last_outage());
+        drop(catalog);
+        self.forward(PlatformUpdate::Targets {
+            era,
+            since,
+            as_of,
+            changes,
+            outage: outage.map(|at| at.elapsed()),
+        });
+    }
+
     pub(crate) fn apply_changes(&self, as_of: u64, changes: &[Change]) {
         let now = Instant::now();
         self.catalog.lock().apply_changes(as_of, changes, now);
--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -12,7 +12,7 @@
 
 use super::relay::Relay;
 use super::run_location::RunLocation;
-use crate::platform::{Error, Expect};
+use crate::platform::{Error, Expect, is_restored};
 use crate::quarantine::StoredQuarantine;
 
 /// Kind of the stored objects; each instance that writes has one.
@@ -22,6 +22,10 @@
 /// those in progress, have their prompts read again if all instances are lost.
 const WRITE_PERIOD: Duration = Duration::from_millis(1200);
 
+/// Pause after a first failed attempt to write again what the platform has lost; it doubles with each
+/// further failure, up to [`WRITE_PERIOD`].
+const REWRITE_PAUSE: Duration = Duration::from_millis(200);
+
 /// How long a run that shares its content waits to be stored in one write with others.
 const SHARED_WINDOW: Duration = Duration::from_millis(100);
 
@@ -90,17 +94,29 @@
         let mut expect = None;
         let mut quarantines = Vec::new();
         let shared = self.runs.lock().shared();
+        let mut era = self.platform.era();
+        // What was written is lost when the platform returns from a copy, and so is the condition
+        // of the next write.
+        let mut is_lost = false;
+        let mut wait = WRITE_PERIOD;
         loop {
+            let latest = self.platform.era();
+            if is_restored(era, latest) {
+                (expect, is_lost, wait) = (None, true, Duration::ZERO);
+            }
+            era = latest;
             // In a large fleet only candidates for aggregator need what is stored.
             if expect.is_none() && (!self.peers.is_tiered() || self.is_candidate()) {
                 expect = self.read_stored().await;
             }
             tokio::select! {
-                () = sleep(WRITE_PERIOD) => {}
+                () = sleep(wait) => {}
+                () = self.platform.restored(era) => continue,
                 () = self.quarantined.notified() => {}
                 // Stored at once, as the copy of neither run may be used if all instances are lost.
                 () = shared.notified() => sleep(SHARED_WINDOW).await,
             }
+            let waited = std::mem::replace(&mut wait, WRITE_PERIOD);
             if !self.is_run_writer() {
                 continue;
             }
@@ -109,15 +125,18 @@
             let is_same = |(a, b): (&StoredQuarantine, &StoredQuarantine)| a.is_same(b);
             let is_stored =
                 current.len() == quarantines.len() && current.iter().zip(&quarantines).all(is_same);
-            let changed = self.runs.lock().take_changed(now, !is_stored);
+            let changed = self.runs.lock().take_changed(now, !is_stored || is_lost);
             let Some(runs) = changed else { continue };
             let stored = Stored::of(runs, &current);
             let (next, is_written) = self.write(&stored, expect.unwrap_or(Expect::Absent)).await;
             expect = Some(next);
             match is_written {
-                true => quarantines = current,
+                true => (quarantines, is_lost) = (current, false),
                 false => self.runs.lock().set_unstored(),
             }
+            if is_lost {
+                wait = (waited * 2).clamp(REWRITE_PAUSE, WRITE_PERIOD);
+            }
         }
     }
 
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -17,3 +17,4 @@
 mod runs;
 mod silence;
 mod stall_timeouts;
+mod store_eras;
