Tell entries of a store's copy from rewritten ones by their revisions

Cause: a departed target's entry counted as the copy's up to the last revision known before. One that was written again after the restore and before the first list, at a reissued revision below that, kept the target out of use until it wrote once more.

Change: the last eight revisions of each target's entries are remembered, and a departure names them. An entry with another revision that is not lower than all of them was written after the restore.

Result: the unit test of departed targets has the case.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -213,11 +213,8 @@
                 // It may have registered after the copy was made, and registers again.
                 true => {
                     self.key(&registration.info, now);
-                    let missing = Registration {
-                        rev: 0,
-                        ..registration
-                    };
-                    self.lapsed.insert(name, (missing, now + OUTAGE_GRACE));
+                    self.departures.forget(&name);
+                    self.lapsed.insert(name, (registration, now + OUTAGE_GRACE));
                 }
                 false => self.lapse(registration, now),
             }
@@ -271,6 +268,7 @@
     pub(crate) fn put(&mut self, registration: Registration) {
         let name = registration.info.name.clone();
         self.departures.admit(&registration);
+        self.departures.note(&registration);
         self.lapsed.swap_remove(&name);
         let addr = registration.info.addr;
         self.unregistered.retain(|_, (info, _)| info.addr != addr);
--- a/src/relay/departures.rs
+++ b/src/relay/departures.rs
@@ -8,18 +8,22 @@
 use super::catalog::Registration;
 use crate::ident::digest;
 
-/// Departures that are remembered: more than a large fleet's targets leave in the seconds that a
-/// copy may be old.
+/// Targets whose entries and departures are remembered: more than a large fleet has, with those
+/// that leave in the seconds that a copy may be old.
 const DEPARTURES_MAX: usize = 1024;
 
+/// Revisions of a target's entries that are remembered: those of the seconds that a copy may be
+/// old.
+const REVISIONS_MAX: usize = 8;
+
 /// A target that was known to be leaving or gone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Departure {
     pub(crate) name: SmolStr,
     pub(crate) incarnation: u64,
     pub(crate) is_gone: bool,
-    /// Highest revision of its entries from before the departure: a later one says otherwise.
-    pub(crate) rev: u64,
+    /// Revisions of its last entries. Another one, unless it is lower than all, says otherwise.
+    pub(crate) revs: Vec<u64>,
 }
 
 impl Departure {
@@ -33,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Departures {
     known: IndexMap<SmolStr, Departure>,
+    /// Revisions of each target's last entries, oldest first.
+    written: IndexMap<SmolStr, Vec<u64>>,
     /// Departed targets that have written an entry since the restore.
     rewritten: IndexSet<SmolStr>,
     /// Without a restore, an entry is never older than a departure.
@@ -40,50 +46,69 @@
 }
 
 impl Departures {
+    /// Records that a target has an entry.
+    pub(crate) fn note(&mut self, entry: &Registration) {
+        // Removed and added again, so that the target written longest ago is forgotten first.
+        let written = self.written.shift_remove(&entry.info.name);
+        let mut revs = written.unwrap_or_default();
+        revs.retain(|rev| *rev != entry.rev);
+        if revs.len() >= REVISIONS_MAX {
+            revs.remove(0);
+        }
+        revs.push(entry.rev);
+        if self.written.len() >= DEPARTURES_MAX {
+            self.written.shift_remove_index(0);
+        }
+        let name = entry.info.name.clone();
+        self.written.insert(name, revs);
+    }
+
+    /// Forgets the revisions of a target's entries, none of which the copy has.
+    pub(crate) fn forget(&mut self, name: &str) {
+        self.written.shift_remove(name);
+    }
+
     /// Records a departure. What is known of an earlier one of the same start still counts.
-    fn record(&mut self, departure: Departure) {
+    fn record(&mut self, mut departure: Departure) {
         let earlier = self.known.shift_remove(&departure.name);
-        let earlier = earlier.filter(|d| d.incarnation == departure.incarnation);
-        let is_gone = departure.is_gone || earlier.as_ref().is_some_and(|d| d.is_gone);
-        let rev = earlier.map_or(departure.rev, |d| d.rev.max(departure.rev));
+        if let Some(earlier) = earlier.filter(|d| d.incarnation == departure.incarnation) {
+            departure.is_gone |= earlier.is_gone;
+            let missing = earlier.revs.iter().filter(|r| !departure.revs.contains(r));
+            let missing: Vec<_> = missing.copied().collect();
+            departure.revs.extend(missing);
+        }
         if self.known.len() >= DEPARTURES_MAX {
             self.known.shift_remove_index(0);
         }
-        self.known.insert(
-            departure.name.clone(),
-            Departure {
-                is_gone,
-                rev,
-                ..departure
-            },
-        );
+        self.known.insert(departure.name.clone(), departure);
     }
 
-    /// Records that a target is leaving, by its entry and the one before.
+    /// Records that a target is leaving, if its entry says so and the one before did not.
     pub(crate) fn record_leaving(&mut self, before: Option<&Registration>, entry: &Registration) {
         let info = &entry.info;
-        let before = before.filter(|b| b.info.incarnation == info.incarnation);
-        let is_known = before.is_some_and(|b| b.info.leaving);
-        if !info.leaving || is_known && self.known.contains_key(&info.name) {
-            return;
+        let is_same = |b: &Registration| b.info.incarnation == info.incarnation && b.info.leaving;
+        let is_known = before.is_some_and(is_same) && self.known.contains_key(&info.name);
+        if info.leaving && !is_known {
+            self.note(entry);
+            self.record_departure(entry, false);
         }
-        let ready = before.filter(|b| !b.info.leaving).map(|b| b.rev);
-        self.record(Departure {
-            name: info.name.clone(),
-            incarnation: info.incarnation,
-            is_gone: false,
-            rev: ready.unwrap_or(entry.rev.saturating_sub(1)),
-        });
     }
 
-    /// Records that a target is gone, by its last entry.
+    /// Records that a target is gone, by its last entry, unless the copy never had one.
     pub(crate) fn record_gone(&mut self, last: &Registration) {
-        self.record(Departure {
-            name: last.info.name.clone(),
+        self.record_departure(last, true);
+    }
+
+    fn record_departure(&mut self, last: &Registration, is_gone: bool) {
+        let name = &last.info.name;
+        let revs = self.written.get(name).cloned();
+        let departure = revs.map(|revs| Departure {
+            name: name.clone(),
             incarnation: last.info.incarnation,
-            is_gone: true,
-            rev: last.rev,
+            is_gone,
+            revs,
         });
+        departure.into_iter().for_each(|d| self.record(d));
     }
 
     /// Records that an entry was written after all that could be in the copy.
@@ -134,5 +159,7 @@
 
 /// Whether an entry may be from before a departure.
 fn covers(departure: &Departure, entry: &Registration) -> bool {
-    entry.info.incarnation <= departure.incarnation && entry.rev <= departure.rev
+    let is_older = departure.revs.iter().all(|rev| entry.rev < *rev);
+    let is_known = is_older || departure.revs.contains(&entry.rev);
+    entry.info.incarnation <= departure.incarnation && is_known
 }
--- a/src/relay/tests/store_eras.rs
+++ b/src/relay/tests/store_eras.rs
@@ -90,14 +90,15 @@
 
 /// Guards against targets that stay out of use for good.
 #[test]
-fn departed_target_is_used_after_a_watched_change_a_later_revision_or_a_newer_start() {
+fn departed_target_is_used_after_a_watched_change_a_new_revision_or_a_newer_start() {
     let now = Instant::now();
     let mut restarted = entry("c", 3);
     restarted.info.incarnation = 2;
-    let cases: [(Vec<Registration>, Vec<Change>, &[&str]); 4] = [
+    let cases: [(Vec<Registration>, Vec<Change>, &[&str]); 5] = [
         (copied(), vec![change(entry("b", 5))], &["a", "b"]),
         (copied(), vec![change(entry("c", 6))], &["a", "c"]),
         (vec![entry("a", 1), entry("b", 4)], Vec::new(), &["a", "b"]),
+        (vec![entry("a", 1), entry("c", 4)], Vec::new(), &["a", "c"]),
         (vec![entry("a", 1), restarted], Vec::new(), &["a", "c"]),
     ];
 
