Keep the order in which the catalog lists its targets

Cause: with departures, lapsed and unregistered targets came before the registered ones, which get their keys in this order.

Change: registered targets come first again, as before.

Result: 95 unit tests of the relay, store_eras, store_outages, reused_addresses and the peer tests pass.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -364,9 +364,7 @@
             is_left
         });
         self.expire_unregistered(now);
-        let unregistered = self.unregistered.values().map(|(info, _)| info);
-        let lapsed = self.lapsed.values().map(|(r, _)| &r.info);
-        let mut all: Vec<TargetInfo> = lapsed.chain(unregistered).cloned().collect();
+        let mut all: Vec<TargetInfo> = Vec::with_capacity(self.targets.len());
         self.kept_out = 0;
         for registration in self.targets.values() {
             let departure = self.departures.of(registration);
@@ -380,6 +378,9 @@
                 }),
             }
         }
+        let unregistered = self.unregistered.values().map(|(info, _)| info);
+        let lapsed = self.lapsed.values().map(|(r, _)| &r.info);
+        all.extend(lapsed.chain(unregistered).cloned());
         for keys in self.keys.values_mut().flatten() {
             keys.unused.get_or_insert(now);
         }
