--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod equal_runs;
 mod events;
 mod exchange;
+mod first_read;
 mod front;
 mod gossip;
 mod limits;
@@ -29,6 +30,7 @@
 mod placing;
 mod platform_update;
 mod platform_watch;
+mod priority;
 mod probe;
 mod progress;
 mod quarantine;
@@ -40,6 +42,7 @@
     reason = "the aggregate that the module is named after"
 )]
 mod relay;
+mod removals;
 mod retries;
 mod rules;
 mod run;
@@ -51,18 +54,21 @@
 mod silence;
 mod stall;
 mod stall_timeouts;
+mod startup;
 mod store_era;
 mod stream;
 mod successor;
 #[cfg(test)]
 mod tests;
+mod wait_order;
 
 pub use catalog::{Registration, TargetInfo};
 pub use dialect::{AttemptHead, CopyRef, Dialect, Notice, QuietTime, RequestHead, ResponseHead};
 pub use limits::Rate;
 pub use platform_watch::Sources;
+pub use priority::Priority;
 pub use progress::EngineReport;
 pub use retries::Allowance;
-pub use rules::{Engine, Kind, Limits, Route, Rules, Service, TrafficShare};
+pub use rules::{Account, Engine, Kind, Limits, Route, Rules, Service, TrafficShare};
 pub use run::{Platform, main};
 pub use settings::Settings;
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -11,8 +11,7 @@
 use slog::{info, warn};
 use smol_str::SmolStr;
 
-use super::catalog::{Change, Registration};
-use super::departures::Departure;
+use super::catalog::{Change, TargetsCopy};
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
@@ -26,19 +25,7 @@
     /// JSON text of the rules, if the requesting instance's are older.
     rules: Option<String>,
     /// Registrations, if the requesting instance's are older.
-    targets: Option<Targets>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Targets {
-    /// Era of the platform in which they were read.
-    era: Option<u64>,
-    /// Platform revision up to which the list is complete, and the highest revision in it.
-    revs: (u64, u64),
-    list: Vec<Registration>,
-    /// Departures that keep some of them out of use.
-    departures: Vec<Departure>,
-    outage: Option<Duration>,
+    targets: Option<TargetsCopy>,
 }
 
 /// Changes read from the platform.
@@ -55,7 +42,7 @@
         /// Platform revision after these.
         as_of: u64,
         changes: Vec<Change>,
-        /// Time since the last failed read of the platform.
+        /// Time since the last failed read of the platform by the sender, which read the changes.
         outage: Option<Duration>,
     },
 }
@@ -114,8 +101,9 @@
                 changes,
                 outage,
             } => {
-                self.record_outage(outage);
-                let catalog = self.catalog.lock();
+                let at = outage.and_then(|outage| Instant::now().checked_sub(outage));
+                let mut catalog = self.catalog.lock();
+                catalog.record_peer_outage(at);
                 let is_stale = catalog.era < era || catalog.newest() < Some(since);
                 drop(catalog);
                 match is_stale {
@@ -123,7 +111,10 @@
                         let (me, from) = (Arc::clone(self), from.clone());
                         tokio::spawn(async move { me.fetch_config(sources, &from).await });
                     }
-                    false => self.apply_changes(as_of, &changes),
+                    false => {
+                        self.apply_changes(as_of, &changes, at);
+                        self.confirm_removals(sources);
+                    }
                 }
             }
         }
@@ -141,13 +132,6 @@
         }
     }
 
-    fn record_outage(&self, outage: Option<Duration>) {
-        let at = outage.and_then(|outage| Instant::now().checked_sub(outage));
-        if let Some(at) = at {
-            self.catalog.lock().record_outage(at);
-        }
-    }
-
     /// The rules and targets that a peer with `held` lacks.
     fn config_for(&self, held: HeldRevisions) -> Config {
         let own = self.held_revisions();
@@ -155,22 +139,20 @@
         let catalog = self.catalog.lock();
         let rules = (catalog.version() > held.rules).then_some(text).flatten();
         let is_newer = own.progress() > held.progress() || own.keeps_out_others(&held);
-        let revs = catalog.as_of.zip(catalog.newest()).filter(|_| is_newer);
+        let copy = || catalog.copy(Instant::now());
         Config {
             rules: rules.map(|text| text.to_string()),
-            targets: revs.map(|revs| Targets {
-                era: catalog.era,
-                revs,
-                departures: catalog.departures(),
-                list: catalog.registrations(),
-                outage: catalog.last_outage().map(|at| at.elapsed()),
-            }),
+            targets: is_newer.then(copy).flatten(),
         }
     }
 
     /// Fetches from the peer `name` the rules and targets that this instance lacks.
-    pub(crate) async fn fetch_config(&self, sources: Sources, name: &SmolStr) {
-        let held = self.held_revisions();
+    pub(crate) async fn fetch_config(self: &Arc<Self>, sources: Sources, name: &SmolStr) {
+        let mut held = self.held_revisions();
+        if self.catalog.lock().has_lapsed() {
+            // A copy that is no newer may tell that removals are final.
+            held.targets = None;
+        }
         let config = self
             .peers
             .call::<_, Config>(name, Tag::Config, &held, CALL_TIMEOUT)
@@ -185,17 +167,23 @@
         if let Some(text) = config.rules {
             self.apply_rules_text(sources, &text, name);
         }
-        if let Some(targets) = config.targets {
-            self.record_outage(targets.outage);
+        if let Some(mut targets) = config.targets {
+            let departures = std::mem::take(&mut targets.departures);
             self.platform.learn_era(targets.era);
             let mut catalog = self.catalog.lock();
-            if self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
-                let now = Instant::now();
-                catalog.apply_copy(targets.revs, targets.list, now);
-                catalog.learn_departures(targets.departures);
+            if !self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
+                return;
             }
+            let settled = catalog.apply_copy(targets, Instant::now());
+            catalog.learn_departures(departures);
             drop(catalog);
+            if !settled.is_empty() {
+                info!(self.decisions.log, "target: removals confirmed by a peer";
+                    "peer" => name.as_str(), "targets" => settled.join(","));
+            }
             self.refresh_targets();
+            self.forward_settled(settled);
+            self.confirm_removals(sources);
         }
     }
 }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -206,7 +206,8 @@
     }
 
     /// Waits until the fleet is known to be large, in which case other instances may read for this
-    /// one, or a timeout has passed.
+    /// one, or a timeout has passed. A request that waits for the rules ends it, as its caller may be
+    /// lost by then.
     pub(crate) async fn wait_for_peers(&self) {
         let max_wait = match self.settings.first_start {
             _ if self.peers.has_no_seeds() => Duration::ZERO,
@@ -215,6 +216,7 @@
         };
         let deadline = Instant::now() + max_wait;
         while Instant::now() < deadline
+            && self.waiting_room.is_empty()
             && !(self.peers.is_tiered() && self.has_reached_candidates())
         {
             sleep(DISCOVERY_PERIOD).await;
@@ -237,7 +239,7 @@
     ) -> Result<u64, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
-            let list = self.platform.list(kind, "").await?;
+            let list = self.list_at_start(kind).await?;
             for object in list.items.iter().filter(|o| o.name == name) {
                 self.apply_rules(sources, object.rev, &object.value);
             }
@@ -282,6 +284,8 @@
     pub(crate) fn put_rules(&self, rules: Rules, value: &Value, source: &str) -> bool {
         let version = rules.version;
         let routes = rules.routes().count();
+        let ignored = rules.ignored.len();
+        let first = rules.ignored.first().cloned().unwrap_or_default();
         let is_newer = self.catalog.lock().apply_rules(rules);
         if is_newer {
             *self.rules_text.lock() = Some(value.to_string().into());
@@ -289,6 +293,10 @@
             info!(self.decisions.log, "rules: in force";
                 "version" => version, "routes" => routes, "from" => source);
         }
+        if is_newer && ignored > 0 {
+            warn!(self.decisions.log, "rules: values ignored";
+                "version" => version, "count" => ignored, "first" => first);
+        }
         is_newer
     }
 
@@ -302,13 +310,14 @@
         // Peers may have forwarded changes later than the last watch.
         let cursor = cursor.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
         let Some(from) = cursor else {
-            let list = self.platform.list(kind, "").await?;
+            let list = self.list_at_start(kind).await?;
             let read = |o: &platform::Object| {
                 let info = self.parse_target(sources, &o.name, o.rev, &o.value)?;
                 Some(Registration { rev: o.rev, info })
             };
             let registrations = list.items.iter().filter_map(read).collect();
             self.apply_list(list.rev, registrations);
+            self.confirm_removals(sources);
             return Ok(list.rev);
         };
         let changes = self.platform.watch(kind, from, wait).await?;
@@ -319,10 +328,12 @@
         };
         let list: Vec<_> = changes.events.iter().map(to_change).collect();
         let since = self.catalog.lock().newest().unwrap_or_default();
-        self.apply_changes(changes.rev, &list);
+        let outage = self.catalog.lock().last_outage();
+        self.apply_changes(changes.rev, &list, outage);
         if !list.is_empty() {
-            self.forward_targets(since, changes.rev, list);
+            self.forward_targets(since, changes.rev, list, outage);
         }
+        self.confirm_removals(sources);
         Ok(changes.rev)
     }
 
@@ -335,18 +346,24 @@
             catalog.apply_list(as_of, list, Instant::now());
         }
         let newest = catalog.newest().unwrap_or_default();
+        let outage = catalog.last_outage();
         drop(catalog);
         self.refresh_targets();
         // Makes the followers fetch the targets of the new era at once.
         if is_later {
-            self.forward_targets(newest, as_of, Vec::new());
+            self.forward_targets(newest, as_of, Vec::new(), outage);
         }
     }
 
-    fn forward_targets(self: &Arc<Self>, since: u64, as_of: u64, changes: Vec<Change>) {
-        let catalog = self.catalog.lock();
-        let (era, outage) = (catalog.era, catalog.last_outage());
-        drop(catalog);
+    /// Forwards changes; `outage` is the last failed read of the instance that read them.
+    pub(crate) fn forward_targets(
+        self: &Arc<Self>,
+        since: u64,
+        as_of: u64,
+        changes: Vec<Change>,
+        outage: Option<Instant>,
+    ) {
+        let era = self.catalog.lock().era;
         self.forward(PlatformUpdate::Targets {
             era,
             since,
@@ -356,9 +373,11 @@
         });
     }
 
-    pub(crate) fn apply_changes(&self, as_of: u64, changes: &[Change]) {
+    pub(crate) fn apply_changes(&self, as_of: u64, changes: &[Change], outage: Option<Instant>) {
         let now = Instant::now();
-        self.catalog.lock().apply_changes(as_of, changes, now);
+        let mut catalog = self.catalog.lock();
+        catalog.apply_changes(as_of, changes, outage, now);
+        drop(catalog);
         if !changes.is_empty() {
             self.refresh_targets();
         }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -1,7 +1,7 @@
 //! Shared state of one relay instance and the choice of targets from it.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -32,6 +32,7 @@
 use super::runs::RunDirectory;
 use super::settings::Settings;
 use super::silence::RetryShare;
+use super::startup::{Known, WaitingRoom};
 use crate::caller::{Drain, StreamDurations};
 use crate::ident::TargetKey;
 use crate::peer::Peers;
@@ -112,6 +113,8 @@
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
     /// Whether this instance is a reader of the platform.
     pub(crate) reader_role: Mutex<ReadState>,
+    /// Whether other failure domains are being asked about removed targets.
+    pub(crate) confirming: AtomicBool,
     /// Whether each peer last reported to be a reader.
     pub(crate) peer_readers: Mutex<IndexMap<SmolStr, bool>>,
     /// Since when this failure domain has had no other reader.
@@ -120,8 +123,11 @@
     pub(crate) newer_peer: Mutex<Option<(SmolStr, Instant)>>,
     /// Whether all seeds refused this instance at the last look.
     pub(crate) refused: AtomicBool,
+    /// Requests that wait for the rules.
+    pub(crate) waiting_room: WaitingRoom,
     started: Instant,
-    is_ready: watch::Sender<bool>,
+    known: watch::Sender<Known>,
+    ready_at: OnceLock<Instant>,
 }
 
 /// Constraints on the choice of a target.
@@ -183,12 +189,15 @@
             runs_requested: AtomicBool::new(false),
             rules_text: Mutex::default(),
             reader_role: Mutex::default(),
+            confirming: AtomicBool::new(false),
             peer_readers: Mutex::default(),
             no_reader_since: Mutex::default(),
             newer_peer: Mutex::default(),
             refused: AtomicBool::new(false),
+            waiting_room: WaitingRoom::default(),
             started: Instant::now(),
-            is_ready: watch::Sender::new(false),
+            known: watch::Sender::default(),
+            ready_at: OnceLock::new(),
         }
     }
 
@@ -203,14 +212,19 @@
 
     /// Whether the rules and the targets are known.
     pub(crate) fn ready(&self) -> bool {
-        *self.is_ready.borrow()
+        *self.known.borrow() == Known::All
     }
 
-    /// Waits until the rules and the targets are known.
-    pub(crate) async fn wait_ready(&self) {
-        let mut is_ready = self.is_ready.subscribe();
+    /// When the rules and the targets were first known.
+    pub(crate) fn ready_at(&self) -> Option<Instant> {
+        self.ready_at.get().copied()
+    }
+
+    /// Waits until this much is known.
+    pub(crate) async fn wait_known(&self, wanted: Known) {
+        let mut known = self.known.subscribe();
         // Cannot fail: the sender lives as long as the relay.
-        let _ = is_ready.wait_for(|is_ready| *is_ready).await;
+        let _ = known.wait_for(|known| *known >= wanted).await;
     }
 
     /// Removes targets from the router whose registration has expired.
@@ -249,11 +263,19 @@
         self.signal_ready();
     }
 
-    /// Wakes the tasks that wait for rules and targets, once both are known.
+    /// Wakes the tasks that wait for rules and targets, once they are known.
     fn signal_ready(&self) {
-        let ready = self.catalog.lock().is_complete();
-        self.is_ready
-            .send_if_modified(|is_ready| !std::mem::replace(is_ready, ready) && ready);
+        let catalog = self.catalog.lock();
+        let now_known = match catalog.is_complete() {
+            true => Known::All,
+            false if catalog.rules().is_some() => Known::Rules,
+            false => Known::Nothing,
+        };
+        if now_known == Known::All {
+            self.ready_at.get_or_init(Instant::now);
+        }
+        self.known
+            .send_if_modified(|known| std::mem::replace(known, now_known) < now_known);
     }
 
     fn region(&self, domain: &str) -> SmolStr {
@@ -285,6 +307,11 @@
         }
     }
 
+    /// Whether the service's targets are engines.
+    pub(crate) fn has_engines(&self, service: &str) -> bool {
+        self.engine(service).is_some()
+    }
+
     /// Whether the service's engines continuously copy the KV cache of their runs.
     pub(crate) fn keeps_copies(&self, service: &str) -> bool {
         self.engine(service).is_some_and(|e| e.backups)
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -23,7 +23,7 @@
 use crate::relay::limits::Purpose;
 use crate::relay::local_reply::{LocalReply, retry_after};
 use crate::relay::placing::{Patience, PlaceError};
-use crate::relay::record::Placement;
+use crate::relay::record::{Placement, count_placement};
 use crate::relay::relay::{PREFILL_RATE, TargetCriteria};
 use crate::relay::shutdown::SHUTTING_DOWN;
 use crate::relay::stall::{Loss, StallDetector};
@@ -116,6 +116,10 @@
                         holds_retry = wait <= RETRY_LIFE;
                         continue;
                     }
+                    if error == PlaceError::Unavailable && self.pause_early().await {
+                        holds_retry = true;
+                        continue;
+                    }
                     return Err(match error {
                         PlaceError::Unavailable => self.give_up("no engine can be reached"),
                         PlaceError::AtLimit(wait) => self.refuse_at_limit(wait),
@@ -153,6 +157,7 @@
     }
 
     fn log_placement(&self, lease: &Lease, from_copy: bool) {
+        count_placement(self.request.priority, "placed");
         let backup = self.backup.as_ref().map(|c| c.lease.name());
         let now = std::time::Instant::now();
         self.relay.decisions.placed(&Placement {
@@ -161,6 +166,7 @@
             backup: &backup.unwrap_or_default(),
             from: if from_copy { "copy" } else { "prompt" },
             last: self.last_id.unwrap_or_default(),
+            priority: self.request.priority,
             work: self.relay.router.work(lease.key, now),
         });
     }
@@ -280,11 +286,13 @@
         }
         let now = Instant::now();
         let name = lease.name();
+        let rules = self.relay.rules();
         let attempt = AttemptHead {
             id: &self.request.ask.id,
             time_left: Some(self.request.left(now)),
             target: &name,
             account: self.request.account.as_deref(),
+            urgency: self.request.urgency(rules.as_deref()),
             last_event: self.last_id,
             backup: self.backup.as_ref().map(|c| c.lease.addr),
             resume_from: copied.as_ref(),
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -18,3 +18,4 @@
 mod silence;
 mod stall_timeouts;
 mod store_eras;
+mod wait_order;
--- a/src/relay/tests/store_eras.rs
+++ b/src/relay/tests/store_eras.rs
@@ -62,7 +62,7 @@
         change(leaving("c", 12)),
         removal("c", 13),
     ];
-    catalog.apply_changes(13, &changes, now);
+    catalog.apply_changes(13, &changes, None, now);
     catalog
 }
 
@@ -106,7 +106,7 @@
         let mut catalog = catalog(now);
         catalog.enter_era(Some(2));
         catalog.apply_list(4, list, now);
-        catalog.apply_changes(6, &changes, now);
+        catalog.apply_changes(6, &changes, None, now);
 
         assert_eq!(ready(&mut catalog, now), expected);
     }
@@ -180,7 +180,7 @@
 
     fresh.learn_departures(departures.clone());
     let learned = ready(&mut fresh, now);
-    fresh.apply_changes(5, &[change(entry("c", 5))], now);
+    fresh.apply_changes(5, &[change(entry("c", 5))], None, now);
     fresh.learn_departures(departures);
 
     assert_eq!(learned, ["a"]);
@@ -205,3 +205,30 @@
     assert_eq!(names, ["a", "b"]);
     assert_eq!(ready(&mut catalog, now), ["a"]);
 }
+
+/// Guards against a copy of an earlier era that ends the grace period of a target, as its revisions
+/// are higher, and against a target that no copy of the new era ends, as its revisions are lower.
+#[test]
+fn only_a_copy_of_the_same_era_ends_a_grace_period() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(3);
+    let mut earlier = catalog(now);
+    earlier.apply_changes(14, &[removal("a", 14)], None, now);
+    let mut restored = catalog(now);
+    restored.enter_era(Some(2));
+    restored.apply_list(0, Vec::new(), now);
+    let mut same = Catalog::default();
+    same.enter_era(Some(2));
+    same.apply_list(0, Vec::new(), now);
+
+    let of_earlier = restored.apply_copy(earlier.copy(later).unwrap(), now);
+    let kept = ready(&mut restored, now);
+    let unread = restored.apply_copy(same.copy(now).unwrap(), now);
+    let settled = restored.apply_copy(same.copy(later).unwrap(), now);
+
+    assert!(of_earlier.is_empty() && unread.is_empty());
+    assert_eq!(kept, ["a"]);
+    // `b` is leaving, but not gone: it is kept for its open requests, and takes no new ones.
+    assert_eq!(settled, ["a", "b"]);
+    assert!(ready(&mut restored, now).is_empty());
+}
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::outlier::{Outcomes, Standing};
+
 /// Time in which a suspicion score decays by half.
 const SUSPICION_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -91,6 +93,8 @@
     own_dead: bool,
     last_alive: Option<Instant>,
     peer_alive: Option<Instant>,
+    /// Outcomes of this instance's requests.
+    pub(crate) outcomes: Outcomes,
 }
 
 impl Health {
@@ -251,6 +255,11 @@
         self.own_dead && self.blocked(now)
     }
 
+    /// Whether it gets no requests only because it was found dead.
+    pub(crate) fn is_dead(&self, now: Instant) -> bool {
+        self.blocked(now) && !self.leaving(now)
+    }
+
     pub(crate) fn availability(&self, now: Instant) -> Availability {
         match () {
             () if self.leaving(now) || self.blocked(now) => Availability::Unavailable,
@@ -262,6 +271,8 @@
                 Availability::Unavailable
             }
             () if self.suspicion_score(now) >= SUSPECT_SCORE => Availability::Suspected,
+            () if self.outcomes.standing(now) == Standing::Ejected => Availability::Suspected,
+            () if self.outcomes.standing(now) == Standing::Trial => Availability::HalfOpen,
             () if self.blocked_until.is_some() => Availability::HalfOpen,
             () if self.notices.quiet.is_some_and(|q| !q.is_over) => Availability::HalfOpen,
             () => Availability::Healthy,
