--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -11,9 +11,11 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::departures::{Departure, Departures};
 use super::rules::Rules;
 use crate::fleet::Target;
 use crate::ident::TargetKey;
+use crate::platform::is_restored;
 
 /// How long a target that is missing after a platform outage is still used. Targets register again
 /// within two seconds of the platform's return; the rest allows for propagation of the
@@ -72,9 +74,13 @@
 /// All registrations known to one instance, for another one.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct TargetsCopy {
+    /// Era of the platform in which they were read.
+    pub(crate) era: Option<u64>,
     /// Platform revision up to which the list is complete, and the highest revision in it.
     pub(crate) revs: (u64, u64),
     pub(crate) list: Vec<Registration>,
+    /// Departures that keep some of them out of use.
+    pub(crate) departures: Vec<Departure>,
     /// Names of removed targets that the sender still uses, and for how long.
     pub(crate) kept: Vec<(SmolStr, Duration)>,
     /// Time since the last failed read of the sender.
@@ -126,9 +132,71 @@
     peer_outage: Option<Instant>,
     /// When targets became known.
     known: Option<Instant>,
+    /// Era of the platform in which the targets were read.
+    pub(crate) era: Option<u64>,
+    /// Whether no list was applied since the platform was restored.
+    is_restored: bool,
+    departures: Departures,
+    /// Fingerprint of the targets that departures keep out of use; 0 when there are none.
+    kept_out: u64,
+}
+
+/// How an era relates to that of the targets held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EraChange {
+    Same,
+    /// The targets read then are outdated.
+    Earlier,
+    /// The platform was restored since the targets of this era and revision were read.
+    Restored {
+        era_before: Option<u64>,
+        as_of: Option<u64>,
+    },
 }
 
 impl Catalog {
+    /// Prepares for a full list read in `era`, whose revisions may be lower.
+    pub(crate) fn enter_era(&mut self, era: Option<u64>) -> EraChange {
+        if era < self.era {
+            return EraChange::Earlier;
+        }
+        let era_before = std::mem::replace(&mut self.era, era);
+        if !is_restored(era_before, era) {
+            return EraChange::Same;
+        }
+        self.is_restored = true;
+        self.newest = None;
+        // Targets may not have registered again yet: what is missing now is not gone.
+        self.known = None;
+        // Revisions are comparable only within one era.
+        self.lapsed.values_mut().for_each(|(r, _)| r.rev = 0);
+        self.departures.restore();
+        EraChange::Restored {
+            era_before,
+            as_of: self.as_of.take(),
+        }
+    }
+
+    /// Fingerprint of the targets that departures keep out of use; 0 when there are none.
+    pub(crate) fn kept_out(&self) -> u64 {
+        self.kept_out
+    }
+
+    /// Departures that keep targets out of use, for a peer.
+    pub(crate) fn departures(&self) -> Vec<Departure> {
+        let registered = self.targets.values();
+        let kept_out = registered.filter_map(|r| self.departures.of(r));
+        kept_out.cloned().collect()
+    }
+
+    /// Learns departures that keep targets out of use at a peer.
+    pub(crate) fn learn_departures(&mut self, departures: Vec<Departure>) {
+        for departure in departures {
+            let entry = self.targets.get(&departure.name);
+            self.departures.learn(departure, entry);
+        }
+    }
+
     /// The rules in force.
     pub(crate) fn rules(&self) -> Option<&Arc<Rules>> {
         self.rules.as_ref()
@@ -192,13 +260,29 @@
         }
         let mut old = std::mem::take(&mut self.targets);
         for registration in list {
-            old.swap_remove(&registration.info.name);
+            let before = old.swap_remove(&registration.info.name);
+            self.departures
+                .record_leaving(before.as_ref(), &registration);
             self.put(registration);
         }
         // The list does not tell the revisions of removals.
         let removed = (!old.is_empty()).then_some(as_of);
+        let is_restored = std::mem::take(&mut self.is_restored);
         for (name, registration) in old {
-            self.lapse(registration, until(&name), now);
+            match is_restored && self.departures.of(&registration).is_none() {
+                // It may have registered after the copy was made, and registers again. Its revision
+                // is not comparable with those of this era.
+                true => {
+                    self.key(&registration.info, now);
+                    self.departures.forget(&name);
+                    let unregistered = Registration {
+                        rev: 0,
+                        ..registration
+                    };
+                    self.lapsed.insert(name, (unregistered, now + OUTAGE_GRACE));
+                }
+                false => self.lapse(registration, until(&name), now),
+            }
         }
         self.as_of = Some(as_of);
         self.known.get_or_insert(now);
@@ -208,8 +292,12 @@
 
     /// Applies a peer's full list of registrations. The removals that it shows were judged by the
     /// instance that read them: failed reads of this one do not mean that the platform was down.
-    /// Returns the names of the targets whose grace period here is ended by the copy.
+    /// Returns the names of the targets whose grace period here is ended by the copy. A copy of
+    /// another era than that entered changes nothing.
     pub(crate) fn apply_copy(&mut self, copy: TargetsCopy, now: Instant) -> Vec<SmolStr> {
+        if copy.era != self.era {
+            return Vec::new();
+        }
         let at = copy.outage.and_then(|outage| now.checked_sub(outage));
         self.record_peer_outage(at);
         let settled = self.settle(&copy);
@@ -237,7 +325,13 @@
         let lapsed = self.lapsed.iter();
         let settled = lapsed.filter(|(name, (r, _))| copy.is_conclusive() && is_final(name, r));
         let settled: Vec<_> = settled.map(|(name, _)| name.clone()).collect();
-        self.lapsed.retain(|name, _| !settled.contains(name));
+        self.lapsed.retain(|name, (registration, _)| {
+            let is_settled = settled.contains(name);
+            if is_settled {
+                self.departures.record_gone(registration);
+            }
+            !is_settled
+        });
         settled
     }
 
@@ -260,7 +354,10 @@
         for change in removed.filter(|_| grace(outage, now).is_none()) {
             let is_older = |(r, _): &(Registration, Instant)| r.rev <= change.rev;
             if self.lapsed.get(&change.name).is_some_and(is_older) {
-                self.lapsed.swap_remove(&change.name);
+                let lapsed = self.lapsed.swap_remove(&change.name);
+                lapsed
+                    .iter()
+                    .for_each(|(r, _)| self.departures.record_gone(r));
             }
         }
         if self.as_of >= Some(as_of) {
@@ -271,10 +368,16 @@
             match &change.info {
                 // Known, or removed since: the target would be used again until the removal.
                 Some(_) if self.as_of >= Some(change.rev) => {}
-                Some(info) => self.put(Registration {
-                    rev: change.rev,
-                    info: info.clone(),
-                }),
+                Some(info) => {
+                    let entry = Registration {
+                        rev: change.rev,
+                        info: info.clone(),
+                    };
+                    let before = self.targets.get(&change.name);
+                    self.departures.record_leaving(before, &entry);
+                    self.departures.record_written(&entry);
+                    self.put(entry);
+                }
                 None => self.remove(&change.name, outage, now),
             }
         }
@@ -284,6 +387,8 @@
     /// Inserts or updates one registration.
     pub(crate) fn put(&mut self, registration: Registration) {
         let name = registration.info.name.clone();
+        self.departures.admit(&registration);
+        self.departures.note(&registration);
         self.lapsed.swap_remove(&name);
         let addr = registration.info.addr;
         self.unregistered.retain(|_, (info, _)| info.addr != addr);
@@ -306,10 +411,13 @@
     fn lapse(&mut self, registration: Registration, until: Option<Instant>, now: Instant) {
         // Records the incarnation, even if the target was added and removed in one batch.
         self.key(&registration.info, now);
-        if let Some(until) = until {
+        let is_departed = self.departures.of(&registration).is_some();
+        if let Some(until) = until.filter(|_| !is_departed) {
             let name = registration.info.name.clone();
             self.lapsed.insert(name, (registration, until));
+            return;
         }
+        self.departures.record_gone(&registration);
     }
 
     /// Adds a target that was found at the address of a removed one and has not registered yet.
@@ -346,8 +454,10 @@
         let kept = self.lapsed.iter().map(|(n, (_, u))| (n.clone(), left(u)));
         let since = |at: Instant| now.saturating_duration_since(at);
         Some(TargetsCopy {
+            era: self.era,
             revs: self.as_of.zip(self.newest)?,
             list: self.targets.values().cloned().collect(),
+            departures: self.departures(),
             kept: kept.filter(|(_, left)| !left.is_zero()).collect(),
             outage: self.outage.map(since),
             known: self.known.map_or(Duration::ZERO, since),
@@ -378,16 +488,31 @@
         region: impl Fn(&str) -> SmolStr,
         now: Instant,
     ) -> Vec<(Target, u32)> {
-        self.lapsed.retain(|_, (_, until)| *until > now);
+        self.lapsed.retain(|_, (registration, until)| {
+            let is_left = *until > now;
+            if !is_left {
+                self.departures.record_gone(registration);
+            }
+            is_left
+        });
         self.expire_unregistered(now);
+        let mut all: Vec<TargetInfo> = Vec::with_capacity(self.targets.len());
+        self.kept_out = 0;
+        for registration in self.targets.values() {
+            let departure = self.departures.of(registration);
+            self.kept_out ^= departure.map_or(0, Departure::fingerprint);
+            let info = &registration.info;
+            match departure {
+                Some(departure) if departure.is_gone => {}
+                departure => all.push(TargetInfo {
+                    leaving: info.leaving || departure.is_some(),
+                    ..info.clone()
+                }),
+            }
+        }
         let unregistered = self.unregistered.values().map(|(info, _)| info);
         let lapsed = self.lapsed.values().map(|(r, _)| &r.info);
-        let registered = self.targets.values().map(|r| &r.info);
-        let all: Vec<TargetInfo> = registered
-            .chain(lapsed)
-            .chain(unregistered)
-            .cloned()
-            .collect();
+        all.extend(lapsed.chain(unregistered).cloned());
         for keys in self.keys.values_mut().flatten() {
             keys.unused.get_or_insert(now);
         }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -141,7 +141,7 @@
     ) {
         let own = self.held_revisions();
         let mut behind = self.newer_peer.lock();
-        let is_ahead = remote.targets > own.targets;
+        let is_ahead = remote.progress() > own.progress();
         match is_ahead {
             true => {
                 behind.get_or_insert((from.clone(), now));
@@ -163,7 +163,8 @@
             *behind = None;
         }
         drop(behind);
-        if remote.rules > own.rules || is_lagging || own.targets.is_none() {
+        let lacks_departures = remote.keeps_out_others(&own);
+        if remote.rules > own.rules || is_lagging || own.targets.is_none() || lacks_departures {
             let me = Arc::clone(self);
             tokio::spawn(async move { me.fetch_config(sources, &from).await });
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod catalog;
 mod connections;
 mod copies;
+mod departures;
 mod dialect;
 mod election;
 mod equal_runs;
@@ -54,6 +55,7 @@
 mod stall;
 mod stall_timeouts;
 mod startup;
+mod store_era;
 mod stream;
 mod successor;
 #[cfg(test)]
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -35,6 +35,8 @@
     Rules(String),
     /// Changes of targets.
     Targets {
+        /// Era of the platform in which they were read.
+        era: Option<u64>,
         /// Revision of the newest change before these.
         since: u64,
         /// Platform revision after these.
@@ -91,15 +93,19 @@
     fn handle_update(self: &Arc<Self>, sources: Sources, from: &SmolStr, update: PlatformUpdate) {
         match update {
             PlatformUpdate::Rules(text) => self.apply_rules_text(sources, &text, from),
+            PlatformUpdate::Targets { era, .. } if era < self.catalog.lock().era => {}
             PlatformUpdate::Targets {
+                era,
                 since,
                 as_of,
                 changes,
                 outage,
             } => {
                 let at = outage.and_then(|outage| Instant::now().checked_sub(outage));
-                self.catalog.lock().record_peer_outage(at);
-                let is_stale = self.catalog.lock().newest() < Some(since);
+                let mut catalog = self.catalog.lock();
+                catalog.record_peer_outage(at);
+                let is_stale = catalog.era < era || catalog.newest() < Some(since);
+                drop(catalog);
                 match is_stale {
                     true => {
                         let (me, from) = (Arc::clone(self), from.clone());
@@ -128,10 +134,11 @@
 
     /// The rules and targets that a peer with `held` lacks.
     fn config_for(&self, held: HeldRevisions) -> Config {
+        let own = self.held_revisions();
         let text = self.rules_text.lock().clone();
         let catalog = self.catalog.lock();
         let rules = (catalog.version() > held.rules).then_some(text).flatten();
-        let is_newer = catalog.newest() > held.targets;
+        let is_newer = own.progress() > held.progress() || own.keeps_out_others(&held);
         let copy = || catalog.copy(Instant::now());
         Config {
             rules: rules.map(|text| text.to_string()),
@@ -160,8 +167,16 @@
         if let Some(text) = config.rules {
             self.apply_rules_text(sources, &text, name);
         }
-        if let Some(targets) = config.targets {
-            let settled = self.catalog.lock().apply_copy(targets, Instant::now());
+        if let Some(mut targets) = config.targets {
+            let departures = std::mem::take(&mut targets.departures);
+            self.platform.learn_era(targets.era);
+            let mut catalog = self.catalog.lock();
+            if !self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
+                return;
+            }
+            let settled = catalog.apply_copy(targets, Instant::now());
+            catalog.learn_departures(departures);
+            drop(catalog);
             if !settled.is_empty() {
                 info!(self.decisions.log, "target: removals confirmed by a peer";
                     "peer" => name.as_str(), "targets" => settled.join(","));
--- a/src/relay/removals.rs
+++ b/src/relay/removals.rs
@@ -10,7 +10,6 @@
 use tokio::time::sleep;
 
 use super::catalog::Change;
-use super::platform_update::PlatformUpdate;
 use super::platform_watch::Sources;
 use super::relay::Relay;
 
@@ -58,11 +57,7 @@
             rev: newest,
             info: None,
         };
-        self.forward(PlatformUpdate::Targets {
-            since: newest,
-            as_of,
-            changes: names.into_iter().map(change).collect(),
-            outage: None,
-        });
+        let changes = names.into_iter().map(change).collect();
+        self.forward_targets(newest, as_of, changes, None);
     }
 }
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -17,4 +17,5 @@
 mod runs;
 mod silence;
 mod stall_timeouts;
+mod store_eras;
 mod wait_order;
