Take an engine that answers anything for alive

What callers saw: 503 "no engine can be reached" in the test of cut heads, whose engines answer the request for a report and break the answer off.

Cause: the check of open ports read the whole report, so an engine whose report was cut inside counted as dead, like one that breaks off new connections.

Change: only a connection that ends before anything of an answer counts.

--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -132,11 +132,25 @@
     }
 }
 
+/// Why an answer was lost with its connection, before anything of it arrived.
+const CLOSED: &str = "closed before its answer";
+const RESET: &str = "connection lost";
+
+impl SendError {
+    /// Whether the connection ended without anything of an answer.
+    pub(crate) fn is_cut(&self) -> bool {
+        match self {
+            Self::Unsent => true,
+            Self::Lost(reason) => [CLOSED, RESET].contains(reason),
+        }
+    }
+}
+
 fn loss_reason(error: &hyper::Error) -> &'static str {
     match error {
         e if e.is_parse() => "malformed answer",
-        e if e.is_incomplete_message() => "closed before its answer",
-        _ => "connection lost",
+        e if e.is_incomplete_message() => CLOSED,
+        _ => RESET,
     }
 }
 
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -200,7 +200,7 @@
     }
 
     /// Whether an engine's port takes a connection and breaks it off, as behind a forwarder or while
-    /// its process starts. One that answers late may be busy.
+    /// its process starts. One that answers late may be busy, and one that answers anything is alive.
     async fn breaks_connections(self: &Arc<Self>, target: &ProbeTarget) -> bool {
         let is_limited = self.limits.lock().limited_at(target.addr).is_some();
         let may_ask = self.has_engines(&target.service) && !is_limited;
@@ -208,8 +208,16 @@
         let Some(request) = request.filter(|_| may_ask) else {
             return false;
         };
-        let report = self.request(target.key, target.addr, request, Purpose::Probe);
-        matches!(timeout(CONFIRM_TIMEOUT, report).await, Ok(None))
+        self.record_sent(target.key, Purpose::Probe);
+        let head = async {
+            let mut connection = self.pool.acquire(target.key, target.addr, None).await?;
+            std::io::Result::Ok(connection.send(request).await)
+        };
+        match timeout(CONFIRM_TIMEOUT, head).await {
+            Ok(Ok(answer)) => answer.is_err_and(|e| e.is_cut()),
+            Ok(Err(_)) => true,
+            Err(_) => false,
+        }
     }
 
     /// Records that a run began and its target survived.
