Eject failing targets only where the settings say that health checks may be false

Cause: the ejection applied to every deployment, though new behaviour is meant only for those whose settings call for it.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -338,6 +338,9 @@
 
     /// Records whether the target served the request. A refusal says nothing of that.
     fn record_outcome(&self, ended: &Ended) {
+        if !self.relay.settings.ejects_outliers {
+            return;
+        }
         let now = Instant::now().into_std();
         let key = ended.lease.key;
         let is_failure = match &ended.result {
--- a/src/relay/first_read.rs
+++ b/src/relay/first_read.rs
@@ -11,7 +11,8 @@
 use super::relay::Relay;
 use crate::platform::{Error, List};
 
-/// Timeout for a response to a first list: half as much again as a store takes that answers slowly.
+/// Timeout for a response to a first list. A store that answers slowly just after the loss of all
+/// instances is within it.
 const FIRST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time after which the same list is asked for over another connection: what was sent to a silent
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -36,6 +36,8 @@
     pub first_start: bool,
     /// Time after which the address of a target that is gone may be another service's.
     pub address_reuse: Duration,
+    /// Whether targets are ejected that fail their calls although they pass health checks.
+    pub ejects_outliers: bool,
     /// Maximum wait for running requests at a graceful shutdown.
     pub drain_timeout: Duration,
     /// Retry budget of the whole fleet.
