Count waits at targets that are lost together once also without a survival

Cause: the rule that counts such waits once held only for parts that survived.

Change: for a part without a survival it holds for waits within 100 ms, as targets that refuse connections are found dead together.

--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -162,6 +162,23 @@
     assert!(!is_refused(&mut suspects, &["f", "r9"], start + SETTLED));
 }
 
+/// Guards against a part that is blamed for waiting at the targets of a domain that is lost before
+/// any of its requests has survived.
+#[test]
+fn part_without_a_survival_is_not_to_blame_for_targets_that_die_together() {
+    let (mut suspects, start) = (suspects(), Instant::now());
+    for n in 0..8 {
+        let target = format!("t{n}");
+        let hit = Crash {
+            phase: Phase::Waiting,
+            ..crash(&target, &["f", &format!("r{n}")])
+        };
+        suspects.record_crash(&hit, start + Duration::from_millis(10 * n));
+    }
+
+    assert!(!is_refused(&mut suspects, &["f", "r9"], start + SETTLED));
+}
+
 #[test]
 fn request_waits_for_evidence_that_may_still_come() {
     let (mut suspects, start) = (suspects(), Instant::now());
--- a/src/quarantine/weight.rs
+++ b/src/quarantine/weight.rs
@@ -14,6 +14,9 @@
 /// Crashes of other targets within this time of a crash point to another cause.
 const BURST_WINDOW: Duration = Duration::from_millis(500);
 
+/// Time within which targets of a domain that is lost are found dead, if they refuse connections.
+const LOSS_WINDOW: Duration = Duration::from_millis(100);
+
 /// Time over which the rate of other crashes is taken.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
 
@@ -184,14 +187,15 @@
         );
         let mut chances: IndexMap<u32, f64> = IndexMap::new();
         let mut last_wait: Option<Instant> = None;
+        let burst = match own_stats.survivals {
+            0 => LOSS_WINDOW,
+            _ => BURST_WINDOW,
+        };
         for record in &own {
             let (chance, rate) = match record.crash.phase {
                 Phase::Began => (CHANCE_BEGUN, begun_by_rate),
                 // Requests with a common part wait at most of the targets that are lost together.
-                Phase::Waiting
-                    if own_stats.survivals > 0
-                        && last_wait.is_some_and(|at| distance(at, record.at) < BURST_WINDOW) =>
-                {
+                Phase::Waiting if last_wait.is_some_and(|at| distance(at, record.at) < burst) => {
                     continue;
                 }
                 // A request that had just begun there explains the crash better.
