Count a short answer that ends as a survival

Cause: since the first event marks the beginning, an answer whose events all came within 300 ms never counted as a survival, so its parts could be blamed and the trials of a quarantine could not lift it (found in a review).

Change: the clean end of a run with events is a survival.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -105,6 +105,12 @@
         survives && !std::mem::replace(&mut self.has_survived, survives)
     }
 
+    /// Returns `true` once, when a run that has not outlived its beginning has ended with events.
+    fn ends_alive(&mut self) -> bool {
+        let has_events = self.progress.first_event.is_some();
+        has_events && !std::mem::replace(&mut self.has_survived, true)
+    }
+
     /// Records the arrival of an event and returns whether it is the first of the run.
     fn record_event(&mut self, now: Instant) -> bool {
         let first = !self.timeouts.has_started();
@@ -391,6 +397,13 @@
                     upstream.sequence.end(self.last_id, &mut self.rest)?;
                     return Ok(None);
                 }
+                    // A short answer ends before its run has outlived its beginning.
+                    if upstream.ends_alive() {
+                        let attempt = self.runs;
+                        self.relay
+                            .report_survival(&self.request, attempt, self.trial);
+                        self.trial = false;
+                    }
                 Some(Err(_)) => return Err(Loss::Broken("answer broke off")),
                 Some(Ok(frame)) => {
                     let now = std::time::Instant::now();
