--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -2,6 +2,7 @@
 //! and refused.
 
 use std::future::ready;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -215,7 +216,10 @@
         };
         match timeout(CONFIRM_TIMEOUT, head).await {
             Ok(Ok(answer)) => answer.is_err_and(|e| e.is_cut()),
-            Ok(Err(_)) => true,
+            Ok(Err(e)) => matches!(
+                e.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
             Err(_) => false,
         }
     }
