Let ejections that are over not keep others in, and streams end them

Cause, found in a review: a target whose ejection was over counted against the half of a service that may be ejected until it had answered a call, so a nearer faulty one was never ejected; on a service with streams only calls ended it; and a caller that allows little time counted as a failure of its target.

Change: only ejections in force count, the first event of a stream is an answer, and a call without an answer counts after the route's objective.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -345,7 +345,13 @@
         let key = ended.lease.key;
         let is_failure = match &ended.result {
             AttemptResult::Response((head, _)) => head.status.is_server_error(),
-            AttemptResult::Lost(_) | AttemptResult::TimedOut => true,
+            AttemptResult::Lost(_) => true,
+            // A caller may allow less time than a sound target needs.
+            AttemptResult::TimedOut
+                if ended.started.elapsed() >= self.request.route.latency_objective =>
+            {
+                true
+            }
             _ => return,
         };
         if !is_failure {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -354,6 +354,8 @@
                 }
                 if upstream.record_event(now) {
                     upstream.lease.prefill_done();
+                    let router = &self.relay.router;
+                    router.record_answer(upstream.lease.key, now.into_std());
                     if let Some(since) = self.gap_start.take() {
                         let account = self.request.account.as_deref();
                         let span = self.relay.metrics.span(account.unwrap_or_default());
@@ -395,8 +397,6 @@
                 }
                 None => {
                     upstream.sequence.end(self.last_id, &mut self.rest)?;
-                    return Ok(None);
-                }
                     // A short answer ends before its run has outlived its beginning.
                     if upstream.ends_alive() {
                         let attempt = self.runs;
@@ -404,6 +404,8 @@
                             .report_survival(&self.request, attempt, self.trial);
                         self.trial = false;
                     }
+                    return Ok(None);
+                }
                 Some(Err(_)) => return Err(Loss::Broken("answer broke off")),
                 Some(Ok(frame)) => {
                     let now = std::time::Instant::now();
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -332,7 +332,7 @@
         let is_ejected = |key: &&TargetKey| {
             table.entry(**key).is_some_and(|e| {
                 let standing = e.state.lock().health.outcomes.standing(now);
-                standing != Standing::Included
+                standing == Standing::Ejected
             })
         };
         let ejected = members.iter().filter(is_ejected).count();
