Let a begun stream wait in line whatever its turn

Cause: a stream that has begun was turned away where its turn was not expected in time, so it never rose with its wait, and each try counted as one more refused caller (found in a review).

Change: it enters the line, where it rises.

--- a/src/relay/placing.rs
+++ b/src/relay/placing.rs
@@ -270,7 +270,8 @@
         let deadline = now + wait;
         let line = self.wait_line(wanted.service);
         let waiting = patience.waiting(now);
-        if self.expected_wait(&later, line.ahead(&waiting)) > wait {
+        // One that has begun rises in line as it waits.
+        if !waiting.has_begun && self.expected_wait(&later, line.ahead(&waiting)) > wait {
             let mut order = line.order.lock();
             order.record(patience.priority, false, waiting.since);
             drop(order);
