Keep a target that registered again when its removal arrives once more

What callers would see: a live target unused until it writes its entry again.

Cause: since changes known before are not applied again, a batch that overlaps with what is known removed the target and then passed over its registration.

Change: a removal applies only to a registration that is not newer.

Beside it: a follower that knows of an outage from its reader only took a copy of a reader that had just started for proof that targets were gone; the peer's outage counts now (outage_of_a_peer_defers_what_an_inconclusive_copy_lacks failed without it).

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -306,7 +306,7 @@
         if self.as_of < Some(as_of) {
             let unknown = match copy.is_conclusive() {
                 true => None,
-                false => grace(self.outage.max(at), now),
+                false => grace(self.outage.max(self.peer_outage), now),
             };
             let kept: IndexMap<_, _> = copy.kept.into_iter().collect();
             let until = |name: &str| kept.get(name).map(|left| now + *left).or(unknown);
@@ -390,12 +390,20 @@
         self.departures.admit(&registration);
         self.departures.note(&registration);
         self.lapsed.swap_remove(&name);
+                // Registered again since.
+                None if self.is_newer_known(change) => {}
         let addr = registration.info.addr;
         self.unregistered.retain(|_, (info, _)| info.addr != addr);
         match self.targets.get(&name) {
             Some(current) if current.rev > registration.rev => {}
             _ => {
                 self.targets.insert(name, registration);
+    /// Whether a registration is known that was made after a change.
+    fn is_newer_known(&self, change: &Change) -> bool {
+        let known = self.targets.get(&change.name);
+        known.is_some_and(|r| r.rev > change.rev)
+    }
+
             }
         }
     }
--- a/src/relay/tests/catalog.rs
+++ b/src/relay/tests/catalog.rs
@@ -489,3 +489,33 @@
 
     assert_eq!(names(&mut follower, now), ["t"]);
 }
+
+/// Guards against a live target that an overlapping batch of changes removes.
+#[test]
+fn known_removal_does_not_drop_a_target_that_has_registered_again() {
+    let now = Instant::now();
+    let mut catalog = with_target(now);
+    let removed = change("t", 7, None);
+    let returned = change("t", 8, Some(info("t", 2)));
+    catalog.apply_changes(7, std::slice::from_ref(&removed), None, now);
+    catalog.apply_changes(8, std::slice::from_ref(&returned), None, now);
+
+    let other = change("x", 9, Some(info("x", 1)));
+    catalog.apply_changes(9, &[removed, returned, other], None, now);
+
+    assert_eq!(names(&mut catalog, now), ["t", "x"]);
+}
+
+/// Guards against a follower that drops all targets as its reader starts anew after an outage.
+#[test]
+fn outage_of_a_peer_defers_what_an_inconclusive_copy_lacks() {
+    let now = Instant::now();
+    let mut follower = with_target(now);
+    follower.record_peer_outage(Some(now));
+    let mut reader = Catalog::default();
+    reader.apply_list(20, Vec::new(), now);
+
+    follower.apply_copy(reader.copy(now).unwrap(), now);
+
+    assert_eq!(names(&mut follower, now), ["t"]);
+}
