Refuse answers of an earlier era also before the first one was known

Cause: an answer from before a restore, to a request sent before any era was known, was used as the new era's (found in a review).

Change: an answer of a lower era is late whenever the era changed since its request was sent.

Measured: response_of_an_earlier_era_is_late_also_before_the_first_one_was_known failed before (shown by the reviewer's run); store_eras 12 of 12.

--- a/src/platform/era.rs
+++ b/src/platform/era.rs
@@ -67,7 +67,7 @@
             None => {}
             Some(Err(value)) => self.report(1, "not a number", &value),
             Some(Ok(era)) if latest.is_none_or(|latest| era >= latest) => self.learn(Some(era)),
-            Some(Ok(_)) if is_restored(sent, latest) => {
+            Some(Ok(_)) if sent != latest => {
                 return Err(Error::Unknown("it is of an earlier era".into()));
             }
             Some(Ok(era)) => self.report(2, "lower than before", &era.to_string()),
@@ -123,6 +123,18 @@
         assert_eq!(eras.latest(), Some(5));
     }
 
+    // Guards against a list from before a restore that is taken for the new era's at the start.
+    #[test]
+    fn response_of_an_earlier_era_is_late_also_before_the_first_one_was_known() {
+        let eras = Eras::default();
+        let sent = eras.latest();
+        eras.learn(Some(3));
+
+        let late = eras.observe(sent, Some(Ok(2)));
+
+        assert!(late.is_err());
+    }
+
     #[test]
     fn first_era_is_no_restore() {
         assert!(!is_restored(None, Some(4)));
