Use targets that wrote since a restore also where a copy tells so

What callers would see after a restore of the store: a live target kept out until it writes again, by each instance that learned of its entry from a copy, while other instances fetched full copies from it without end.

Cause: a departure was kept for targets that the restored store does not have, copies told departures but not which targets had written since, and a difference was fetched at each gossip (found in a review).

Change: the first list of an era ends the departures of what it lacks, copies name the targets that have written since, a difference in either direction is fetched, once a second at most, and the revisions of a departure are bounded.

--- a/src/relay/catalog.rs
+++ b/src/relay/catalog.rs
@@ -81,6 +81,8 @@
     pub(crate) list: Vec<Registration>,
     /// Departures that keep some of them out of use.
     pub(crate) departures: Vec<Departure>,
+    /// Names of targets that have written an entry since the platform was restored.
+    pub(crate) rewritten: Vec<SmolStr>,
     /// Names of removed targets that the sender still uses, and for how long.
     pub(crate) kept: Vec<(SmolStr, Duration)>,
     /// Time since the last failed read of the sender.
@@ -284,6 +286,11 @@
                 false => self.lapse(registration, until(&name), now),
             }
         }
+        if is_restored {
+            let targets = &self.targets;
+            self.departures
+                .retain_listed(|name| targets.contains_key(name));
+        }
         self.as_of = Some(as_of);
         self.known.get_or_insert(now);
         let newest = self.targets.values().map(|r| r.rev).max();
@@ -312,6 +319,11 @@
             let until = |name: &str| kept.get(name).map(|left| now + *left).or(unknown);
             self.replace(as_of, copy.list, until, now);
         }
+        for name in &copy.rewritten {
+            if let Some(entry) = self.targets.get(name) {
+                self.departures.learn_rewritten(entry);
+            }
+        }
         self.newest = self.newest.max(Some(newest));
         settled
     }
@@ -378,32 +390,32 @@
                     self.departures.record_written(&entry);
                     self.put(entry);
                 }
+                // Registered again since.
+                None if self.is_newer_known(change) => {}
                 None => self.remove(&change.name, outage, now),
             }
         }
         self.as_of = Some(as_of);
     }
 
+    /// Whether a registration is known that was made after a change.
+    fn is_newer_known(&self, change: &Change) -> bool {
+        let known = self.targets.get(&change.name);
+        known.is_some_and(|r| r.rev > change.rev)
+    }
+
     /// Inserts or updates one registration.
     pub(crate) fn put(&mut self, registration: Registration) {
         let name = registration.info.name.clone();
         self.departures.admit(&registration);
         self.departures.note(&registration);
         self.lapsed.swap_remove(&name);
-                // Registered again since.
-                None if self.is_newer_known(change) => {}
         let addr = registration.info.addr;
         self.unregistered.retain(|_, (info, _)| info.addr != addr);
         match self.targets.get(&name) {
             Some(current) if current.rev > registration.rev => {}
             _ => {
                 self.targets.insert(name, registration);
-    /// Whether a registration is known that was made after a change.
-    fn is_newer_known(&self, change: &Change) -> bool {
-        let known = self.targets.get(&change.name);
-        known.is_some_and(|r| r.rev > change.rev)
-    }
-
             }
         }
     }
@@ -466,6 +478,7 @@
             revs: self.as_of.zip(self.newest)?,
             list: self.targets.values().cloned().collect(),
             departures: self.departures(),
+            rewritten: self.departures.rewritten(),
             kept: kept.filter(|(_, left)| !left.is_zero()).collect(),
             outage: self.outage.map(since),
             known: self.known.map_or(Duration::ZERO, since),
--- a/src/relay/departures.rs
+++ b/src/relay/departures.rs
@@ -39,7 +39,7 @@
     known: IndexMap<SmolStr, Departure>,
     /// Revisions of each target's last entries, oldest first.
     written: IndexMap<SmolStr, Vec<u64>>,
-    /// Departed targets that have written an entry since the restore.
+    /// Targets that have written an entry since the restore.
     rewritten: IndexSet<SmolStr>,
     /// Without a restore, an entry is never older than a departure.
     is_restored: bool,
@@ -77,12 +77,22 @@
             let missing: Vec<_> = missing.copied().collect();
             departure.revs.extend(missing);
         }
+        departure.revs.truncate(REVISIONS_MAX);
+        self.rewritten.shift_remove(&departure.name);
         if self.known.len() >= DEPARTURES_MAX {
             self.known.shift_remove_index(0);
         }
         self.known.insert(departure.name.clone(), departure);
     }
 
+    /// Records that a target has written an entry since the restore.
+    fn record_rewritten(&mut self, name: &SmolStr) {
+        if self.rewritten.len() >= DEPARTURES_MAX {
+            self.rewritten.shift_remove_index(0);
+        }
+        self.rewritten.insert(name.clone());
+    }
+
     /// Records that a target is leaving, if its entry says so and the one before did not.
     pub(crate) fn record_leaving(&mut self, before: Option<&Registration>, entry: &Registration) {
         let info = &entry.info;
@@ -116,12 +126,31 @@
         let name = &entry.info.name;
         match self.known.get_mut(name) {
             Some(departure) if entry.info.leaving => departure.is_gone = false,
-            Some(_) => {
+            _ => {
                 self.known.shift_remove(name);
-                self.rewritten
-                    .extend(self.is_restored.then(|| name.clone()));
+                if self.is_restored {
+                    self.record_rewritten(name);
+                }
             }
-            None => {}
+        }
+    }
+
+    /// Drops the departures of targets that the first list since the restore lacks: any later entry
+    /// of theirs is new.
+    pub(crate) fn retain_listed(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.known.retain(|name, _| is_listed(name));
+    }
+
+    /// Departed targets, and others, that are known to have written an entry since the restore.
+    pub(crate) fn rewritten(&self) -> Vec<SmolStr> {
+        self.rewritten.iter().cloned().collect()
+    }
+
+    /// Learns that a target with an entry has written it since the restore.
+    pub(crate) fn learn_rewritten(&mut self, entry: &Registration) {
+        if !entry.info.leaving {
+            self.known.shift_remove(&entry.info.name);
+            self.record_rewritten(&entry.info.name);
         }
     }
 
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -27,6 +27,10 @@
 use crate::routing::PeerReport;
 
 /// Time between two checks for changes to send: a fraction of the time that an engine needs to read
+/// Time between two fetches because a peer keeps out other targets. The two may differ until a target
+/// writes its entry again, and each fetch is a full copy.
+const DEPARTURES_PERIOD: Duration = Duration::from_secs(1);
+
 /// a prompt.
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 
@@ -163,7 +167,12 @@
             *behind = None;
         }
         drop(behind);
-        let lacks_departures = remote.keeps_out_others(&own);
+        let lacks_departures = remote.keeps_out_others(&own) && {
+            let mut last = self.departures_fetched.lock();
+            let is_due = last.is_none_or(|at| now >= at + DEPARTURES_PERIOD);
+            *last = last.filter(|_| !is_due).or(Some(now));
+            is_due
+        };
         if remote.rules > own.rules || is_lagging || own.targets.is_none() || lacks_departures {
             let me = Arc::clone(self);
             tokio::spawn(async move { me.fetch_config(sources, &from).await });
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -132,9 +132,9 @@
         (self.era, self.targets)
     }
 
-    /// Whether an instance with `other` may have to keep out more targets.
+    /// Whether an instance with `other` keeps out more targets or fewer.
     pub(crate) fn keeps_out_others(&self, other: &Self) -> bool {
-        self.era == other.era && self.kept_out != 0 && self.kept_out != other.kept_out
+        self.era == other.era && self.kept_out != other.kept_out
     }
 }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -113,6 +113,8 @@
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
     /// Whether this instance is a reader of the platform.
     pub(crate) reader_role: Mutex<ReadState>,
+    /// When targets were last fetched because a peer keeps out others.
+    pub(crate) departures_fetched: Mutex<Option<Instant>>,
     /// Whether other failure domains are being asked about removed targets.
     pub(crate) confirming: AtomicBool,
     /// Whether each peer last reported to be a reader.
@@ -189,6 +191,7 @@
             runs_requested: AtomicBool::new(false),
             rules_text: Mutex::default(),
             reader_role: Mutex::default(),
+            departures_fetched: Mutex::default(),
             confirming: AtomicBool::new(false),
             peer_readers: Mutex::default(),
             no_reader_since: Mutex::default(),
--- a/src/relay/tests/store_eras.rs
+++ b/src/relay/tests/store_eras.rs
@@ -232,3 +232,32 @@
     assert_eq!(settled, ["a", "b"]);
     assert!(ready(&mut restored, now).is_empty());
 }
+
+/// Guards against a live target that is kept out where its new entry is known by a copy only.
+#[test]
+fn target_that_registers_again_after_a_restore_is_used_by_those_that_learn_it_by_a_copy() {
+    let now = Instant::now();
+    let restored = |as_of, list| {
+        let mut catalog = Catalog::default();
+        catalog.enter_era(Some(1));
+        catalog.apply_list(40, vec![entry("a", 1)], now);
+        let changes = [change(entry("t", 45)), removal("t", 46)];
+        catalog.apply_changes(46, &changes, None, now);
+        catalog.enter_era(Some(2));
+        if let Some(list) = list {
+            catalog.apply_list(as_of, list, now);
+        }
+        catalog
+    };
+    let mut watching = restored(30, Some(vec![entry("a", 1)]));
+    let (mut listed, mut copying) = (restored(30, Some(vec![entry("a", 1)])), restored(0, None));
+    watching.apply_changes(31, &[change(entry("t", 31))], None, now);
+
+    for other in [&mut listed, &mut copying] {
+        other.apply_copy(watching.copy(now).unwrap(), now);
+
+        assert_eq!(ready(other, now), ["a", "t"]);
+        watching.learn_departures(other.departures());
+    }
+    assert_eq!(ready(&mut watching, now), ["a", "t"]);
+}
