Pass on and log how old an instance's knowledge of the platform is

Each instance now keeps as of when it knows rules and targets: by its own reads, or by the answers of others, which state the age of what they know. The line "rules: in force" names the version before, the way (store, update, copy), the sender, the age of the knowledge until then and the time to apply it. Nothing is decided by the age yet. Protocol version 10.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::aggregate::{LoadDelta, LoadReplica, LoadSummary, Origin, Version};
+use super::freshness::Ages;
 use super::limits::Statement;
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
@@ -64,6 +65,7 @@
 struct Report {
     load: LoadSummary,
     held: HeldRevisions,
+    ages: Ages,
     runs: Vec<RunLocation>,
     known: Version,
     limits: Vec<Statement>,
@@ -75,6 +77,7 @@
 struct ReportReply {
     delta: LoadDelta,
     held: HeldRevisions,
+    ages: Ages,
     /// Whether an instance of the failure domain other than the sender reads the platform.
     has_reader: bool,
     limits: Vec<Statement>,
@@ -200,6 +203,7 @@
         self.peer_readers
             .lock()
             .insert(from.clone(), report.held.reads);
+        self.record_reader_ages(from, report.ages);
         self.check_revisions(sources, from.clone(), report.held, now);
         self.learn_limits(from, &report.limits);
         self.learn_suspects(report.suspects);
@@ -215,6 +219,7 @@
         ReportReply {
             delta: aggregate.delta(from, report.known),
             held,
+            ages: self.freshness.lock().ages(now),
             has_reader,
             limits,
             suspects,
@@ -271,6 +276,7 @@
         let report = Report {
             load,
             held: self.held_revisions(),
+            ages: self.freshness.lock().ages(now),
             runs,
             known: reporter.replica.version(),
             limits: self.limits.lock().news(now),
@@ -284,6 +290,7 @@
             self.apply_delta(reporter, reply.delta);
             return;
         }
+        let asked = Instant::now();
         let sent = self
             .peers
             .call::<_, ReportReply>(&to, Tag::Report, &report, SEND_TIMEOUT);
@@ -297,6 +304,7 @@
                 self.record_reader(reply.has_reader);
                 self.learn_limits(&to, &reply.limits);
                 self.learn_suspects(reply.suspects);
+                self.learn_ages(&to, &reply.held, reply.ages, asked);
                 self.check_revisions(sources, to, reply.held, Instant::now());
                 self.apply_delta(reporter, reply.delta);
             }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -17,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::exchange::Reporter;
+use super::freshness::Ages;
 use super::limits::Statement;
 use super::pacing::{Decision, Pacing, Snapshot};
 use super::platform_watch::{HeldRevisions, Sources};
@@ -54,6 +55,7 @@
 pub(crate) struct GossipMessage {
     report: PeerReport,
     held: HeldRevisions,
+    ages: Ages,
     runs: Vec<RunLocation>,
     limits: Vec<Statement>,
     suspects: Vec<Report>,
@@ -91,6 +93,7 @@
         self.peer_readers
             .lock()
             .insert(from.clone(), message.held.reads);
+        self.record_reader_ages(&from, message.ages);
         self.fetch_runs(&from);
         self.check_revisions(sources, from, message.held, now);
     }
@@ -219,6 +222,7 @@
             let message = GossipMessage {
                 report: self.router.peer_report(Instant::now()),
                 held: snapshot.held,
+                ages: self.freshness.lock().ages(Instant::now()),
                 runs: self.runs.lock().take_unsent(),
                 limits: self.limits.lock().news(Instant::now()),
                 suspects: self.suspect_reports(false),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod events;
 mod exchange;
 mod first_read;
+mod freshness;
 mod front;
 mod gossip;
 mod limits;
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -12,7 +12,8 @@
 use smol_str::SmolStr;
 
 use super::catalog::{Change, TargetsCopy};
-use super::platform_watch::{HeldRevisions, Sources};
+use super::freshness::Ages;
+use super::platform_watch::{HeldRevisions, Origin, Sources, Topic};
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
 
@@ -26,6 +27,10 @@
     rules: Option<String>,
     /// Registrations, if the requesting instance's are older.
     targets: Option<TargetsCopy>,
+    /// What the sender holds.
+    held: HeldRevisions,
+    /// Ages of what it knows.
+    ages: Ages,
 }
 
 /// Changes read from the platform.
@@ -92,7 +97,9 @@
 
     fn handle_update(self: &Arc<Self>, sources: Sources, from: &SmolStr, update: PlatformUpdate) {
         match update {
-            PlatformUpdate::Rules(text) => self.apply_rules_text(sources, &text, from),
+            PlatformUpdate::Rules(text) => {
+                self.apply_rules_text(sources, &text, Origin::Update(from));
+            }
             PlatformUpdate::Targets { era, .. } if era < self.catalog.lock().era => {}
             PlatformUpdate::Targets {
                 era,
@@ -120,15 +127,15 @@
         }
     }
 
-    fn apply_rules_text(&self, sources: Sources, text: &str, from: &str) {
+    fn apply_rules_text(&self, sources: Sources, text: &str, origin: Origin<'_>) {
         let value = serde_json::from_str(text).map_err(|e| e.to_string());
         let read = value.and_then(|value| Ok(((sources.read_rules)(&value)?, value)));
         match read {
             Ok((rules, value)) => {
-                self.put_rules(rules, &value, from);
+                self.put_rules(rules, &value, origin);
             }
             Err(e) => warn!(self.decisions.log, "rules: could not parse the rules of a peer";
-                "peer" => from, "error" => e),
+                "peer" => origin.sender(), "error" => e),
         }
     }
 
@@ -143,6 +150,8 @@
         Config {
             rules: rules.map(|text| text.to_string()),
             targets: is_newer.then(copy).flatten(),
+            held: own,
+            ages: self.freshness.lock().ages(Instant::now()),
         }
     }
 
@@ -153,6 +162,7 @@
             // A copy that is no newer may tell that removals are final.
             held.targets = None;
         }
+        let asked = Instant::now();
         let config = self
             .peers
             .call::<_, Config>(name, Tag::Config, &held, CALL_TIMEOUT)
@@ -165,25 +175,53 @@
             }
         };
         if let Some(text) = config.rules {
-            self.apply_rules_text(sources, &text, name);
+            self.apply_rules_text(sources, &text, Origin::Copy(name));
         }
-        if let Some(mut targets) = config.targets {
-            let departures = std::mem::take(&mut targets.departures);
-            self.platform.learn_era(targets.era);
-            let mut catalog = self.catalog.lock();
-            if !self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
-                return;
-            }
-            let settled = catalog.apply_copy(targets, Instant::now());
-            catalog.learn_departures(departures);
-            drop(catalog);
-            if !settled.is_empty() {
-                info!(self.decisions.log, "target: removals confirmed by a peer";
-                    "peer" => name.as_str(), "targets" => settled.join(","));
-            }
-            self.refresh_targets();
-            self.forward_settled(settled);
-            self.confirm_removals(sources);
+        if let Some(targets) = config.targets {
+            self.apply_copy(sources, targets, name);
+        }
+        self.learn_ages(name, &config.held, config.ages, asked);
+    }
+
+    /// Applies a peer's copy of the targets.
+    fn apply_copy(self: &Arc<Self>, sources: Sources, mut targets: TargetsCopy, name: &SmolStr) {
+        let departures = std::mem::take(&mut targets.departures);
+        self.platform.learn_era(targets.era);
+        let mut catalog = self.catalog.lock();
+        if !self.enter_era(&mut catalog, targets.era, targets.revs.0, name) {
+            return;
+        }
+        let settled = catalog.apply_copy(targets, Instant::now());
+        catalog.learn_departures(departures);
+        drop(catalog);
+        if !settled.is_empty() {
+            info!(self.decisions.log, "target: removals confirmed by a peer";
+                "peer" => name.as_str(), "targets" => settled.join(","));
+        }
+        self.refresh_targets();
+        self.forward_settled(settled);
+        self.confirm_removals(sources);
+    }
+
+    /// Learns how old the knowledge of a peer is that answered a message sent at `asked`, by topic
+    /// once this instance knows as much.
+    pub(crate) fn learn_ages(&self, peer: &str, held: &HeldRevisions, ages: Ages, asked: Instant) {
+        let own = self.held_revisions();
+        let mut freshness = self.freshness.lock();
+        if own.rules >= held.rules {
+            freshness.learn(Topic::Rules, ages.rules, asked);
+        }
+        if own.progress() >= held.progress() {
+            freshness.learn(Topic::Targets, ages.targets, asked);
+        }
+        drop(freshness);
+        self.record_reader_ages(peer, ages);
+    }
+
+    /// Records when a peer of this failure domain last read the platform.
+    pub(crate) fn record_reader_ages(&self, peer: &str, ages: Ages) {
+        if self.peers.in_domain(peer) {
+            self.freshness.lock().record_reader(ages, Instant::now());
         }
     }
 }
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -138,6 +138,44 @@
     }
 }
 
+/// How an instance received rules.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Origin<'a> {
+    /// It read the platform.
+    Store,
+    /// A reader forwarded them.
+    Update(&'a str),
+    /// It fetched them from an instance that has newer ones.
+    Copy(&'a str),
+}
+
+impl<'a> Origin<'a> {
+    /// Name of the way for the log.
+    fn way(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Update(_) => "update",
+            Self::Copy(_) => "copy",
+        }
+    }
+
+    pub(super) fn sender(self) -> &'a str {
+        match self {
+            Self::Store => "platform",
+            Self::Update(name) | Self::Copy(name) => name,
+        }
+    }
+}
+
+/// A read of the platform.
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    /// Revision up to which it shows the platform's state.
+    rev: u64,
+    /// Whether it is a watch that found no changes.
+    is_idle: bool,
+}
+
 /// Where the next watch starts.
 #[derive(Clone, Copy, Debug)]
 struct Cursor {
@@ -146,6 +184,15 @@
     rev: u64,
 }
 
+impl Read {
+    fn of(changes: &platform::Changes) -> Self {
+        Self {
+            rev: changes.rev,
+            is_idle: changes.events.is_empty(),
+        }
+    }
+}
+
 impl Relay {
     pub(crate) fn held_revisions(&self) -> HeldRevisions {
         let reads = self.reader_role.lock().reads_all();
@@ -159,6 +206,12 @@
         }
     }
 
+    /// Age of the knowledge of a topic in milliseconds, for the log.
+    pub(super) fn known_ms(&self, topic: Topic) -> Option<u64> {
+        let age = self.freshness.lock().age(topic, Instant::now());
+        age.map(|age| age.as_millis() as u64)
+    }
+
     /// Reads the platform while elected.
     pub(crate) async fn watch_platform(self: Arc<Self>, sources: Sources, topic: Topic) {
         self.wait_for_peers().await;
@@ -177,13 +230,20 @@
             };
             cursor = cursor.filter(|c| c.era == self.platform.era());
             let from = cursor.map(|c| c.rev);
+            let sent = Instant::now();
             let read = match topic {
                 Topic::Rules => self.read_rules(sources, from, wait).await,
                 Topic::Targets => self.read_targets(sources, from, wait).await,
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
             match read {
-                Ok(rev) => {
+                Ok(Read { rev, is_idle }) => {
+                    // A watch without changes is answered at its end.
+                    let waited = match is_idle && sent.elapsed() >= wait {
+                        true => wait,
+                        false => Duration::ZERO,
+                    };
+                    self.freshness.lock().record_read(topic, sent + waited);
                     self.recover(topic, &mut pause);
                     let era = self.platform.era();
                     cursor = Some(Cursor { era, rev });
@@ -236,14 +296,17 @@
         sources: Sources,
         cursor: Option<u64>,
         wait: Duration,
-    ) -> Result<u64, Error> {
+    ) -> Result<Read, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
             let list = self.list_at_start(kind).await?;
             for object in list.items.iter().filter(|o| o.name == name) {
                 self.apply_rules(sources, object.rev, &object.value);
             }
-            return Ok(list.rev);
+            return Ok(Read {
+                rev: list.rev,
+                is_idle: false,
+            });
         };
         let changes = self.platform.watch(kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
@@ -252,14 +315,14 @@
                 self.forward(PlatformUpdate::Rules(value.to_string()));
             }
         }
-        Ok(changes.rev)
+        Ok(Read::of(&changes))
     }
 
     /// Applies rules read from the platform. The previous ones stay in force when they can't be
     /// parsed.
     fn apply_rules(&self, sources: Sources, rev: u64, value: &Value) -> bool {
         match (sources.read_rules)(value) {
-            Ok(rules) => self.put_rules(rules, value, "platform"),
+            Ok(rules) => self.put_rules(rules, value, Origin::Store),
             Err(e) => {
                 let (kind, name) = sources.rules;
                 self.report_entry((kind, name, rev), value, &e);
@@ -281,17 +344,22 @@
     }
 
     /// Puts rules in force unless the same or newer ones are.
-    pub(crate) fn put_rules(&self, rules: Rules, value: &Value, source: &str) -> bool {
+    pub(crate) fn put_rules(&self, rules: Rules, value: &Value, origin: Origin<'_>) -> bool {
+        let received = Instant::now();
         let version = rules.version;
         let routes = rules.routes().count();
         let ignored = rules.ignored.len();
         let first = rules.ignored.first().cloned().unwrap_or_default();
+        let before = self.catalog.lock().version();
         let is_newer = self.catalog.lock().apply_rules(rules);
         if is_newer {
             *self.rules_text.lock() = Some(value.to_string().into());
             self.refresh_rules();
             info!(self.decisions.log, "rules: in force";
-                "version" => version, "routes" => routes, "from" => source);
+                "version" => version, "before" => before, "routes" => routes,
+                "by" => origin.way(), "from" => origin.sender(),
+                "known_ms" => self.known_ms(Topic::Rules),
+                "apply_ms" => received.elapsed().as_millis() as u64);
         }
         if is_newer && ignored > 0 {
             warn!(self.decisions.log, "rules: values ignored";
@@ -305,7 +373,7 @@
         sources: Sources,
         cursor: Option<u64>,
         wait: Duration,
-    ) -> Result<u64, Error> {
+    ) -> Result<Read, Error> {
         let kind = sources.targets;
         // Peers may have forwarded changes later than the last watch.
         let cursor = cursor.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
@@ -318,7 +386,10 @@
             let registrations = list.items.iter().filter_map(read).collect();
             self.apply_list(list.rev, registrations);
             self.confirm_removals(sources);
-            return Ok(list.rev);
+            return Ok(Read {
+                rev: list.rev,
+                is_idle: false,
+            });
         };
         let changes = self.platform.watch(kind, from, wait).await?;
         let to_change = |e: &platform::Event| Change {
@@ -334,7 +405,7 @@
             self.forward_targets(since, changes.rev, list, outage);
         }
         self.confirm_removals(sources);
-        Ok(changes.rev)
+        Ok(Read::of(&changes))
     }
 
     /// Applies a list that was just read.
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -20,6 +20,7 @@
 use super::election::ReadState;
 use super::equal_runs::EqualRuns;
 use super::exchange::{Outbox, RecentFailures};
+use super::freshness::Freshness;
 use super::limits::{Issuer, Limits};
 use super::missed_runs::MissedRuns;
 use super::placing::WaitLine;
@@ -111,6 +112,8 @@
     pub(crate) runs_requested: AtomicBool,
     /// JSON text of the rules in force, to be forwarded to peers.
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
+    /// How old the knowledge of rules and targets is.
+    pub(crate) freshness: Mutex<Freshness>,
     /// Whether this instance is a reader of the platform.
     pub(crate) reader_role: Mutex<ReadState>,
     /// When targets were last fetched because a peer keeps out others.
@@ -190,6 +193,7 @@
             gossip_wakeup: Notify::new(),
             runs_requested: AtomicBool::new(false),
             rules_text: Mutex::default(),
+            freshness: Mutex::default(),
             reader_role: Mutex::default(),
             departures_fetched: Mutex::default(),
             confirming: AtomicBool::new(false),
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -189,7 +189,7 @@
 async fn other_protocol_versions_get_upgrade_required() {
     let a = instance("a", "key", vec![]).await;
 
-    for version in ["8", "10", "none"] {
+    for version in ["9", "11", "none"] {
         let status = raw(a.me().addr, "/hello", version, Bytes::new()).await;
         assert_eq!(status, StatusCode::UPGRADE_REQUIRED, "version {version}");
     }
