Read the platform anew once what is known of it is stale

What callers saw: an instance of a large failure domain used older rules, keys and targets than it may, for up to 7.9 s instead of 3.

Cause: an instance that learns from its domain's readers took their presence for knowledge. A reader whose connection is silent, that is stopped or cut off counted as one until reports to it had timed out twice for each candidate (0.8 s each) or its watch had (3.5 s), and then others waited 3 to 7 s more, counted from an aggregator's word. Nothing said how old the knowledge was.

Now knowledge has an age, which answers pass on. Older than 0.65 of the time within which a change must take effect (the lower of config_apply_ms and drain_ms), it is read from the platform by whoever has it, over a new connection, one after the other over a tenth of that time; so a quarter of it is left for the read, whatever state the others are in. This replaces has_reader, peer_readers, the delays of candidates and the fallback, in large and small fleets, for rules and targets. Readers watch by turns, half a period apart, as their domain's knowledge would be stale otherwise; the period follows from that time too (3.2 s at 4 s, 2.4 s at 3 s, 5 s before), and a reader alone in its domain takes both turns.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -35,6 +35,7 @@
 pub struct Client {
     addr: SocketAddr,
     timeout: Duration,
+    via: Via,
     format: ApiFormat,
     http: Arc<Mutex<Pool>>,
     /// Notified when the pool is replaced.
@@ -69,6 +70,7 @@
         Self {
             addr,
             timeout,
+            via: Via::Pool,
             format,
             http: Arc::new(Mutex::new(pool)),
             replaced: Arc::default(),
@@ -119,6 +121,16 @@
         }
     }
 
+    /// A client that shares everything with this one but opens a connection for each call: an idle
+    /// one may be silent without notice.
+    #[must_use]
+    pub(crate) fn with_new_connections(&self) -> Self {
+        Self {
+            via: Via::Fresh,
+            ..self.clone()
+        }
+    }
+
     /// Maximum wait for a response.
     #[must_use]
     pub fn timeout(&self) -> Duration {
@@ -332,7 +344,7 @@
         let (generation, http) = self.current_pool();
         self.calls.add(op);
         let era = self.era();
-        let sent = http.send(Via::Pool, request(method, &url, body), limit);
+        let sent = http.send(self.via, request(method, &url, body), limit);
         let result = match sent.await {
             Ok(answer) => {
                 let stated = (self.format.read_era)(&answer.headers);
--- a/src/relay/election.rs
+++ b/src/relay/election.rs
@@ -2,41 +2,57 @@
 //! hundreds of instances that each read for themselves, the platform would serve the same reads
 //! again and again.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
+use super::platform_watch::{Sources, Topic};
 use super::relay::Relay;
 use crate::ident::fraction;
-use crate::peer::{CANDIDATES, Reach, elected, ranked};
+use crate::peer::{Reach, elected, ranked};
 
 /// Readers of the platform in each failure domain. With two, the failure of one, or of its
 /// connection to the platform, leaves another.
 const READERS_MAX: usize = 2;
 
-/// Time without a reader after which the next candidate of a failure domain reads the platform, in
-/// a large fleet.
-const CANDIDATE_DELAY: Duration = Duration::from_millis(500);
+/// Time after the start for which an instance of a large fleet that knows nothing yet leaves reading
+/// the platform to the elected readers.
+const START_DELAY: Duration = Duration::from_secs(4);
 
-/// Time without a reader after which other instances read the platform, when no candidate can.
-const FALLBACK_DELAY: Duration = Duration::from_secs(3);
+/// Time over which such instances start reading one after the other.
+const START_SPREAD: Duration = Duration::from_secs(4);
 
-/// Time over which these instances start reading one after the other, so that the first to succeed
-/// spares the rest.
-const FALLBACK_SPREAD: Duration = Duration::from_secs(4);
+/// Why an instance reads the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// It is elected, with this rank among the readers of its failure domain.
+    Elected(usize),
+    /// What it knows is stale: the elected readers don't know more, or don't reach it.
+    Stale,
+}
 
-/// Whether this instance reads the platform, by topic.
+/// A flag for each topic.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ReadState {
-    pub(crate) rules: bool,
-    pub(crate) targets: bool,
+pub(crate) struct TopicFlags {
+    rules: bool,
+    targets: bool,
 }
 
-impl ReadState {
-    /// Whether all topics are read, so that other instances can rely on this one.
-    pub(crate) fn reads_all(self) -> bool {
+impl TopicFlags {
+    /// Whether the flags of all topics are set.
+    pub(crate) fn all(self) -> bool {
         self.rules && self.targets
     }
+
+    /// Sets the flag of a topic and returns it as it was.
+    pub(crate) fn replace(&mut self, topic: Topic, flag: bool) -> bool {
+        let current = match topic {
+            Topic::Rules => &mut self.rules,
+            Topic::Targets => &mut self.targets,
+        };
+        std::mem::replace(current, flag)
+    }
 }
 
 impl Relay {
@@ -47,16 +63,65 @@
         local.map(|m| m.name).collect()
     }
 
-    /// Whether this instance should read the platform: it is elected, or no elected instance can.
+    /// Whether this instance should read the platform.
     pub(crate) fn is_reader(&self) -> bool {
+        self.duty(Topic::Targets).is_some()
+    }
+
+    /// Why this instance should read a topic of the platform, if it should.
+    pub(crate) fn duty(&self, topic: Topic) -> Option<Duty> {
+        match self.reader_rank() {
+            Some(rank) => Some(Duty::Elected(rank)),
+            None => self.is_stale(topic).then_some(Duty::Stale),
+        }
+    }
+
+    /// Rank of this instance among the elected readers of its failure domain.
+    fn reader_rank(&self) -> Option<usize> {
+        let readers = self.elected_readers();
+        readers.iter().position(|name| name == self.own_name())
+    }
+
+    /// The elected readers of this failure domain.
+    fn elected_readers(&self) -> Vec<SmolStr> {
         if self.peers.is_tiered() {
-            return self.is_tiered_reader();
+            let candidates = self.aggregators().into_iter();
+            return candidates.take(READERS_MAX).map(|m| m.name).collect();
         }
         let local = self.local_peers();
-        let readers = self.peer_readers.lock();
-        let reads = |name: &&str| readers.get(*name).is_some_and(|reads| *reads);
         let elected = self.elect("platform", &local, READERS_MAX);
-        elected.contains(&self.own_name()) || !elected.iter().any(reads)
+        elected.into_iter().map(SmolStr::from).collect()
+    }
+
+    /// Whether the knowledge of a topic is so old that this instance reads the platform whoever else
+    /// does: the presence of readers doesn't show that they know its state.
+    pub(crate) fn is_stale(&self, topic: Topic) -> bool {
+        let turn = match self.peers.is_tiered() && self.is_candidate() {
+            true => 0.0,
+            false => fraction(self.own_name()),
+        };
+        match self.freshness.lock().age(topic, Instant::now()) {
+            Some(age) => self.age_limits.is_stale(age, turn),
+            None => {
+                !self.peers.is_tiered() || self.age() > START_DELAY + START_SPREAD.mul_f64(turn)
+            }
+        }
+    }
+
+    /// In a small fleet, asks an elected reader what it knows once own knowledge is older than the
+    /// readers' should be. Elsewhere the answers to reports tell it.
+    pub(crate) fn ask_readers(self: &Arc<Self>, sources: Sources) {
+        let now = Instant::now();
+        let is_overdue = |topic| {
+            let age = self.freshness.lock().age(topic, now);
+            age.is_some_and(|age| self.age_limits.is_overdue(age))
+        };
+        if self.peers.is_tiered() || !(is_overdue(Topic::Rules) || is_overdue(Topic::Targets)) {
+            return;
+        }
+        let readers = self.elected_readers().into_iter();
+        let others = readers.filter(|name| name != self.own_name()).collect();
+        self.ask_knowledge(sources, others, now);
     }
 
     /// Whether all higher-ranked candidates of this failure domain are known to be alive.
@@ -69,39 +134,6 @@
         reaches.all(|reach| reach == Reach::Alive)
     }
 
-    /// [`Self::is_reader`] in a large fleet: the first candidates, or another instance once its
-    /// failure domain had no reader for long enough.
-    fn is_tiered_reader(&self) -> bool {
-        let candidates = self.aggregators();
-        let wait = match candidates.iter().position(|m| m.name == self.own_name()) {
-            Some(n) if n < READERS_MAX => return true,
-            Some(n) if n < CANDIDATES => CANDIDATE_DELAY,
-            _ => FALLBACK_DELAY + FALLBACK_SPREAD.mul_f64(fraction(self.own_name())),
-        };
-        let unread = *self.no_reader_since.lock();
-        unread.is_some_and(|since| since.elapsed() >= wait)
-    }
-
-    /// Whether an instance of this failure domain other than `sender` is known to read the
-    /// platform.
-    pub(crate) fn has_other_reader(&self, sender: &str) -> bool {
-        let is_own = self.reader_role.lock().reads_all() && sender != self.own_name();
-        let readers = self.peer_readers.lock();
-        let local = self.local_peers();
-        let mut others = local.iter().filter(|name| *name != sender);
-        is_own || others.any(|name| readers.get(name) == Some(&true))
-    }
-
-    /// Records an aggregator's report on whether another instance of this failure domain reads the
-    /// platform.
-    pub(crate) fn record_reader(&self, has_reader: bool) {
-        let mut unread = self.no_reader_since.lock();
-        *unread = match has_reader {
-            true => None,
-            false => unread.or_else(|| Some(Instant::now())),
-        };
-    }
-
     /// Whether this instance stores the runs of its failure domain.
     pub(crate) fn is_run_writer(&self) -> bool {
         match self.peers.is_tiered() {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -78,8 +78,6 @@
     delta: LoadDelta,
     held: HeldRevisions,
     ages: Ages,
-    /// Whether an instance of the failure domain other than the sender reads the platform.
-    has_reader: bool,
     limits: Vec<Statement>,
     suspects: Vec<quarantine::Report>,
 }
@@ -200,10 +198,8 @@
             runs.insert(location, true, now);
         }
         drop((runs, outbox));
-        self.peer_readers
-            .lock()
-            .insert(from.clone(), report.held.reads);
         self.record_reader_ages(from, report.ages);
+        self.ask_fresher(sources, from, report.ages);
         self.check_revisions(sources, from.clone(), report.held, now);
         self.learn_limits(from, &report.limits);
         self.learn_suspects(report.suspects);
@@ -213,14 +209,13 @@
             true => self.limits.lock().statements(now),
             false => self.limits.lock().news(now),
         };
-        let (held, has_reader) = (self.held_revisions(), self.has_other_reader(from));
+        let held = self.held_revisions();
         let mut aggregate = self.aggregate.lock();
         aggregate.update(Origin::Member(from.clone()), report.load, now);
         ReportReply {
             delta: aggregate.delta(from, report.known),
             held,
             ages: self.freshness.lock().ages(now),
-            has_reader,
             limits,
             suspects,
         }
@@ -298,10 +293,6 @@
             Ok(reply) => {
                 reporter.record_success();
                 self.runs.lock().set_told(&report.runs);
-                self.peer_readers
-                    .lock()
-                    .insert(to.clone(), reply.held.reads);
-                self.record_reader(reply.has_reader);
                 self.learn_limits(&to, &reply.limits);
                 self.learn_suspects(reply.suspects);
                 self.learn_ages(&to, &reply.held, reply.ages, asked);
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -10,6 +10,77 @@
 
 use super::platform_watch::Topic;
 
+/// Time between the ends of two watches of a topic by one of two readers, as a share of the time
+/// within which changes take effect. Each watch is billed.
+const WATCH_SHARE: f64 = 0.8;
+
+/// Shortest wait of a watch that is to end between two of another reader, as a share of the period.
+const WATCH_MIN_SHARE: f64 = 0.25;
+
+/// Age from which knowledge is read anew, as a share of the same time. Above half a period of the
+/// watches with the time in which others learn of them; the rest is for the read.
+const STALE_SHARE: f64 = 0.65;
+
+/// Time over which instances with stale knowledge read one after the other, as a share of the same
+/// time, so that the first to succeed spares the rest.
+const SPREAD_SHARE: f64 = 0.1;
+
+/// Limits on the age of knowledge.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AgeLimits {
+    /// Time between the ends of two watches of a topic by one of two readers.
+    pub(crate) period: Duration,
+    stale: Duration,
+    spread: Duration,
+}
+
+impl AgeLimits {
+    /// The limits for changes that take effect within `timeout`.
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Self {
+            period: timeout.mul_f64(WATCH_SHARE),
+            stale: timeout.mul_f64(STALE_SHARE),
+            spread: timeout.mul_f64(SPREAD_SHARE),
+        }
+    }
+
+    /// Whether knowledge of this age is read anew by an instance whose turn is `turn`, from 0 to 1.
+    pub(crate) fn is_stale(&self, age: Duration, turn: f64) -> bool {
+        age > self.stale + self.spread.mul_f64(turn)
+    }
+
+    /// Whether knowledge is older than two readers that take turns leave it.
+    pub(crate) fn is_overdue(&self, age: Duration) -> bool {
+        age > self.period / 2
+    }
+
+    /// Whether it pays to ask an instance whose knowledge has the age `theirs`. That of one that
+    /// learned from this instance is a little older.
+    pub(crate) fn is_fresher(&self, theirs: Duration, own: Duration) -> bool {
+        self.is_overdue(own) && theirs + self.period / 4 < own
+    }
+
+    /// Wait of a watch that begins now, so that the watches of two readers end by turns, half a
+    /// period apart. `others` is the time since another reader's last watch ended. Only one of two
+    /// readers adapts to the other, and one without another takes both turns.
+    pub(crate) fn watch_wait(&self, others: Option<Duration>, adapts: bool) -> Duration {
+        let (period, half) = (self.period, self.period / 2);
+        let Some(since) = others.filter(|since| *since < period + half) else {
+            return half;
+        };
+        if !adapts {
+            return period;
+        }
+        // The next end that is half a period after one of the other reader.
+        let left = (period + half - since).as_secs_f64() % period.as_secs_f64();
+        let left = Duration::from_secs_f64(left);
+        match left < period.mul_f64(WATCH_MIN_SHARE) {
+            true => left + period,
+            false => left,
+        }
+    }
+}
+
 /// Age of an instance's knowledge of one topic, as sent to other instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Age {
@@ -85,6 +156,17 @@
         self.topic(topic).age(now).known
     }
 
+    /// Age of the knowledge of a topic by own reads alone.
+    pub(crate) fn read_age(&self, topic: Topic, now: Instant) -> Option<Duration> {
+        self.topic(topic).age(now).read
+    }
+
+    /// Time since another reader of this failure domain last read a topic.
+    pub(crate) fn others_age(&self, topic: Topic, now: Instant) -> Option<Duration> {
+        let others = self.topic(topic).others;
+        others.map(|at| now.saturating_duration_since(at))
+    }
+
     pub(crate) fn ages(&self, now: Instant) -> Ages {
         Ages {
             rules: self.rules.age(now),
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -90,9 +90,6 @@
         let locations = message.runs.into_iter();
         locations.for_each(|location| runs.insert(location, is_local, now));
         drop(runs);
-        self.peer_readers
-            .lock()
-            .insert(from.clone(), message.held.reads);
         self.record_reader_ages(&from, message.ages);
         self.fetch_runs(&from);
         self.check_revisions(sources, from, message.held, now);
@@ -157,7 +154,7 @@
             false => *behind = behind.take().filter(|(ahead, _)| *ahead != from),
         }
         // An instance that does not read the platform is updated by the reader, which is as far.
-        let is_reader = self.reader_role.lock().reads_all() || !self.peers.is_tiered();
+        let is_reader = self.reader_role.lock().all() || !self.peers.is_tiered();
         let lag_max = if is_reader {
             READER_LAG_MAX
         } else {
@@ -199,10 +196,12 @@
             self.pool.close_expired();
             self.tick_suspects();
             self.report_refusal();
+            self.report_staleness();
             if self.peers.is_tiered() {
                 self.report(sources, &mut reporter).await;
                 continue;
             }
+            self.ask_readers(sources);
             let now = Instant::now();
             let alive = self.peers.alive();
             self.router.set_instances(alive.len() + 1);
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use super::catalog::{Change, TargetsCopy};
-use super::freshness::Ages;
+use super::freshness::{Age, Ages};
 use super::platform_watch::{HeldRevisions, Origin, Sources, Topic};
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
@@ -20,6 +20,9 @@
 /// Timeout for a peer's answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Shortest time between two questions to peers that may have fresher knowledge.
+const ASK_PERIOD: Duration = Duration::from_millis(150);
+
 /// Rules and targets that one instance sends to another that lacks them.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Config {
@@ -218,6 +221,42 @@
         self.record_reader_ages(peer, ages);
     }
 
+    /// Asks a peer what it knows if that is fresher than what this instance knows, which is older
+    /// than the readers' watches should leave it. Its message alone doesn't show that: it may have
+    /// been on its way for long.
+    pub(crate) fn ask_fresher(self: &Arc<Self>, sources: Sources, peer: &SmolStr, ages: Ages) {
+        let now = Instant::now();
+        let own = self.freshness.lock().ages(now);
+        let is_fresher = |theirs: Age, own: Age| match (theirs.known, own.known) {
+            (Some(theirs), Some(own)) => self.age_limits.is_fresher(theirs, own),
+            _ => false,
+        };
+        let is_other = *peer != self.settings.instance.name;
+        let is_fresher = is_fresher(ages.rules, own.rules) || is_fresher(ages.targets, own.targets);
+        if is_other && is_fresher {
+            self.ask_knowledge(sources, vec![peer.clone()], now);
+        }
+    }
+
+    /// Asks peers what they know, once in [`ASK_PERIOD`].
+    pub(crate) fn ask_knowledge(
+        self: &Arc<Self>,
+        sources: Sources,
+        peers: Vec<SmolStr>,
+        now: Instant,
+    ) {
+        let mut asked = self.knowledge_asked.lock();
+        if asked.is_some_and(|at| now < at + ASK_PERIOD) {
+            return;
+        }
+        *asked = Some(now);
+        drop(asked);
+        for peer in peers {
+            let me = Arc::clone(self);
+            tokio::spawn(async move { me.fetch_config(sources, &peer).await });
+        }
+    }
+
     /// Records when a peer of this failure domain last read the platform.
     pub(crate) fn record_reader_ages(&self, peer: &str, ages: Ages) {
         if self.peers.in_domain(peer) {
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -11,17 +11,12 @@
 use tokio::time::sleep;
 
 use super::catalog::{Change, Registration, TargetInfo};
+use super::election::Duty;
 use super::platform_update::PlatformUpdate;
 use super::relay::Relay;
 use super::rules::Rules;
 use crate::platform::{self, Error, is_restored};
 
-/// Time between the ends of two watches of a topic. Each watch is billed.
-const WATCH_PERIOD: Duration = Duration::from_secs(5);
-
-/// Shortest wait of a watch; one that would end sooner lasts for another period.
-const WATCH_MIN: Duration = Duration::from_millis(100);
-
 /// Pause between two watches of the targets: registrations come in groups, and each call is billed.
 /// Far below the seconds within which traffic to a leaving target must stop.
 const TARGETS_PAUSE: Duration = Duration::from_millis(300);
@@ -86,22 +81,6 @@
         }
     }
 
-    /// Wait of a watch that begins when the process has run for `age`. The watches of the two topics
-    /// end by turns, half a period apart, so that silent connections are noticed within that time
-    /// and the timeout of a response.
-    fn wait(self, age: Duration) -> Duration {
-        let period = WATCH_PERIOD.as_nanos();
-        let offset = match self {
-            Self::Rules => 0,
-            Self::Targets => period / 2,
-        };
-        let left = Duration::from_nanos((period - (age.as_nanos() + offset) % period) as u64);
-        match left < WATCH_MIN {
-            true => left + WATCH_PERIOD,
-            false => left,
-        }
-    }
-
     fn pause(self) -> Duration {
         match self {
             Self::Rules => RULES_PAUSE,
@@ -119,8 +98,6 @@
     pub(crate) rules: u64,
     /// Platform revision of the newest registration or removal.
     pub(crate) targets: Option<u64>,
-    /// Whether it reads the platform.
-    pub(crate) reads: bool,
     /// Fingerprint of the targets that are kept out of use as the platform's entries are older; 0
     /// when there are none.
     pub(crate) kept_out: u64,
@@ -195,13 +172,11 @@
 
 impl Relay {
     pub(crate) fn held_revisions(&self) -> HeldRevisions {
-        let reads = self.reader_role.lock().reads_all();
         let catalog = self.catalog.lock();
         HeldRevisions {
             era: catalog.era,
             rules: catalog.version(),
             targets: catalog.newest(),
-            reads,
             kept_out: catalog.kept_out(),
         }
     }
@@ -219,21 +194,32 @@
         let mut pause = BACKOFF_MIN;
         let mut is_cut = false;
         loop {
-            if !self.is_reader() {
+            let Some(duty) = self.duty(topic) else {
                 self.set_reading(topic, false);
                 sleep(ELECTION_PERIOD).await;
                 continue;
-            }
-            let wait = match is_cut {
-                true => Duration::ZERO,
-                false => topic.wait(self.age()),
             };
             cursor = cursor.filter(|c| c.era == self.platform.era());
+            if duty == Duty::Stale {
+                cursor = cursor.or_else(|| self.known_cursor(topic));
+            }
+            let wait = match duty {
+                Duty::Elected(rank) if !is_cut => self.watch_wait(topic, rank),
+                _ => Duration::ZERO,
+            };
             let from = cursor.map(|c| c.rev);
             let sent = Instant::now();
-            let read = match topic {
-                Topic::Rules => self.read_rules(sources, from, wait).await,
-                Topic::Targets => self.read_targets(sources, from, wait).await,
+            let read = async {
+                match topic {
+                    Topic::Rules => self.read_rules(sources, from, wait).await,
+                    Topic::Targets => self.read_targets(sources, from, wait).await,
+                }
+            };
+            let read = tokio::select! {
+                read = read => read,
+                () = self.grown_stale(topic), if !wait.is_zero() && from.is_some() => {
+                    Err(Error::Unknown("what is known has become stale".into()))
+                }
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
             match read {
@@ -283,14 +269,71 @@
         }
     }
 
-    fn set_reading(&self, topic: Topic, reads: bool) {
-        let mut reading = self.reader_role.lock();
-        match topic {
-            Topic::Rules => reading.rules = reads,
-            Topic::Targets => reading.targets = reads,
+    /// Client for a watch. One that does not wait reads what another one should have told, whose
+    /// connection may be silent.
+    fn reads_through(&self, wait: Duration) -> platform::Client {
+        match wait.is_zero() {
+            true => self.platform.with_new_connections(),
+            false => self.platform.clone(),
+        }
+    }
+
+    /// Wait of a reader's watch that begins now.
+    fn watch_wait(&self, topic: Topic, rank: usize) -> Duration {
+        let now = Instant::now();
+        let freshness = self.freshness.lock();
+        let period = self.age_limits.period;
+        // What a watch that found changes shows is as of its start.
+        let is_late = |age: Duration| age > period / 4;
+        if freshness.read_age(topic, now).is_some_and(is_late) {
+            return Duration::ZERO;
+        }
+        let others = freshness.others_age(topic, now);
+        drop(freshness);
+        let wait = self.age_limits.watch_wait(others, rank > 0);
+        let millis = wait.saturating_sub(topic.pause()).as_millis();
+        Duration::from_millis(millis as u64)
+    }
+
+    /// Waits until the knowledge of a topic is stale.
+    async fn grown_stale(&self, topic: Topic) {
+        while !self.is_stale(topic) {
+            sleep(ELECTION_PERIOD).await;
+        }
+    }
+
+    /// Where to continue from what peers have told.
+    fn known_cursor(&self, topic: Topic) -> Option<Cursor> {
+        let catalog = self.catalog.lock();
+        let era = self.platform.era();
+        let known = catalog.as_of.filter(|_| topic == Topic::Targets);
+        let known = known.filter(|_| catalog.era == era);
+        known.map(|rev| Cursor { era, rev })
+    }
+
+    /// Logs when the knowledge of a topic becomes stale, and when it no longer is.
+    pub(crate) fn report_staleness(&self) {
+        for topic in [Topic::Rules, Topic::Targets] {
+            let is_stale = self.is_stale(topic);
+            let was_stale = self.stale_topics.lock().replace(topic, is_stale);
+            let log = &self.decisions.log;
+            let age = self.known_ms(topic);
+            match (was_stale, is_stale) {
+                (false, true) => info!(log, "platform: knowledge is stale"; "for" => topic.name(),
+                    "known_ms" => age, "duty" => ?self.duty(topic)),
+                (true, false) => {
+                    info!(log, "platform: knowledge is current"; "for" => topic.name(),
+                    "known_ms" => age);
+                }
+                _ => {}
+            }
         }
     }
 
+    fn set_reading(&self, topic: Topic, reads: bool) {
+        self.reader_role.lock().replace(topic, reads);
+    }
+
     async fn read_rules(
         self: &Arc<Self>,
         sources: Sources,
@@ -308,7 +351,7 @@
                 is_idle: false,
             });
         };
-        let changes = self.platform.watch(kind, from, wait).await?;
+        let changes = self.reads_through(wait).watch(kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
         for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
             if self.apply_rules(sources, rev, value) {
@@ -391,7 +434,7 @@
                 is_idle: false,
             });
         };
-        let changes = self.platform.watch(kind, from, wait).await?;
+        let changes = self.reads_through(wait).watch(kind, from, wait).await?;
         let to_change = |e: &platform::Event| Change {
             name: e.name.clone(),
             rev: e.rev,
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -17,10 +17,10 @@
 use super::connections::ConnectionPool;
 use super::copies::RunCopy;
 use super::dialect::Dialect;
-use super::election::ReadState;
+use super::election::TopicFlags;
 use super::equal_runs::EqualRuns;
 use super::exchange::{Outbox, RecentFailures};
-use super::freshness::Freshness;
+use super::freshness::{AgeLimits, Freshness};
 use super::limits::{Issuer, Limits};
 use super::missed_runs::MissedRuns;
 use super::placing::WaitLine;
@@ -114,16 +114,18 @@
     pub(crate) rules_text: Mutex<Option<Arc<str>>>,
     /// How old the knowledge of rules and targets is.
     pub(crate) freshness: Mutex<Freshness>,
-    /// Whether this instance is a reader of the platform.
-    pub(crate) reader_role: Mutex<ReadState>,
+    /// Limits on their age.
+    pub(crate) age_limits: AgeLimits,
+    /// When an instance with fresher knowledge was last asked for it.
+    pub(crate) knowledge_asked: Mutex<Option<Instant>>,
+    /// Whether it was stale at the last look.
+    pub(crate) stale_topics: Mutex<TopicFlags>,
+    /// Which topics this instance reads from the platform.
+    pub(crate) reader_role: Mutex<TopicFlags>,
     /// When targets were last fetched because a peer keeps out others.
     pub(crate) departures_fetched: Mutex<Option<Instant>>,
     /// Whether other failure domains are being asked about removed targets.
     pub(crate) confirming: AtomicBool,
-    /// Whether each peer last reported to be a reader.
-    pub(crate) peer_readers: Mutex<IndexMap<SmolStr, bool>>,
-    /// Since when this failure domain has had no other reader.
-    pub(crate) no_reader_since: Mutex<Option<Instant>>,
     /// A peer that has newer targets, and since when.
     pub(crate) newer_peer: Mutex<Option<(SmolStr, Instant)>>,
     /// Whether all seeds refused this instance at the last look.
@@ -160,6 +162,7 @@
             false => retries.restarted(),
         };
         let body_memory = BodyMemory::new(settings.memory);
+        let age_limits = AgeLimits::new(settings.change_timeout);
         Self {
             settings,
             dialect,
@@ -194,11 +197,12 @@
             runs_requested: AtomicBool::new(false),
             rules_text: Mutex::default(),
             freshness: Mutex::default(),
+            age_limits,
+            knowledge_asked: Mutex::default(),
+            stale_topics: Mutex::default(),
             reader_role: Mutex::default(),
             departures_fetched: Mutex::default(),
             confirming: AtomicBool::new(false),
-            peer_readers: Mutex::default(),
-            no_reader_since: Mutex::default(),
             newer_peer: Mutex::default(),
             refused: AtomicBool::new(false),
             waiting_room: WaitingRoom::default(),
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -34,6 +34,8 @@
     pub memory: Option<usize>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
+    /// Time within which a change that the platform has acknowledged takes effect.
+    pub change_timeout: Duration,
     /// Time after which the address of a target that is gone may be another service's.
     pub address_reuse: Duration,
     /// Whether targets are ejected that fail their calls although they pass health checks.
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod connections;
 mod events;
+mod freshness;
 #[path = "../../../tests/support/heads.rs"]
 mod heads;
 mod limits;
