Tell crashes and limits until they are answered for

Evidence of a crash was in the messages of one second, limits of targets in those of three. An aggregator that is silent costs two reports of 0.8 s, an aggregator of another domain one summary of 0.8 s, so a crash that came then was never told, and a quarantine needed further crashes.

Reports and summaries now carry what has changed since the last one that was answered, and the shorter time as before; a new aggregator gets all. Quarantines themselves were in every message already, run locations already kept until acknowledged. In a small fleet messages to all others are one-way and stay as they were.

crash_is_told_... and limit_is_told_to_an_instance_that_answered_no_report_since hold; what was sent before is empty at that moment (their last assertions). No play with processes shows a late quarantine by this: the cause is by reading.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -284,10 +284,12 @@
         settled.filter(|at| *at > now).min()
     }
 
-    /// Reports that have changed lately, for other instances; all with `full`.
-    pub(super) fn reports(&self, full: bool, now: Instant) -> Vec<Report> {
-        let is_news =
-            |changed: Instant| full || now.saturating_duration_since(changed) < SPREAD_TIME;
+    /// Reports that have changed lately or since `told`, when the receiver was last told, if it was.
+    pub(super) fn reports(&self, told: Option<Instant>, now: Instant) -> Vec<Report> {
+        let is_news = |changed: Instant| {
+            told.is_none_or(|told| changed > told)
+                || now.saturating_duration_since(changed) < SPREAD_TIME
+        };
         let age = |at: Instant| to_millis(now.saturating_duration_since(at));
         let crashes = self.crashes.iter();
         let crashes = crashes
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -278,7 +278,12 @@
 
     /// What other instances are to know: recent reports, all with `full`, and all quarantines.
     pub(crate) fn reports(&self, full: bool, now: Instant) -> Vec<Report> {
-        let mut reports = self.evidence.reports(full, now);
+        self.reports_since((!full).then_some(now), now)
+    }
+
+    /// What an instance is to know that was last told at `told`, if it was.
+    pub(crate) fn reports_since(&self, told: Option<Instant>, now: Instant) -> Vec<Report> {
+        let mut reports = self.evidence.reports(told, now);
         let surplus = reports.len().saturating_sub(REPORTS_MAX);
         reports.drain(..surplus);
         reports.extend(self.verdicts.reports(now).map(Report::Verdict));
@@ -287,7 +292,7 @@
 
     /// Whether there is something that other instances do not know yet.
     pub(crate) fn has_news(&self, now: Instant) -> bool {
-        !self.evidence.reports(false, now).is_empty()
+        !self.evidence.reports(Some(now), now).is_empty()
     }
 
     /// Applies another instance's reports.
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -264,6 +264,23 @@
 }
 
 /// Whatever callers send, memory and messages stay bounded.
+#[test]
+fn crash_is_told_to_an_instance_that_answered_no_report_since() {
+    let (mut first, mut second, start) = (suspects(), suspects(), Instant::now());
+    let answered = start + seconds(1.0);
+    let crashed = answered + seconds(0.5);
+    let requests: [&[&str]; 3] = [&["d", "r1"], &["d", "r2"], &["d", "r3"]];
+    for (n, names) in requests.iter().enumerate() {
+        first.record_crash(&crash(&format!("t{n}"), names), crashed);
+    }
+    let now = crashed + seconds(5.0);
+
+    second.learn(first.reports_since(Some(answered), now), now);
+
+    assert!(is_refused(&mut second, &["d", "r9"], now));
+    assert!(first.reports(false, now).is_empty(), "it is no longer news");
+}
+
 #[test]
 fn evidence_is_bounded_in_memory_and_bytes() {
     let (mut suspects, start) = (suspects(), Instant::now());
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -68,6 +68,8 @@
     ages: Ages,
     runs: Vec<RunLocation>,
     known: Version,
+    /// Time since the last report that this aggregator answered, if it answered any.
+    answered: Option<Duration>,
     limits: Vec<Statement>,
     suspects: Vec<quarantine::Report>,
 }
@@ -97,6 +99,8 @@
 pub(crate) struct Reporter {
     aggregator: SmolStr,
     failures: u32,
+    /// When the last report was sent that the aggregator answered.
+    answered: Option<Instant>,
     replica: LoadReplica,
     /// Run locations that no aggregator has acknowledged.
     runs: Vec<RunLocation>,
@@ -109,6 +113,7 @@
         if changed {
             self.aggregator = aggregator.clone();
             self.failures = 0;
+            self.answered = None;
         }
         changed
     }
@@ -119,8 +124,10 @@
         self.failures >= FAILURES_MAX
     }
 
-    pub(crate) fn record_success(&mut self) {
+    /// Records the answer to a report that was sent at `sent`.
+    pub(crate) fn record_success(&mut self, sent: Instant) {
         self.failures = 0;
+        self.answered = Some(sent);
     }
 }
 
@@ -130,8 +137,9 @@
     /// Sequence number of the first entry.
     base: u64,
     entries: VecDeque<RunLocation>,
-    /// Sequence number after the last entry acknowledged by each aggregator.
-    acked: IndexMap<SmolStr, u64>,
+    /// Sequence number after the last entry acknowledged by each aggregator, and when the message
+    /// with that was sent.
+    acked: IndexMap<SmolStr, (u64, Instant)>,
 }
 
 impl Outbox {
@@ -145,14 +153,19 @@
 
     /// Entries that `to` has not acknowledged, and the sequence number after them.
     fn pending(&self, to: &str) -> (Vec<RunLocation>, u64) {
-        let acked = self.acked.get(to).copied().unwrap_or_default();
+        let acked = self.acked.get(to).map_or(0, |(next, _)| *next);
         let skip = acked.saturating_sub(self.base) as usize;
         let entries = self.entries.iter().skip(skip).cloned().collect();
         (entries, self.base + self.entries.len() as u64)
     }
 
-    fn ack(&mut self, to: &str, next: u64) {
-        self.acked.insert(to.into(), next);
+    /// When the last message was sent that `to` acknowledged.
+    fn acked_at(&self, to: &str) -> Option<Instant> {
+        self.acked.get(to).map(|(_, sent)| *sent)
+    }
+
+    fn ack(&mut self, to: &str, next: u64, sent: Instant) {
+        self.acked.insert(to.into(), (next, sent));
     }
 
     /// Drops the positions of aggregators that are no longer recipients.
@@ -203,12 +216,12 @@
         self.check_revisions(sources, from.clone(), report.held, now);
         self.learn_limits(from, &report.limits);
         self.learn_suspects(report.suspects);
-        let is_new = report.known == Version::default();
-        let suspects = self.suspect_reports(is_new);
-        let limits = match is_new {
-            true => self.limits.lock().statements(now),
-            false => self.limits.lock().news(now),
-        };
+        // The answered report may have been handled by a timeout sooner after it was sent.
+        let answered = report
+            .answered
+            .and_then(|age| now.checked_sub(age + SEND_TIMEOUT));
+        let suspects = self.suspect_reports_since(answered);
+        let limits = self.limits.lock().news_since(answered, now);
         let held = self.held_revisions();
         let mut aggregate = self.aggregate.lock();
         aggregate.update(Origin::Member(from.clone()), report.load, now);
@@ -274,8 +287,9 @@
             ages: self.freshness.lock().ages(now),
             runs,
             known: reporter.replica.version(),
-            limits: self.limits.lock().news(now),
-            suspects: self.suspect_reports(false),
+            answered: reporter.answered.map(|at| at.elapsed()),
+            limits: self.limits.lock().news_since(reporter.answered, now),
+            suspects: self.suspect_reports_since(reporter.answered),
         };
         if to == *me {
             if self.remote_aggregators().is_empty() {
@@ -291,7 +305,7 @@
             .call::<_, ReportReply>(&to, Tag::Report, &report, SEND_TIMEOUT);
         match sent.await {
             Ok(reply) => {
-                reporter.record_success();
+                reporter.record_success(asked);
                 self.runs.lock().set_told(&report.runs);
                 self.learn_limits(&to, &reply.limits);
                 self.learn_suspects(reply.suspects);
@@ -398,19 +412,21 @@
 
     async fn send_summary(&self, name: &SmolStr, load: LoadSummary) {
         let (runs, next) = self.outbox.lock().pending(name);
+        let acked = self.outbox.lock().acked_at(name);
+        let sent_at = Instant::now();
         let summary = Summary {
             load,
             held: self.held_revisions(),
             runs,
-            limits: self.limits.lock().news(Instant::now()),
-            suspects: self.suspect_reports(false),
+            limits: self.limits.lock().news_since(acked, sent_at),
+            suspects: self.suspect_reports_since(acked),
         };
         let sent = self
             .peers
             .call::<_, ()>(name, Tag::Summary, &summary, SEND_TIMEOUT);
         match sent.await {
             Ok(()) => {
-                self.outbox.lock().ack(name, next);
+                self.outbox.lock().ack(name, next, sent_at);
                 self.runs.lock().set_told(&summary.runs);
             }
             Err(e) => {
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -235,14 +235,17 @@
 
     /// Limits that have changed lately, for other instances.
     pub(crate) fn news(&self, now: Instant) -> Vec<Statement> {
-        let is_news = |t: &&TargetLimit| now.saturating_duration_since(t.changed) < SPREAD_TIME;
-        let news = self.targets.values().filter(is_news);
-        news.map(|t| statement(t, now)).collect()
+        self.news_since(Some(now), now)
     }
 
-    /// All known limits, for an instance that knows none yet.
-    pub(crate) fn statements(&self, now: Instant) -> Vec<Statement> {
-        self.targets.values().map(|t| statement(t, now)).collect()
+    /// Limits that have changed lately or since `told`, when the receiver was last told, if it was.
+    pub(crate) fn news_since(&self, told: Option<Instant>, now: Instant) -> Vec<Statement> {
+        let is_news = |t: &&TargetLimit| {
+            told.is_none_or(|told| t.changed > told)
+                || now.saturating_duration_since(t.changed) < SPREAD_TIME
+        };
+        let news = self.targets.values().filter(is_news);
+        news.map(|t| statement(t, now)).collect()
     }
 
     /// The limit of a target, if one is known or was lifted lately.
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -288,6 +288,11 @@
         self.suspects.lock().reports(full, Instant::now())
     }
 
+    /// What an instance is to know of suspects that was last told at `told`, if it was.
+    pub(crate) fn suspect_reports_since(&self, told: Option<Instant>) -> Vec<Report> {
+        self.suspects.lock().reports_since(told, Instant::now())
+    }
+
     /// Applies another instance's reports.
     pub(crate) fn learn_suspects(&self, reports: Vec<Report>) {
         if reports.is_empty() {
--- a/src/relay/tests/aggregate.rs
+++ b/src/relay/tests/aggregate.rs
@@ -194,7 +194,7 @@
                 budgets[at] -= work;
                 let (reporter, _, next, pending, current) = &mut senders[who];
                 if pending.is_some() && *current == number {
-                    reporter.record_success();
+                    reporter.record_success(now);
                     *pending = None;
                     *next = now + period;
                 }
--- a/src/relay/tests/limits.rs
+++ b/src/relay/tests/limits.rs
@@ -56,6 +56,20 @@
     assert_eq!(with, [true, true, false]);
 }
 
+#[test]
+fn limit_is_told_to_an_instance_that_answered_no_report_since() {
+    let answered = Instant::now();
+    let mut limits = Limits::default();
+    limits.observe(&target(), rate(4.0), after(answered, 1.0));
+    let now = after(answered, 9.0);
+
+    let told = limits.news_since(Some(answered), now);
+
+    assert_eq!(told.len(), 1);
+    assert!(limits.news(now).is_empty(), "it is no longer news");
+    assert!(limits.news_since(Some(now), now).is_empty());
+}
+
 #[test]
 fn permits_expire_and_do_not_outlast_a_lower_limit() {
     let now = Instant::now();
