Watch as before where an instance is alone in its failure domain

In a domain with one instance nobody learns from it, and two tests of odd entries counted more calls than they allow: 10 of 8 (event_without_a_readable_revision_...) and 15 of 12 (watch_goes_on_after_an_event_...).

Such an instance watches each topic for 1.25 of the time within which changes take effect (5 s at 4 s, as before), the topics half of that apart.

--- a/src/relay/election.rs
+++ b/src/relay/election.rs
@@ -96,18 +96,28 @@
     /// Whether the knowledge of a topic is so old that this instance reads the platform whoever else
     /// does: the presence of readers doesn't show that they know its state.
     pub(crate) fn is_stale(&self, topic: Topic) -> bool {
-        let turn = match self.peers.is_tiered() && self.is_candidate() {
-            true => 0.0,
-            false => fraction(self.own_name()),
-        };
-        match self.freshness.lock().age(topic, Instant::now()) {
-            Some(age) => self.age_limits.is_stale(age, turn),
-            None => {
-                !self.peers.is_tiered() || self.age() > START_DELAY + START_SPREAD.mul_f64(turn)
-            }
+        let age = self.freshness.lock().age(topic, Instant::now());
+        match age {
+            Some(age) => age > self.stale_age(),
+            None if !self.peers.is_tiered() => true,
+            None => self.age() > START_DELAY + START_SPREAD.mul_f64(fraction(self.own_name())),
         }
     }
 
+    /// Age from which this instance reads anew what it knows.
+    pub(crate) fn stale_age(&self) -> Duration {
+        match self.peers.is_tiered() {
+            _ if self.is_alone_in_domain() => self.age_limits.stale_alone(),
+            true if self.is_candidate() => self.age_limits.stale(0.0),
+            _ => self.age_limits.stale(fraction(self.own_name())),
+        }
+    }
+
+    /// Whether no other instance of this failure domain is reachable.
+    pub(crate) fn is_alone_in_domain(&self) -> bool {
+        self.local_peers().is_empty()
+    }
+
     /// In a small fleet, asks an elected reader what it knows once own knowledge is older than the
     /// readers' should be. Elsewhere the answers to reports tell it.
     pub(crate) fn ask_readers(self: &Arc<Self>, sources: Sources) {
--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -21,6 +21,15 @@
 /// watches with the time in which others learn of them; the rest is for the read.
 const STALE_SHARE: f64 = 0.65;
 
+/// Time between the ends of two watches of a topic by an instance without others in its failure
+/// domain, as a share of the same time. Those of the two topics end by turns, half of it apart, and
+/// one that is overdue ends the other, so that connections that fall silent together are noticed
+/// within that and the timeout of a response.
+const ALONE_SHARE: f64 = 1.25;
+
+/// Shortest wait of such a watch; one that would end sooner lasts for another period.
+const ALONE_WAIT_MIN: Duration = Duration::from_millis(100);
+
 /// Time over which instances with stale knowledge read one after the other, as a share of the same
 /// time, so that the first to succeed spares the rest.
 const SPREAD_SHARE: f64 = 0.1;
@@ -30,8 +39,12 @@
 pub(crate) struct AgeLimits {
     /// Time between the ends of two watches of a topic by one of two readers.
     pub(crate) period: Duration,
+    /// Time between the ends of two watches of a topic by an instance without others in its failure
+    /// domain.
+    alone: Duration,
+    /// Time in which others learn of a read.
+    pub(crate) spread: Duration,
     stale: Duration,
-    spread: Duration,
 }
 
 impl AgeLimits {
@@ -39,14 +52,35 @@
     pub(crate) fn new(timeout: Duration) -> Self {
         Self {
             period: timeout.mul_f64(WATCH_SHARE),
+            alone: timeout.mul_f64(ALONE_SHARE),
             stale: timeout.mul_f64(STALE_SHARE),
             spread: timeout.mul_f64(SPREAD_SHARE),
         }
     }
 
-    /// Whether knowledge of this age is read anew by an instance whose turn is `turn`, from 0 to 1.
-    pub(crate) fn is_stale(&self, age: Duration, turn: f64) -> bool {
-        age > self.stale + self.spread.mul_f64(turn)
+    /// Age from which knowledge is read anew by an instance whose turn is `turn`, from 0 to 1.
+    pub(crate) fn stale(&self, turn: f64) -> Duration {
+        self.stale + self.spread.mul_f64(turn)
+    }
+
+    /// The same for an instance without others in its failure domain, whose watches are overdue
+    /// before.
+    pub(crate) fn stale_alone(&self) -> Duration {
+        self.alone * 2
+    }
+
+    /// Wait of a watch by such an instance that begins when its process has run for `uptime`.
+    pub(crate) fn wait_alone(&self, topic: Topic, uptime: Duration) -> Duration {
+        let period = self.alone.as_nanos();
+        let offset = match topic {
+            Topic::Rules => 0,
+            Topic::Targets => period / 2,
+        };
+        let left = Duration::from_nanos((period - (uptime.as_nanos() + offset) % period) as u64);
+        match left < ALONE_WAIT_MIN {
+            true => left + self.alone,
+            false => left,
+        }
     }
 
     /// Whether knowledge is older than two readers that take turns leave it.
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -27,11 +27,11 @@
 use crate::quarantine::Report;
 use crate::routing::PeerReport;
 
-/// Time between two checks for changes to send: a fraction of the time that an engine needs to read
 /// Time between two fetches because a peer keeps out other targets. The two may differ until a target
 /// writes its entry again, and each fetch is a full copy.
 const DEPARTURES_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two checks for changes to send: a fraction of the time that an engine needs to read
 /// a prompt.
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -280,18 +280,25 @@
 
     /// Wait of a reader's watch that begins now.
     fn watch_wait(&self, topic: Topic, rank: usize) -> Duration {
+        let limits = &self.age_limits;
+        if self.is_alone_in_domain() {
+            return limits.wait_alone(topic, self.age());
+        }
+        let stale_age = self.stale_age();
         let now = Instant::now();
         let freshness = self.freshness.lock();
-        let period = self.age_limits.period;
-        // What a watch that found changes shows is as of its start.
-        let is_late = |age: Duration| age > period / 4;
-        if freshness.read_age(topic, now).is_some_and(is_late) {
-            return Duration::ZERO;
-        }
         let others = freshness.others_age(topic, now);
-        drop(freshness);
-        let wait = self.age_limits.watch_wait(others, rank > 0);
-        let millis = wait.saturating_sub(topic.pause()).as_millis();
+        let wait = limits
+            .watch_wait(others, rank > 0)
+            .saturating_sub(topic.pause());
+        // What a watch that found changes shows is as of its start. The next one of the first reader
+        // ends before that is stale at others.
+        let is_late = freshness
+            .read_age(topic, now)
+            .is_some_and(|age| age > limits.period / 4);
+        let known = freshness.age(topic, now).filter(|_| is_late && rank == 0);
+        let left = known.map(|age| stale_age.saturating_sub(limits.spread + age));
+        let millis = left.map_or(wait, |left| wait.min(left)).as_millis();
         Duration::from_millis(millis as u64)
     }
 
