Let only elected readers forward what they read

An instance whose knowledge is stale reads for itself, and others of its domain may do so in the same moment; each would have forwarded the same changes to all it knows, and each receiver would have updated its router for each copy.

--- a/src/relay/election.rs
+++ b/src/relay/election.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Whether this instance is an elected reader of its failure domain.
+    pub(crate) fn is_elected_reader(&self) -> bool {
+        self.reader_rank().is_some()
+    }
+
     /// Rank of this instance among the elected readers of its failure domain.
     fn reader_rank(&self) -> Option<usize> {
         let readers = self.elected_readers();
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -361,7 +361,7 @@
         let changes = self.reads_through(wait).watch(kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
         for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
-            if self.apply_rules(sources, rev, value) {
+            if self.apply_rules(sources, rev, value) && self.is_elected_reader() {
                 self.forward(PlatformUpdate::Rules(value.to_string()));
             }
         }
@@ -451,7 +451,8 @@
         let since = self.catalog.lock().newest().unwrap_or_default();
         let outage = self.catalog.lock().last_outage();
         self.apply_changes(changes.rev, &list, outage);
-        if !list.is_empty() {
+        // Of the others, as many may read at once as are in the failure domain.
+        if !list.is_empty() && self.is_elected_reader() {
             self.forward_targets(since, changes.rev, list, outage);
         }
         self.confirm_removals(sources);
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -179,7 +179,7 @@
 async fn an_unauthenticated_call_is_rejected_and_counted() {
     let a = instance("a", "key", vec![]).await;
 
-    let status = raw(a.me().addr, "/m/4", "9", Bytes::from_static(b"x")).await;
+    let status = raw(a.me().addr, "/m/4", "10", Bytes::from_static(b"x")).await;
 
     assert_eq!(status, StatusCode::UNAUTHORIZED);
     assert_eq!(a.counts().unauthenticated, 1);
@@ -202,8 +202,8 @@
     let a = instance("a", "key", vec![]).await;
     let large = Bytes::from(vec![0; MAX_FRAME + 1]);
 
-    let malformed = raw(a.me().addr, "/hello", "9", Bytes::from_static(&[255; 40])).await;
-    let oversized = raw(a.me().addr, "/hello", "9", large).await;
+    let malformed = raw(a.me().addr, "/hello", "10", Bytes::from_static(&[255; 40])).await;
+    let oversized = raw(a.me().addr, "/hello", "10", large).await;
 
     assert_eq!(malformed, StatusCode::BAD_REQUEST);
     assert_eq!(oversized, StatusCode::PAYLOAD_TOO_LARGE);
@@ -240,7 +240,7 @@
 async fn message_that_is_cut_inside_is_not_taken_for_whole() {
     for reason in [h2::Reason::NO_ERROR, h2::Reason::CANCEL] {
         let a = instance("a", "key", vec![]).await;
-        let (_response, mut body) = open(a.me().addr, "/hello", "9").await;
+        let (_response, mut body) = open(a.me().addr, "/hello", "10").await;
         body.send_data(Bytes::from_static(&[1; 20]), false).unwrap();
         tokio::time::sleep(PERIOD).await;
         body.send_reset(reason);
