Keep the newest evidence in a report that is cut

A new aggregator, and one that answers again, is told all evidence since. A message holds 256 reports and was cut at the front, where all crashes were, so survivals that were older could crowd out a crash of that moment.

Times that a peer states can't overflow a sum, and the parameter is named as in the outbox.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -284,30 +284,39 @@
         settled.filter(|at| *at > now).min()
     }
 
-    /// Reports that have changed lately or since `told`, when the receiver was last told, if it was.
-    pub(super) fn reports(&self, told: Option<Instant>, now: Instant) -> Vec<Report> {
+    /// Reports that have changed lately or since `acked`, when the receiver last acknowledged some, if
+    /// it did. The last one changed last.
+    pub(super) fn reports(&self, acked: Option<Instant>, now: Instant) -> Vec<Report> {
         let is_news = |changed: Instant| {
-            told.is_none_or(|told| changed > told)
+            acked.is_none_or(|acked| changed > acked)
                 || now.saturating_duration_since(changed) < SPREAD_TIME
         };
         let age = |at: Instant| to_millis(now.saturating_duration_since(at));
         let crashes = self.crashes.iter();
         let crashes = crashes
             .filter(|c| c.confirmed && is_news(c.changed))
-            .map(|c| Report::Crash {
-                crash: c.crash.clone(),
-                age_ms: age(c.at),
+            .map(|c| {
+                let report = Report::Crash {
+                    crash: c.crash.clone(),
+                    age_ms: age(c.at),
+                };
+                (c.changed, report)
             });
         let survivals = self.survivals.iter();
         let survivals = survivals.flat_map(|(part, all)| all.iter().map(move |s| (*part, s)));
         let survivals = survivals
             .filter(|(_, s)| is_news(s.changed))
-            .map(|(part, s)| Report::Survival {
-                part,
-                run: s.run,
-                age_ms: age(s.at),
+            .map(|(part, s)| {
+                let report = Report::Survival {
+                    part,
+                    run: s.run,
+                    age_ms: age(s.at),
+                };
+                (s.changed, report)
             });
-        crashes.chain(survivals).collect()
+        let mut reports: Vec<_> = crashes.chain(survivals).collect();
+        reports.sort_by_key(|(changed, _)| *changed);
+        reports.into_iter().map(|(_, report)| report).collect()
     }
 
     #[cfg(test)]
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -281,9 +281,9 @@
         self.reports_since((!full).then_some(now), now)
     }
 
-    /// What an instance is to know that was last told at `told`, if it was.
-    pub(crate) fn reports_since(&self, told: Option<Instant>, now: Instant) -> Vec<Report> {
-        let mut reports = self.evidence.reports(told, now);
+    /// What an instance is to know that last acknowledged reports sent at `acked`, if it did.
+    pub(crate) fn reports_since(&self, acked: Option<Instant>, now: Instant) -> Vec<Report> {
+        let mut reports = self.evidence.reports(acked, now);
         let surplus = reports.len().saturating_sub(REPORTS_MAX);
         reports.drain(..surplus);
         reports.extend(self.verdicts.reports(now).map(Report::Verdict));
--- a/src/quarantine/tests/mod.rs
+++ b/src/quarantine/tests/mod.rs
@@ -281,6 +281,24 @@
     assert!(first.reports(false, now).is_empty(), "it is no longer news");
 }
 
+#[test]
+fn crash_is_not_crowded_out_of_a_full_report_by_older_survivals() {
+    let (mut first, start) = (suspects(), Instant::now());
+    let survivals = (0..400).map(|n| Report::Survival {
+        part: parts(&[&format!("s{n}")])[0],
+        run: n,
+        age_ms: 0,
+    });
+    first.learn(survivals.collect(), start);
+    let now = start + seconds(5.0);
+    first.record_crash(&crash("t1", &["d", "r1"]), now);
+
+    let reports = first.reports_since(None, now);
+
+    let is_crash = |r: &&Report| matches!(r, Report::Crash { .. });
+    assert_eq!(reports.iter().filter(is_crash).count(), 1);
+}
+
 #[test]
 fn evidence_is_bounded_in_memory_and_bytes() {
     let (mut suspects, start) = (suspects(), Instant::now());
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -219,7 +219,7 @@
         // The answered report may have been handled by a timeout sooner after it was sent.
         let answered = report
             .answered
-            .and_then(|age| now.checked_sub(age + SEND_TIMEOUT));
+            .and_then(|age| now.checked_sub(age.saturating_add(SEND_TIMEOUT)));
         let suspects = self.suspect_reports_since(answered);
         let limits = self.limits.lock().news_since(answered, now);
         let held = self.held_revisions();
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -238,10 +238,11 @@
         self.news_since(Some(now), now)
     }
 
-    /// Limits that have changed lately or since `told`, when the receiver was last told, if it was.
-    pub(crate) fn news_since(&self, told: Option<Instant>, now: Instant) -> Vec<Statement> {
+    /// Limits that have changed lately or since `acked`, when the receiver last acknowledged some, if
+    /// it did.
+    pub(crate) fn news_since(&self, acked: Option<Instant>, now: Instant) -> Vec<Statement> {
         let is_news = |t: &&TargetLimit| {
-            told.is_none_or(|told| t.changed > told)
+            acked.is_none_or(|acked| t.changed > acked)
                 || now.saturating_duration_since(t.changed) < SPREAD_TIME
         };
         let news = self.targets.values().filter(is_news);
--- a/src/relay/quarantine.rs
+++ b/src/relay/quarantine.rs
@@ -288,9 +288,10 @@
         self.suspects.lock().reports(full, Instant::now())
     }
 
-    /// What an instance is to know of suspects that was last told at `told`, if it was.
-    pub(crate) fn suspect_reports_since(&self, told: Option<Instant>) -> Vec<Report> {
-        self.suspects.lock().reports_since(told, Instant::now())
+    /// What an instance is to know of suspects that last acknowledged reports sent at `acked`, if it
+    /// did.
+    pub(crate) fn suspect_reports_since(&self, acked: Option<Instant>) -> Vec<Report> {
+        self.suspects.lock().reports_since(acked, Instant::now())
     }
 
     /// Applies another instance's reports.
