List the targets once a stale instance finds its history dropped

An instance with stale knowledge continues at the revision that it knows. If the store answers 410 for that, it did the same again at once: it never listed, called the store without a pause, and used targets that had left.

After a 410 it lists. An age is learned within one era only, as what is known in a later one is not known as of a read in an earlier.

--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -91,7 +91,7 @@
     /// Whether it pays to ask an instance whose knowledge has the age `theirs`. That of one that
     /// learned from this instance is a little older.
     pub(crate) fn is_fresher(&self, theirs: Duration, own: Duration) -> bool {
-        self.is_overdue(own) && theirs + self.period / 4 < own
+        self.is_overdue(own) && theirs.saturating_add(self.period / 4) < own
     }
 
     /// Wait of a watch that begins now, so that the watches of two readers end by turns, half a
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -214,7 +214,7 @@
         if own.rules >= held.rules {
             freshness.learn(Topic::Rules, ages.rules, asked);
         }
-        if own.progress() >= held.progress() {
+        if own.era == held.era && own.progress() >= held.progress() {
             freshness.learn(Topic::Targets, ages.targets, asked);
         }
         drop(freshness);
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -187,12 +187,13 @@
         age.map(|age| age.as_millis() as u64)
     }
 
-    /// Reads the platform while elected.
+    /// Reads the platform while elected, or once what is known is stale.
     pub(crate) async fn watch_platform(self: Arc<Self>, sources: Sources, topic: Topic) {
         self.wait_for_peers().await;
         let mut cursor: Option<Cursor> = None;
         let mut pause = BACKOFF_MIN;
         let mut is_cut = false;
+        let mut is_gone = false;
         loop {
             let Some(duty) = self.duty(topic) else {
                 self.set_reading(topic, false);
@@ -200,7 +201,7 @@
                 continue;
             };
             cursor = cursor.filter(|c| c.era == self.platform.era());
-            if duty == Duty::Stale {
+            if duty == Duty::Stale && !is_gone {
                 cursor = cursor.or_else(|| self.known_cursor(topic));
             }
             let wait = match duty {
@@ -230,6 +231,7 @@
                         false => Duration::ZERO,
                     };
                     self.freshness.lock().record_read(topic, sent + waited);
+                    is_gone = false;
                     self.recover(topic, &mut pause);
                     let era = self.platform.era();
                     cursor = Some(Cursor { era, rev });
@@ -237,7 +239,10 @@
                         sleep(topic.pause()).await;
                     }
                 }
-                Err(Error::Gone) => cursor = None,
+                Err(Error::Gone) => {
+                    cursor = None;
+                    is_gone = true;
+                }
                 // A watch that is cut off, or whose connection is silent, says nothing about the
                 // platform: the changes since are read at once over another connection.
                 Err(Error::Unknown(e)) if cursor.is_some() && !was_cut => {
