--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use endivefork::http::{Client, Error, Via, request};
-use endivefork::target::engine::{Engine, Refusal};
+use endivefork::target::engine::{Engine, Line, Refusal, Start};
 use endivefork::target::plain::{Connection, SendError};
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -21,6 +21,9 @@
 
 const PART: &str = "HTTP/1.1 200 OK\r\n\r\n{\"state\":\"done\"}\n";
 
+const TOKENS: &str =
+    "HTTP/1.1 200 OK\r\n\r\n{\"i\":0,\"t\":\"x\"}\n{\"i\":1,\"t\":\"y\"}\n{\"end\":";
+
 const ZEROS: &str = "HTTP/1.1 000 Nothing\r\nContent-Length: 2\r\n\r\n{}";
 
 /// Times between the answer and the reset.
@@ -86,6 +89,46 @@
     }
 }
 
+/// Starts an attempt with a prompt of `bytes` and reads its stream to the end.
+async fn generate(addr: SocketAddr, bytes: usize) -> Vec<Line> {
+    let prompt = "x".repeat(bytes);
+    let start = Start {
+        attempt: "a",
+        request: "r",
+        model: "m",
+        version: "v1",
+        prompt: &prompt,
+        prefix: &[],
+        max_tokens: 10,
+        priority: 0,
+        deadline_ms: 2_000,
+    };
+    let engine = Engine::new(Client::new(), addr);
+    let mut lines = Vec::new();
+    if let Ok(mut stream) = engine.start(&start, TIMEOUT).await {
+        let mut more = Vec::new();
+        while stream.read(&mut more).await {
+            lines.append(&mut more);
+        }
+        lines.append(&mut more);
+    }
+    lines
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_an_early_stream_does_not_end_a_generation() {
+    for pause in PAUSES {
+        for bytes in [800, LONG_BODY] {
+            let addr = target(TOKENS, pause).await;
+
+            let lines = generate(addr, bytes).await;
+
+            let has_end = lines.iter().any(|line| matches!(line, Line::End(..)));
+            assert!(!has_end, "{bytes} bytes, {pause:?}: {lines:?}");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_with_a_status_of_zeros_is_no_answer() {
     let addr = target(ZEROS, PAUSES[3]).await;
