Look once more for a connection whose time limit has passed

For callers it means that a live target counts as not reached, and is probed.

Cause: the runtime delivers events of sockets first and expired timers next. A process that stands still in between finds the timer of an attempt expired whose connection is open, but not delivered yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod cmd;
 pub mod config;
+mod connect;
 pub mod failure;
 pub mod fleet;
 pub mod generation;
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -13,11 +13,10 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::connect::connect;
 use crate::http::check_head;
 use crate::ident::TargetKey;
 
@@ -92,7 +91,7 @@
 
 impl Connection {
     async fn connect(addr: SocketAddr) -> io::Result<Self> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+        let stream = connect(addr, CONNECT_TIMEOUT).await?;
         stream.set_nodelay(true)?;
         let mut builder = Builder::new();
         builder.max_buf_size(BUFFER_BYTES).max_headers(MAX_HEADERS);
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -9,9 +9,10 @@
 use rand::seq::IndexedRandom as _;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::record::DecisionLog;
+use crate::connect::within;
 use crate::ident::TargetKey;
 use crate::routing::{ProbeTarget, Router};
 
@@ -143,10 +144,10 @@
 
 async fn connect(addr: SocketAddr, limit: Duration) -> ProbeResult {
     let started = Instant::now();
-    let first = timeout(limit, TcpStream::connect(addr));
+    let first = within(limit, TcpStream::connect(addr));
     let second = async {
         sleep(RETRY_DELAY).await;
-        timeout(limit.saturating_sub(RETRY_DELAY), TcpStream::connect(addr)).await
+        within(limit.saturating_sub(RETRY_DELAY), TcpStream::connect(addr)).await
     };
     tokio::pin!(first, second);
     let (earlier, later) = tokio::select! {
--- a/src/target/plain.rs
+++ b/src/target/plain.rs
@@ -12,9 +12,9 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::connect::connect;
 use crate::http::{Answer, check_head};
 
 /// Timeout of a TCP connection attempt.
@@ -63,7 +63,7 @@
     /// # Errors
     /// When the target refused the connection or did not answer in time. Nothing was sent.
     pub async fn open(addr: SocketAddr) -> std::io::Result<Self> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+        let stream = connect(addr, CONNECT_TIMEOUT).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
