Discard the body of a request that is refused before it has arrived

What callers saw: a key is withdrawn or a route goes, a request is refused from its head, and the caller, still sending, finds its connection reset.

Cause: the HTTP library reads on only as long as somebody takes the body. The refusal dropped it, and a connection that is closed with bytes on their way is reset.

What a handler leaves of a body is read and discarded, for 2 s and 4 MiB at most, on both interfaces; the connection isn't idle meanwhile and carries the next request. Not where the caller waits for "100 Continue", nor over HTTP/2.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Keeps the connection from being idle while the rest of a request is read.
+    pub(crate) fn hold_open(self: &Arc<Self>) -> HeldOpen {
+        self.activity.lock().running += 1;
+        HeldOpen(Arc::clone(self))
+    }
+
     /// Keeps a request open until the bytes of its answer are written.
     pub(crate) fn hold(&self, key: RequestKey) {
         self.unwritten.lock().push(key);
@@ -158,11 +164,25 @@
     fn written(&self) {
         for key in self.unwritten.lock().drain(..) {
             self.requests.remove(key);
-            let mut activity = self.activity.lock();
-            activity.running -= 1;
-            activity.idle_since = Instant::now();
+            self.end_one();
         }
     }
+
+    fn end_one(&self) {
+        let mut activity = self.activity.lock();
+        activity.running -= 1;
+        activity.idle_since = Instant::now();
+    }
+}
+
+/// A connection that is not idle, although all its requests may be answered.
+#[derive(Debug)]
+pub(crate) struct HeldOpen(Arc<Connection>);
+
+impl Drop for HeldOpen {
+    fn drop(&mut self) {
+        self.0.end_one();
+    }
 }
 
 /// The socket of a connection.
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -13,6 +13,7 @@
 mod front;
 mod identity;
 mod open;
+mod request_body;
 mod server;
 mod services;
 
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -16,8 +16,8 @@
 use axum::extract::Request;
 use axum::response::Response;
 use bytes::Bytes;
-use http::{StatusCode, Version};
-use http_body::{Body as _, Frame, SizeHint};
+use http::StatusCode;
+use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -25,6 +25,7 @@
 use smol_str::SmolStr;
 
 use super::connection::Connection;
+use super::request_body::RequestBody;
 
 /// Reason of a request whose handler or answer panicked.
 const PANICKED: &str = "a task panicked";
@@ -173,7 +174,7 @@
         self.requests.update(self.key, |e| e.reason = reason);
     }
 
-    fn whole_read(&self) {
+    pub(super) fn whole_read(&self) {
         self.requests.update(self.key, |e| e.is_read = true);
     }
 }
@@ -195,21 +196,14 @@
     let key = requests.add();
     connection.begin();
     let open = OpenRequest { requests, key };
+    let (mut head, body) = request.into_parts();
+    head.extensions.insert(open.clone());
+    let body = RequestBody::new(body, &head, open.clone(), Arc::clone(&connection));
     let mut answer = Answer {
         inner: Body::empty(),
         open: open.clone(),
         connection,
     };
-    let (mut head, body) = request.into_parts();
-    head.extensions.insert(open.clone());
-    if body.is_end_stream() {
-        open.whole_read();
-    }
-    let body = RequestBody {
-        inner: body,
-        open: open.clone(),
-        is_http2: head.version == Version::HTTP_2,
-    };
     let mut running = pin!(handle(Request::from_parts(head, Body::new(body))));
     let handled = poll_fn(|cx| {
         let polled = catch_unwind(AssertUnwindSafe(|| running.as_mut().poll(cx)));
@@ -229,48 +223,6 @@
     response
 }
 
-/// The body of a request; notes its end.
-struct RequestBody {
-    inner: Incoming,
-    open: OpenRequest,
-    is_http2: bool,
-}
-
-impl RequestBody {
-    /// Whether the caller reset its stream inside the body, which the HTTP library reports as its
-    /// end if the reason is no error.
-    fn is_cut(&self) -> bool {
-        self.is_http2 && !self.inner.is_end_stream()
-    }
-}
-
-impl http_body::Body for RequestBody {
-    type Data = Bytes;
-    type Error = axum::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        if matches!(polled, Poll::Ready(None)) && self.is_cut() {
-            return Poll::Ready(Some(Err(axum::Error::new("the body broke off"))));
-        }
-        if matches!(polled, Poll::Ready(None)) || self.inner.is_end_stream() {
-            self.open.whole_read();
-        }
-        polled.map_err(axum::Error::new)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// The body of an answer. When it is dropped, the connection holds the request until all bytes are
 /// written.
 struct Answer {
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,7 @@
 //! size-limited bodies.
 
 mod buffer;
+mod discard;
 #[cfg(test)]
 mod tests;
 
@@ -10,6 +11,7 @@
 
 use buffer::Buffer;
 use bytes::Bytes;
+pub(crate) use discard::{DISCARD_MAX, discard};
 use http::header::TRANSFER_ENCODING;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
