Discard the bodies of refused requests on the administration API

An operator whose key is wrong, or who asks for a path that does not exist, met a reset connection in place of the refusal while still sending, as callers did. The API reads the body before it refuses, within the same bounds.

caller_that_is_still_sending_gets_its_refusal_and_keeps_its_connection covers the own interface and this API; its case of the latter failed before.

--- a/src/admin/answer.rs
+++ b/src/admin/answer.rs
@@ -1,6 +1,7 @@
 //! Error responses of the administration API.
 
 use axum::Json;
+use axum::extract::Request;
 use axum::http::StatusCode;
 use axum::http::header::RETRY_AFTER;
 use axum::response::{IntoResponse, Response};
@@ -8,6 +9,7 @@
 use serde_json::Value;
 
 use super::Fault;
+use crate::http::discard;
 use crate::platform;
 
 /// An error response.
@@ -131,6 +133,7 @@
 }
 
 /// Handles unknown paths.
-pub(crate) async fn no_route() -> ApiError {
+pub(crate) async fn no_route(request: Request) -> ApiError {
+    discard(request.into_body()).await;
     ApiError::new(StatusCode::NOT_FOUND, "no_route", "no such path")
 }
--- a/src/admin/auth.rs
+++ b/src/admin/auth.rs
@@ -14,6 +14,7 @@
 
 use super::Context;
 use super::answer::ApiError;
+use crate::http::discard;
 
 /// The operator who sent a request.
 #[derive(Clone, Debug)]
@@ -36,6 +37,7 @@
         }
         None => {
             context.metrics.refused("operator_key");
+            discard(request.into_body()).await;
             unauthorized()
         }
     }
