Notice a silent watch before limits hold again

A withdrawn key ran until 4.34 s after the ack; limits hold again 4 s after the silence.

Cause: such a watch lasted 1.25 of config_apply_ms and its response had a second more, 4.75 s together; nothing tied the sum to the time from which limits hold. The log of the store's calls shows it: the read that follows is answered at once.

The watch takes half a second less than the larger of contact_ms, which is read now, and config_apply_ms; its response has 0.25 s. What is left is for a read over a new connection. The price is a call in 3.5 s in place of one in 3.75 s, of an instance that is alone in its domain.

--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -21,15 +21,18 @@
 /// watches with the time in which others learn of them; the rest is for the read.
 const STALE_SHARE: f64 = 0.65;
 
-/// Time between the ends of two watches of a topic by an instance without others in its failure
-/// domain, as a share of the same time. Those of the two topics end by turns, half of it apart, and
-/// one that is overdue ends the other, so that connections that fall silent together are noticed
-/// within that and the timeout of a response.
-const ALONE_SHARE: f64 = 1.25;
+/// An instance without others in its failure domain notices by itself alone that the connection of a
+/// watch is silent, and must know what it missed once time limits hold again. From this time before
+/// that on it may do both: the longest delay of a watch's end, that of its response, and a read.
+const ALONE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Shortest wait of such a watch; one that would end sooner lasts for another period.
+/// Shortest wait of such an instance's watch; one that would end sooner lasts for another period.
 const ALONE_WAIT_MIN: Duration = Duration::from_millis(100);
 
+/// Time after the end of such a watch at which a missing response means a silent connection. The read
+/// that follows has the usual time.
+const ALONE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time over which instances with stale knowledge read one after the other, as a share of the same
 /// time, so that the first to succeed spares the rest.
 const SPREAD_SHARE: f64 = 0.1;
@@ -40,7 +43,8 @@
     /// Time between the ends of two watches of a topic by one of two readers.
     pub(crate) period: Duration,
     /// Time between the ends of two watches of a topic by an instance without others in its failure
-    /// domain.
+    /// domain. Those of the two topics end by turns, half of it apart, and one that is overdue ends
+    /// the other.
     alone: Duration,
     /// Time in which others learn of a read.
     pub(crate) spread: Duration,
@@ -48,11 +52,13 @@
 }
 
 impl AgeLimits {
-    /// The limits for changes that take effect within `timeout`.
-    pub(crate) fn new(timeout: Duration) -> Self {
+    /// The limits for changes that take effect within `timeout`, which holds for an instance that has
+    /// been undisturbed for `recovery`.
+    pub(crate) fn new(timeout: Duration, recovery: Duration) -> Self {
+        let alone = timeout.max(recovery).saturating_sub(ALONE_MARGIN);
         Self {
             period: timeout.mul_f64(WATCH_SHARE),
-            alone: timeout.mul_f64(ALONE_SHARE),
+            alone: alone.max(ALONE_WAIT_MIN),
             stale: timeout.mul_f64(STALE_SHARE),
             spread: timeout.mul_f64(SPREAD_SHARE),
         }
@@ -69,6 +75,12 @@
         self.alone * 2
     }
 
+    /// Time after the end of such an instance's watch at which a missing response means a silent
+    /// connection.
+    pub(crate) fn response_timeout_alone(&self) -> Duration {
+        ALONE_RESPONSE_TIMEOUT
+    }
+
     /// Wait of a watch by such an instance that begins when its process has run for `uptime`.
     pub(crate) fn wait_alone(&self, topic: Topic, uptime: Duration) -> Duration {
         let period = self.alone.as_nanos();
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -279,6 +279,10 @@
     fn reads_through(&self, wait: Duration) -> platform::Client {
         match wait.is_zero() {
             true => self.platform.with_new_connections(),
+            false if self.is_alone_in_domain() => {
+                let timeout = self.age_limits.response_timeout_alone();
+                self.platform.with_timeout(timeout)
+            }
             false => self.platform.clone(),
         }
     }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -162,7 +162,7 @@
             false => retries.restarted(),
         };
         let body_memory = BodyMemory::new(settings.memory);
-        let age_limits = AgeLimits::new(settings.change_timeout);
+        let age_limits = AgeLimits::new(settings.change_timeout, settings.recovery_time);
         Self {
             settings,
             dialect,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -36,6 +36,8 @@
     pub first_start: bool,
     /// Time within which a change that the platform has acknowledged takes effect.
     pub change_timeout: Duration,
+    /// Time without a disturbance from which limits on time hold for an instance.
+    pub recovery_time: Duration,
     /// Time after which the address of a target that is gone may be another service's.
     pub address_reuse: Duration,
     /// Whether targets are ejected that fail their calls although they pass health checks.
--- a/src/relay/tests/freshness.rs
+++ b/src/relay/tests/freshness.rs
@@ -8,6 +8,8 @@
 
 const TIMEOUT: Duration = Duration::from_secs(3);
 
+const RECOVERY: Duration = Duration::from_secs(4);
+
 /// Time in which a reader learns that the other one has read.
 const NEWS_DELAY: Duration = Duration::from_millis(250);
 
@@ -69,7 +71,7 @@
 
 #[test]
 fn stale_knowledge_is_read_anew_with_a_quarter_of_the_time_left() {
-    let limits = AgeLimits::new(TIMEOUT);
+    let limits = AgeLimits::new(TIMEOUT, RECOVERY);
 
     assert!(limits.stale(0.0) < limits.stale(1.0));
     assert!(limits.stale(1.0) <= TIMEOUT.mul_f64(0.75));
@@ -91,7 +93,7 @@
 
 #[test]
 fn watches_of_two_readers_end_by_turns() {
-    let limits = AgeLimits::new(TIMEOUT);
+    let limits = AgeLimits::new(TIMEOUT, RECOVERY);
 
     let ends = watches(&limits);
 
@@ -107,10 +109,39 @@
 
 #[test]
 fn reader_without_another_one_takes_both_turns() {
-    let limits = AgeLimits::new(TIMEOUT);
+    let limits = AgeLimits::new(TIMEOUT, RECOVERY);
 
     for others in [None, Some(limits.period * 2)] {
         assert_eq!(limits.watch_wait(others, false), limits.period / 2);
         assert_eq!(limits.watch_wait(others, true), limits.period / 2);
     }
 }
+
+/// Guards against a silent connection that an instance alone in its failure domain notices only when
+/// limits on time hold again.
+#[test]
+fn instance_alone_notices_a_silent_watch_before_limits_hold_again() {
+    for (timeout, recovery) in [
+        (3.0, 4.0),
+        (4.0, 5.0),
+        (5.0, 5.0),
+        (5.0, 1.0),
+        (0.001, 0.001),
+    ] {
+        let limits = AgeLimits::new(seconds(timeout), seconds(recovery));
+        let bound = seconds(timeout.max(recovery));
+        for millis in 0..20_000 {
+            let uptime = Duration::from_millis(millis);
+            for topic in [Topic::Rules, Topic::Targets] {
+                let wait = limits.wait_alone(topic, uptime);
+                let noticed = wait + limits.response_timeout_alone();
+                let is_in_time = noticed + NEWS_DELAY.div_f64(2.0) < bound;
+                assert!(
+                    is_in_time || bound < seconds(1.0),
+                    "{noticed:?} of {bound:?}"
+                );
+                assert!(!wait.is_zero());
+            }
+        }
+    }
+}
