Ask for the target at the end of an answer without a length

What callers saw: an engine is killed while it answers streams with neither a length nor chunks; two streams ended as complete after 49 to 66 of 130 events. Plain calls beside it: 200 with 400 of 800 bytes.

Cause: such an answer ends with its connection, and the kernel closes those of a killed process in the ordinary way when nothing is left unread in them. The end of the connection was taken for the end of the answer.

At that end a connection is opened to the target, 5 ms later. If it takes none, the answer is lost: a stream goes on at another engine, a call that may be repeated is sent again, any other is answered 502. A new connection costs no request; reports of engines don't tell whether an ended answer was whole.

stream_without_a_length_of_a_killed_engine_goes_on_at_another_one and part_of_a_plain_answer_of_a_killed_replica_is_not_passed_on failed before.

--- a/src/relay/call/exchange.rs
+++ b/src/relay/call/exchange.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::{AttemptResult, Exchange, LONG_BODY_BYTES, implies_not_run};
-use crate::relay::connections::{Connection, SendError};
+use crate::relay::connections::{Connection, GONE_AT_END, SendError, ends_with_connection};
 use crate::relay::dialect::AttemptHead;
 use crate::relay::limits::Purpose;
 use crate::relay::rules::Kind;
@@ -86,10 +86,14 @@
             head if success && !head.signed => return AttemptResult::Lost("unsigned answer"),
             _ => {}
         }
+        let is_unframed = ends_with_connection(&parts.headers, &body);
         let body = match self.relay.buffers.collect(body).await {
             Ok(body) => body,
             Err(e) => return AttemptResult::Lost(e.reason()),
         };
+        if is_unframed && !self.relay.has_outlived_answer(lease).await {
+            return AttemptResult::Lost(GONE_AT_END);
+        }
         if head.misdirected {
             return AttemptResult::Misdirected;
         }
--- a/src/relay/connections.rs
+++ b/src/relay/connections.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderValue, Request, Response};
+use http::header::{HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body::Body as _;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -153,6 +154,14 @@
     }
 }
 
+/// Why an answer is lost whose target can't be reached at its end.
+pub(crate) const GONE_AT_END: &str = "target gone at the end of an answer without a length";
+
+/// Whether a response body has neither a length nor chunks, so that it ends with its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_none() && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -82,6 +82,27 @@
         });
     }
 
+    /// Opens a connection to a target. Returns whether it takes one; if not, it is marked dead.
+    pub(crate) async fn takes_connections(
+        self: &Arc<Self>,
+        router: &Arc<Router>,
+        record: &DecisionLog,
+        target: &ProbeTarget,
+    ) -> bool {
+        let now = Instant::now();
+        let limit = self.timeout_for(&target.domain);
+        match connect(target.addr, limit).await {
+            ProbeResult::Alive(rtt) => {
+                self.record_rtt(&target.domain, rtt);
+                router.mark_alive(target.key, now);
+                return true;
+            }
+            ProbeResult::Refused => self.mark_dead(router, record, target, "refused", now),
+            ProbeResult::Silent => self.mark_dead(router, record, target, "silent", now),
+        }
+        false
+    }
+
     /// Whether a probe of a target is in progress.
     pub(crate) fn is_running(&self, key: TargetKey) -> bool {
         self.in_progress.lock().contains_key(&key)
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -58,6 +58,9 @@
 /// Interval at which it looks whether they are.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time in which an ending process closes its sockets one after the other.
+const EXIT_TIME: Duration = Duration::from_millis(5);
+
 /// State of one relay instance.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -437,6 +440,17 @@
         }
     }
 
+    /// Whether a target outlived an answer without a length. A process that is killed closes its
+    /// connections as one does that has answered.
+    pub(crate) async fn has_outlived_answer(&self, lease: &Lease) -> bool {
+        let Some(target) = lease.probe_target() else {
+            return false;
+        };
+        sleep(EXIT_TIME).await;
+        let (router, record) = (&self.router, &self.decisions);
+        self.probes.takes_connections(router, record, &target).await
+    }
+
     /// Time since a target last showed life.
     pub(crate) fn alive_age(&self, lease: &Lease) -> Option<Duration> {
         self.router.alive_age(lease.key, Instant::now())
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -25,7 +25,7 @@
 
 use super::call::FinalReply;
 use super::caller_request::CallerRequest;
-use super::connections::Connection;
+use super::connections::{Connection, GONE_AT_END};
 use super::copies::{CopySource, CopyTask, RunCopy};
 use super::events::EventSplitter;
 use super::local_reply::LocalReply;
@@ -80,6 +80,8 @@
     /// Start of the wait for the next event; `None` while nobody is reading.
     wait_start: Option<Instant>,
     sequence: Sequence,
+    /// Whether the end of the stream shows only by that of its connection.
+    is_unframed: bool,
     /// Whether it has outlived its beginning.
     has_survived: bool,
 }
@@ -397,6 +399,10 @@
                 }
                 None => {
                     upstream.sequence.end(self.last_id, &mut self.rest)?;
+                    let lease = &upstream.lease;
+                    if upstream.is_unframed && !self.relay.has_outlived_answer(lease).await {
+                        return Err(Loss::Broken(GONE_AT_END));
+                    }
                     // A short answer ends before its run has outlived its beginning.
                     if upstream.ends_alive() {
                         let attempt = self.runs;
--- a/src/relay/stream/open.rs
+++ b/src/relay/stream/open.rs
@@ -16,7 +16,7 @@
 use super::waits::ENGINE_INTERVAL;
 use super::{RunProgress, Stream, StreamError, Upstream, estimate_work};
 use crate::relay::call::implies_not_run;
-use crate::relay::connections::{Connection, SendError};
+use crate::relay::connections::{Connection, GONE_AT_END, SendError, ends_with_connection};
 use crate::relay::copies::RunCopy;
 use crate::relay::dialect::{AttemptHead, CopyRef};
 use crate::relay::events::EventSplitter;
@@ -351,6 +351,7 @@
             Err(loss) => return Err(self.record_lost(&lease, loss, now)),
         };
         let (mut parts, body) = response.into_parts();
+        let is_unframed = ends_with_connection(&parts.headers, &body);
         let head =
             (self.relay.dialect.parse_response)(&self.request.ask.id, parts.status, &parts.headers);
         self.relay
@@ -389,6 +390,7 @@
         Ok(Upstream {
             lease,
             connection: Some(connection),
+            is_unframed,
             body,
             splitter: EventSplitter::default(),
             timeouts,
@@ -457,7 +459,11 @@
         }
         let left = self.request.left(Instant::now());
         let relay = Arc::clone(&self.relay);
+        let is_unframed = ends_with_connection(&parts.headers, &body);
         let body = match timeout(left, relay.buffers.collect(body)).await {
+            Ok(Ok(_)) if is_unframed && !relay.has_outlived_answer(lease).await => {
+                return self.record_lost(lease, Loss::Broken(GONE_AT_END), Instant::now());
+            }
             Ok(Ok(body)) => body,
             Ok(Err(e)) => return self.record_lost(lease, Loss::Broken(e.reason()), Instant::now()),
             Err(_) => return self.record_lost(lease, Loss::DeadlineExceeded, Instant::now()),
