Register instances on the platform, so that silence no longer means "alone"

What callers saw: two instances start while their seeds are down; after one is stopped its caller goes on at the other one with another client's equal stream, 44 of 44 events. Three instances start so, each in a failure domain of its own: targets that take 8 requests a second got 89 or 90 in 4 s, 53 allowed. The logs show "others 0", alone and whole with one known run 17.6 s after the start, and three issuers of each target 11 s after it.

Cause: instances found each other by their seeds only, and four places each inferred from silence that there was nobody else: is_alone, the completeness of runs, the wait before a first event, and the size of the fleet for retries. The issuer of a target is the first by rank of those that are known.

The registry is the one place that knows whether the fleet is known. Each instance of a small fleet, and each candidate of a large one, writes its entry and reads then who else is there, so of any two the later reader finds the other. The fleet is known once each registered instance was met or its process is gone. An instance that is met anew is asked for its own runs. Protocol version 11. Cost: two or three calls at the start of an instance, three a minute.

--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between instances.
-pub const PROTOCOL: u16 = 10;
+pub const PROTOCOL: u16 = 11;
 
 /// Largest message, in bytes.
 pub const MAX_FRAME: usize = 4 << 20;
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn spawn_beat(self: &Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
+    pub(super) fn spawn_beat(self: &Arc<Self>, addr: SocketAddr, name: Option<SmolStr>) {
         let beat = Arc::clone(self).beat_once(addr, name).boxed();
         tokio::spawn(self.closed.clone().run_until_cancelled_owned(beat));
     }
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -304,6 +304,35 @@
         }
     }
 
+    /// Contacts instances that may be there.
+    pub(crate) fn introduce(&self, members: &[Member]) {
+        let introduced = self.hub.members.lock().introduce(members, Instant::now());
+        for (name, addr) in introduced {
+            self.hub.spawn_beat(addr, Some(name));
+        }
+    }
+
+    /// Forgets an instance that does not answer.
+    pub(crate) fn forget(&self, name: &str) {
+        self.hub.members.lock().forget(name);
+    }
+
+    /// Whether `name` was ever heard, or its process is gone.
+    #[must_use]
+    pub(crate) fn has_met(&self, name: &str) -> bool {
+        self.hub.members.lock().has_met(name)
+    }
+
+    /// Other instances that answer and are not leaving, each with the number that its process drew.
+    #[must_use]
+    pub(crate) fn processes(&self) -> IndexMap<SmolStr, u64> {
+        let members = self.hub.members.lock();
+        let processes = members.processes();
+        processes
+            .map(|(name, number)| (name.clone(), number))
+            .collect()
+    }
+
     /// Whether this instance has contacted every instance it knows in its failure domain.
     #[must_use]
     pub fn has_contacted(&self) -> bool {
--- a/src/peer/member.rs
+++ b/src/peer/member.rs
@@ -120,6 +120,8 @@
     listed: bool,
     pub(super) leaving: bool,
     incarnation: u64,
+    /// Whether a message of it was received.
+    is_met: bool,
     pub(super) last_heard: Instant,
 }
 
@@ -186,6 +188,42 @@
         self.prune(now);
     }
 
+    /// Adds instances that may be there. Returns the address of each that does not answer yet.
+    pub fn introduce(&mut self, members: &[Member], now: Instant) -> Vec<(SmolStr, SocketAddr)> {
+        let others = members.iter().filter(|m| m.name != self.me);
+        let others: Vec<_> = others.cloned().collect();
+        let introduced = others.iter().map(|member| {
+            let known = self.insert(member, now);
+            let addr = known.member.addr;
+            (known.reach != Reach::Alive).then(|| (member.name.clone(), addr))
+        });
+        introduced.flatten().collect()
+    }
+
+    /// Forgets an instance that does not answer.
+    pub fn forget(&mut self, name: &str) {
+        let known = self.known.get(name);
+        if known.is_some_and(|k| k.reach != Reach::Alive) {
+            self.known.shift_remove(name);
+        }
+    }
+
+    /// Whether `name` was ever heard, or its process is gone.
+    #[must_use]
+    pub fn has_met(&self, name: &str) -> bool {
+        let known = self.known.get(name);
+        known.is_some_and(|k| k.is_met || k.reach == Reach::Dead)
+    }
+
+    /// Instances that answer, each with the number that its process drew.
+    pub fn processes(&self) -> impl Iterator<Item = (&SmolStr, u64)> {
+        let alive = self
+            .known
+            .iter()
+            .filter(|(_, k)| k.reach == Reach::Alive && !k.leaving);
+        alive.map(|(name, k)| (name, k.incarnation))
+    }
+
     /// Applies a received heartbeat or answer.
     pub fn receive(&mut self, beat: &Heartbeat, now: Instant) {
         if beat.from.name == self.me {
@@ -196,6 +234,7 @@
         known.incarnation = beat.incarnation;
         known.leaving = beat.leaving;
         known.reach = Reach::Alive;
+        known.is_met = true;
         known.last_heard = now;
         for other in &beat.others {
             if other.reach == Reach::Alive && other.member.name != self.me {
@@ -345,6 +384,7 @@
                 listed: false,
                 leaving: false,
                 incarnation: 0,
+                is_met: false,
                 last_heard: now,
             });
         if known.reach != Reach::Alive {
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -23,7 +23,7 @@
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use super::run_location::RunLocation;
-use crate::peer::{Tag, encode};
+use crate::peer::{Reach, Tag, encode};
 use crate::quarantine::Report;
 use crate::routing::PeerReport;
 
@@ -61,6 +61,25 @@
     suspects: Vec<Report>,
 }
 
+/// Which runs an instance asks another one for.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+enum JournalScope {
+    /// All that it knows.
+    All,
+    /// Those that it relays itself.
+    Own,
+}
+
+/// Runs that an instance knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Journal {
+    runs: Vec<RunLocation>,
+    /// Whether none is missing to it.
+    is_whole: bool,
+    /// Whether it tells the asking instance of later ones.
+    knows_asker: bool,
+}
+
 impl Relay {
     /// Registers the handlers of messages from peers.
     pub(crate) fn register_handlers(self: &Arc<Self>, sources: Sources) {
@@ -72,7 +91,9 @@
             });
         let me = Arc::clone(self);
         self.peers
-            .on(Tag::Journal, move |_, ()| ready(me.journal()));
+            .on(Tag::Journal, move |from, scope: JournalScope| {
+                ready(me.journal(&from, scope))
+            });
         self.handle_platform_updates(sources);
         self.handle_exchange(sources);
         self.handle_queries();
@@ -95,11 +116,51 @@
         self.check_revisions(sources, from, message.held, now);
     }
 
-    /// All known runs, and whether none is missing.
-    fn journal(&self) -> (Vec<RunLocation>, bool) {
+    fn journal(&self, asker: &str, scope: JournalScope) -> Journal {
         let is_alone = self.is_alone();
         let runs = self.runs.lock();
-        (runs.all(Instant::now()), runs.is_whole(is_alone))
+        let now = Instant::now();
+        Journal {
+            runs: match scope {
+                JournalScope::All => runs.all(now),
+                JournalScope::Own => runs.own(now),
+            },
+            is_whole: runs.is_whole(is_alone),
+            knows_asker: self.peers.reach(asker) == Reach::Alive,
+        }
+    }
+
+    /// Reads the own runs of each instance that was met anew: it tells this one only of later ones.
+    fn sync_runs(self: &Arc<Self>) {
+        let processes = self.peers.processes();
+        let mut synced = self.synced.lock();
+        synced.retain(|name, number| processes.get(name) == Some(number));
+        let unsynced = processes.into_iter().filter(|p| !synced.contains_key(&p.0));
+        let unsynced: Vec<_> = unsynced.collect();
+        drop(synced);
+        for (name, number) in unsynced {
+            if !self.syncing.lock().insert(name.clone()) {
+                continue;
+            }
+            let me = Arc::clone(self);
+            tokio::spawn(async move {
+                let scope = JournalScope::Own;
+                let asked = me.peers.call(&name, Tag::Journal, &scope, SEND_TIMEOUT);
+                if let Ok(Journal {
+                    runs,
+                    knows_asker: true,
+                    ..
+                }) = asked.await
+                {
+                    let now = Instant::now();
+                    let mut known = me.runs.lock();
+                    runs.into_iter().for_each(|run| known.recall(run, now));
+                    drop(known);
+                    me.synced.lock().insert(name.clone(), number);
+                }
+                me.syncing.lock().swap_remove(&name);
+            });
+        }
     }
 
     /// Fetches the known runs of the first reachable peer, since their callers may come to this
@@ -111,14 +172,10 @@
         let (me, peer) = (Arc::clone(self), peer.clone());
         tokio::spawn(async move {
             me.fetch_suspects(&peer).await;
-            let asked = me.peers.call::<(), (Vec<RunLocation>, bool)>(
-                &peer,
-                Tag::Journal,
-                &(),
-                SEND_TIMEOUT,
-            );
+            let scope = JournalScope::All;
+            let asked = me.peers.call(&peer, Tag::Journal, &scope, SEND_TIMEOUT);
             match asked.await {
-                Ok((runs, is_whole)) => {
+                Ok(Journal { runs, is_whole, .. }) => {
                     info!(me.decisions.log, "runs: loaded from a peer"; "peer" => peer.as_str(), "runs" => runs.len());
                     let now = Instant::now();
                     let mut known = me.runs.lock();
@@ -201,6 +258,7 @@
                 self.report(sources, &mut reporter).await;
                 continue;
             }
+            self.sync_runs();
             self.ask_readers(sources);
             let now = Instant::now();
             let alive = self.peers.alive();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -38,6 +38,7 @@
 mod queries;
 mod record;
 mod recovery;
+mod registry;
 #[expect(
     clippy::module_inception,
     reason = "the aggregate that the module is named after"
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -27,6 +27,7 @@
 use super::probe::Probes;
 use super::quarantine;
 use super::record::DecisionLog;
+use super::registry::Registry;
 use super::retries::RetryBudget;
 use super::rules::{Engine, Rules};
 use super::run_location::{RunId, RunKey, RunLocation};
@@ -36,7 +37,7 @@
 use super::startup::{Known, WaitingRoom};
 use crate::caller::{Drain, StreamDurations};
 use crate::ident::TargetKey;
-use crate::peer::Peers;
+use crate::peer::{Gossip, Peers, Reach};
 use crate::platform;
 use crate::quarantine::Suspects;
 use crate::routing::{Costs, EngineCapacity, Lease, Policy, Query, Router, Work};
@@ -95,6 +96,12 @@
     pub(crate) runs: Mutex<RunDirectory>,
     /// Run locations that peers have missed.
     pub(crate) missed_runs: Mutex<MissedRuns>,
+    /// Instances that are registered on the platform.
+    pub(crate) registry: Mutex<Registry>,
+    /// Processes of other instances whose own runs were read.
+    pub(crate) synced: Mutex<IndexMap<SmolStr, u64>>,
+    /// Instances whose own runs are being read.
+    pub(crate) syncing: Mutex<IndexSet<SmolStr>>,
     /// Requests that may crash their targets.
     pub(crate) suspects: Mutex<Suspects>,
     /// Number of quarantines in force.
@@ -189,6 +196,9 @@
             wait_lines: Mutex::default(),
             runs: Mutex::default(),
             missed_runs: Mutex::default(),
+            registry: Mutex::default(),
+            synced: Mutex::default(),
+            syncing: Mutex::default(),
             suspects: Mutex::new(Suspects::new(quarantine::policy())),
             quarantines: AtomicUsize::new(0),
             quarantined: Notify::new(),
@@ -381,17 +391,18 @@
 
     /// Whether there is no other instance from which runs can be known.
     pub(crate) fn is_alone(&self) -> bool {
-        let is_settled = self.peers.has_no_seeds() || self.age() >= DISCOVERY_TIME;
-        is_settled && self.peers.others() == 0
+        let is_gone = |m: Gossip| m.reach == Reach::Dead;
+        self.knows_fleet() && self.peers.view().into_iter().all(is_gone)
     }
 
-    /// Number of instances, if it is known: not in the time in which they get to know each other,
-    /// nor while an instance that has seeds has heard from no other.
+    /// Number of instances, if it is known: in a small fleet once all registered ones are, in a large
+    /// one after the time in which they get to know each other.
     fn fleet_size(&self) -> Option<usize> {
-        let others = self.peers.others();
-        let is_alone = self.peers.has_no_seeds();
-        let is_known = others > 0 && self.age() >= DISCOVERY_TIME;
-        (is_alone || is_known).then_some(others + 1)
+        let is_known = match self.peers.is_tiered() {
+            true => self.age() >= DISCOVERY_TIME,
+            false => self.unmet_instances().is_some(),
+        };
+        is_known.then(|| self.peers.others() + 1)
     }
 
     /// Takes a retry from this instance's share of the retry budget or, if that is spent, from a
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -12,6 +12,7 @@
 mod local_reply;
 mod missed_runs;
 mod pacing;
+mod registry;
 mod retries;
 mod rules;
 mod run_store;
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -179,7 +179,7 @@
 async fn an_unauthenticated_call_is_rejected_and_counted() {
     let a = instance("a", "key", vec![]).await;
 
-    let status = raw(a.me().addr, "/m/4", "10", Bytes::from_static(b"x")).await;
+    let status = raw(a.me().addr, "/m/4", "11", Bytes::from_static(b"x")).await;
 
     assert_eq!(status, StatusCode::UNAUTHORIZED);
     assert_eq!(a.counts().unauthenticated, 1);
@@ -189,7 +189,7 @@
 async fn other_protocol_versions_get_upgrade_required() {
     let a = instance("a", "key", vec![]).await;
 
-    for version in ["9", "11", "none"] {
+    for version in ["10", "12", "none"] {
         let status = raw(a.me().addr, "/hello", version, Bytes::new()).await;
         assert_eq!(status, StatusCode::UPGRADE_REQUIRED, "version {version}");
     }
@@ -202,8 +202,8 @@
     let a = instance("a", "key", vec![]).await;
     let large = Bytes::from(vec![0; MAX_FRAME + 1]);
 
-    let malformed = raw(a.me().addr, "/hello", "10", Bytes::from_static(&[255; 40])).await;
-    let oversized = raw(a.me().addr, "/hello", "10", large).await;
+    let malformed = raw(a.me().addr, "/hello", "11", Bytes::from_static(&[255; 40])).await;
+    let oversized = raw(a.me().addr, "/hello", "11", large).await;
 
     assert_eq!(malformed, StatusCode::BAD_REQUEST);
     assert_eq!(oversized, StatusCode::PAYLOAD_TOO_LARGE);
@@ -240,7 +240,7 @@
 async fn message_that_is_cut_inside_is_not_taken_for_whole() {
     for reason in [h2::Reason::NO_ERROR, h2::Reason::CANCEL] {
         let a = instance("a", "key", vec![]).await;
-        let (_response, mut body) = open(a.me().addr, "/hello", "10").await;
+        let (_response, mut body) = open(a.me().addr, "/hello", "11").await;
         body.send_data(Bytes::from_static(&[1; 20]), false).unwrap();
         tokio::time::sleep(PERIOD).await;
         body.send_reset(reason);
@@ -377,6 +377,38 @@
     );
 }
 
+/// Guards against an instance that takes the fleet for known because it has heard nothing.
+#[test]
+fn introduced_instance_is_met_once_it_was_heard_or_its_process_is_gone() {
+    let now = Instant::now();
+    let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let [heard, gone, silent] = [member("a", at(1)), member("b", at(2)), member("c", at(3))];
+    let mut members = Members::new("me".into(), PERIOD);
+
+    let contacted = members.introduce(&[heard.clone(), gone, silent, member("me", at(4))], now);
+    let beat = Heartbeat {
+        from: heard,
+        incarnation: 7,
+        leaving: false,
+        wants_members: false,
+        others: vec![],
+    };
+    members.receive(&beat, now);
+    members.record("b", Evidence::Refused, now);
+    members.record("c", Evidence::TimedOut, now + 10 * PERIOD);
+
+    assert_eq!(contacted.len(), 3);
+    assert_eq!(
+        ["a", "b", "c"].map(|name| members.has_met(name)),
+        [true, true, false]
+    );
+    let processes: Vec<_> = members.processes().collect();
+    assert_eq!(processes, [(&"a".into(), 7)]);
+    members.forget("a");
+    members.forget("c");
+    assert_eq!(members.all().count(), 2);
+}
+
 #[test]
 fn gossip_covers_all_members_in_batches_of_bounded_size() {
     let now = Instant::now();
