Use a copy only if the platform shows no mark of another run with its content

What callers saw: two callers of one account have the same prompt in flight at two instances. One instance is frozen while the second stream begins, the other is killed, and its caller returns to the frozen one as it wakes: 120 of 120 events of the first stream. The log shows one known run, whole, two of two others reached, 3 ms after it woke.

Cause: to have heard of no other run was taken for there being none. Only the publisher knew who had missed its run, and it was gone.

Of two runs with one content, the later to be published leaves a mark on the platform before its caller gets an event: its instance knows the other run, or could not tell every instance of this one. A copy is used only if a read of the marks that began after the caller's return shows none, so that freezes, cuts and restarts of the reader don't matter. In a large fleet the aggregators compare, and tell each other of a run before they answer. An equal run gets no event until its mark is stored; one that is only untold goes on after 400 ms, as domains that are cut off do.

--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -44,11 +44,13 @@
     Run,
     /// Permits for requests to targets with a limit.
     Permit,
+    /// Begun runs, for an aggregator of another failure domain.
+    Begun,
 }
 
 impl Tag {
     /// All tags, by their number on the wire.
-    pub(crate) const ALL: [Self; 15] = [
+    pub(crate) const ALL: [Self; 16] = [
         Self::Heartbeat,
         Self::Journal,
         Self::Takeover,
@@ -64,6 +66,7 @@
         Self::Summary,
         Self::Run,
         Self::Permit,
+        Self::Begun,
     ];
 }
 
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -397,6 +397,13 @@
         self.hub.members.lock().view().collect()
     }
 
+    /// Whether any other known instance has not been reached, though its process may run.
+    #[must_use]
+    pub fn has_unreached(&self) -> bool {
+        let is_unreached = |m: Gossip| matches!(m.reach, Reach::Unknown | Reach::Silent);
+        self.view().into_iter().any(is_unreached)
+    }
+
     /// Number of other known instances.
     #[must_use]
     pub fn others(&self) -> usize {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -24,6 +24,8 @@
 use super::relay::Relay;
 use super::retries::Coverage;
 use super::run_location::RunLocation;
+use super::runs::RUN_TTL;
+use super::telling::Told;
 use crate::peer::{CANDIDATES, Member, Tag, ranked};
 use crate::quarantine;
 
@@ -82,6 +84,7 @@
     ages: Ages,
     limits: Vec<Statement>,
     suspects: Vec<quarantine::Report>,
+    told: Told,
 }
 
 /// An aggregator's summary, sent to the others.
@@ -179,9 +182,20 @@
     pub(crate) fn handle_exchange(self: &Arc<Self>, sources: Sources) {
         let me = Arc::clone(self);
         self.peers.on(Tag::Report, move |from, report: Report| {
-            ready(me.handle_report(sources, &from, report))
+            let me = Arc::clone(&me);
+            async move {
+                let runs = report.runs.clone();
+                let reply = me.handle_report(sources, &from, report);
+                ReportReply {
+                    told: me.tell_aggregators(&runs).await,
+                    ..reply
+                }
+            }
         });
         let me = Arc::clone(self);
+        self.peers
+            .on(Tag::Begun, move |_, runs| ready(me.learn_begun(runs)));
+        let me = Arc::clone(self);
         self.peers.on(Tag::Summary, move |from, summary: Summary| {
             let now = Instant::now();
             me.learn_limits(&from, &summary.limits);
@@ -190,9 +204,7 @@
             me.aggregate
                 .lock()
                 .update(Origin::Aggregator(from), summary.load, now);
-            let mut runs = me.runs.lock();
-            let locations = summary.runs.into_iter();
-            locations.for_each(|location| runs.insert(location, false, now));
+            me.learn_begun(summary.runs);
             ready(())
         });
     }
@@ -231,6 +243,7 @@
             ages: self.freshness.lock().ages(now),
             limits,
             suspects,
+            told: Told::default(),
         }
     }
 
@@ -292,10 +305,12 @@
             suspects: self.suspect_reports_since(reporter.answered),
         };
         if to == *me {
-            if self.remote_aggregators().is_empty() {
-                self.runs.lock().set_told(&report.runs);
-            }
-            let reply = self.handle_report(sources, me, report);
+            let (me, runs) = (Arc::clone(self), report.runs.clone());
+            tokio::spawn(async move {
+                let told = me.tell_aggregators(&runs).await;
+                me.record_told(&runs, told);
+            });
+            let reply = self.handle_report(sources, &to, report);
             self.apply_delta(reporter, reply.delta);
             return;
         }
@@ -306,7 +321,7 @@
         match sent.await {
             Ok(reply) => {
                 reporter.record_success(asked);
-                self.runs.lock().set_told(&report.runs);
+                self.record_told(&report.runs, reply.told);
                 self.learn_limits(&to, &reply.limits);
                 self.learn_suspects(reply.suspects);
                 self.learn_ages(&to, &reply.held, reply.ages, asked);
@@ -345,6 +360,7 @@
     /// Sends summaries to other aggregators while this instance is one.
     pub(crate) async fn send_summaries(self: Arc<Self>) {
         let busy = Arc::new(Mutex::new(IndexSet::new()));
+        let mut active_since = None;
         loop {
             sleep(SUMMARY_PERIOD).await;
             if !self.peers.is_tiered() {
@@ -359,15 +375,19 @@
             let load = is_active.then(|| aggregate.summary());
             drop(aggregate);
             let Some(load) = load else {
+                active_since = None;
                 self.runs_requested.store(false, Ordering::Relaxed);
                 self.runs.lock().set_unreported();
                 continue;
             };
+            let active_since = *active_since.get_or_insert(now);
             let recipients = self.summary_recipients();
             self.outbox.lock().retain(&recipients);
             match recipients.first() {
                 Some(peer) => self.fetch_runs(peer),
-                None => self.runs.lock().set_fetched(false),
+                // The runs that were told to an earlier aggregator have expired by then.
+                None if now - active_since >= RUN_TTL => self.runs.lock().set_fetched(false),
+                None => {}
             }
             for name in recipients {
                 if !busy.lock().insert(name.clone()) {
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -23,7 +23,8 @@
 use super::platform_watch::{HeldRevisions, Sources};
 use super::relay::Relay;
 use super::run_location::RunLocation;
-use crate::peer::{Reach, Tag, encode};
+use super::telling::Told;
+use crate::peer::{Reach, Tag, decode, encode};
 use crate::quarantine::Report;
 use crate::routing::PeerReport;
 
@@ -86,8 +87,7 @@
         let me = Arc::clone(self);
         self.peers
             .on(Tag::Load, move |from, message: GossipMessage| {
-                me.handle_gossip(sources, from, message);
-                ready(())
+                ready(me.handle_gossip(sources, from, message))
             });
         let me = Arc::clone(self);
         self.peers
@@ -101,19 +101,28 @@
         self.handle_suspects();
     }
 
-    fn handle_gossip(self: &Arc<Self>, sources: Sources, from: SmolStr, message: GossipMessage) {
+    /// Applies a message. Returns which other runs have the same content as the sender's.
+    fn handle_gossip(
+        self: &Arc<Self>,
+        sources: Sources,
+        from: SmolStr,
+        message: GossipMessage,
+    ) -> Vec<RunLocation> {
         let now = Instant::now();
         self.router.apply_peer_report(&from, &message.report, now);
         self.learn_limits(&from, &message.limits);
         self.learn_suspects(message.suspects);
         let is_local = self.peers.in_domain(&from);
         let mut runs = self.runs.lock();
-        let locations = message.runs.into_iter();
-        locations.for_each(|location| runs.insert(location, is_local, now));
+        for location in &message.runs {
+            runs.insert(location.clone(), is_local, now);
+        }
+        let equals = runs.equal_to(&message.runs, now);
         drop(runs);
         self.record_reader_ages(&from, message.ages);
         self.fetch_runs(&from);
         self.check_revisions(sources, from, message.held, now);
+        equals
     }
 
     fn journal(&self, asker: &str, scope: JournalScope) -> Journal {
@@ -130,6 +139,17 @@
         }
     }
 
+    /// Whether all instances of a small fleet are known and reached, so that they are told of runs
+    /// and this one has their runs.
+    pub(crate) fn reaches_fleet(&self) -> bool {
+        let is_synced = {
+            let synced = self.synced.lock();
+            let processes = self.peers.processes();
+            processes.iter().all(|p| synced.get(p.0) == Some(p.1))
+        };
+        is_synced && self.knows_fleet() && !self.peers.has_unreached()
+    }
+
     /// Reads the own runs of each instance that was met anew: it tells this one only of later ones.
     fn sync_runs(self: &Arc<Self>) {
         let processes = self.peers.processes();
@@ -321,18 +341,24 @@
             };
             let me = Arc::clone(self);
             async move {
-                let sent = me.peers.send(&name, Tag::Load, body, SEND_TIMEOUT);
-                if sent.await.is_err() {
+                let sent = me.peers.send(&name, Tag::Load, body, SEND_TIMEOUT).await;
+                let equals = sent.ok().and_then(|a| decode::<Vec<RunLocation>>(&a));
+                if equals.is_none() {
                     metrics::counter!("endivefork_words_untold_total").increment(1);
                     me.missed_runs.lock().put_back(&name, &runs);
                 }
+                equals
             }
         });
         let sends: Vec<_> = sends.collect();
         let (me, runs) = (Arc::clone(self), message.runs);
         tokio::spawn(async move {
-            join_all(sends).await;
-            me.runs.lock().set_told(&runs);
+            let answers = join_all(sends).await;
+            let told = Told {
+                all: answers.iter().all(Option::is_some),
+                equals: answers.into_iter().flatten().flatten().collect(),
+            };
+            me.record_told(&runs, told);
         });
     }
 }
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -151,6 +151,19 @@
         self.unmet_instances() == Some(0)
     }
 
+    /// Whether each registered instance that may run is reached, or belongs to one of the failure
+    /// domains `told`, whose aggregators have answered.
+    pub(crate) fn covers_registered(&self, told: &[SmolStr]) -> bool {
+        let own = &self.settings.instance.domain;
+        let registry = self.registry.lock();
+        let mut members = registry.listed.values().map(|l| &l.member);
+        members.all(|m| match self.peers.reach(&m.name) {
+            Reach::Dead => true,
+            reach if m.domain == *own => reach == Reach::Alive,
+            _ => told.contains(&m.domain),
+        })
+    }
+
     /// Keeps this instance registered, and in contact with those that are. Runs until the process
     /// ends.
     pub(crate) async fn keep_registered(self: Arc<Self>) {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -18,7 +18,6 @@
 use super::copies::RunCopy;
 use super::dialect::Dialect;
 use super::election::TopicFlags;
-use super::equal_runs::EqualRuns;
 use super::exchange::{Outbox, RecentFailures};
 use super::freshness::{AgeLimits, Freshness};
 use super::limits::{Issuer, Limits};
@@ -30,9 +29,10 @@
 use super::registry::Registry;
 use super::retries::RetryBudget;
 use super::rules::{Engine, Rules};
-use super::run_location::{RunId, RunKey, RunLocation};
+use super::run_location::{RunKey, RunLocation};
 use super::runs::RunDirectory;
 use super::settings::Settings;
+use super::shared_contents::SharedContents;
 use super::silence::RetryShare;
 use super::startup::{Known, WaitingRoom};
 use crate::caller::{Drain, StreamDurations};
@@ -53,12 +53,6 @@
 /// Time in which instances that start together get to know each other: a few heartbeats.
 const DISCOVERY_TIME: Duration = Duration::from_secs(3);
 
-/// Maximum time that a resumed request waits until the runs of before the start are known.
-const SETTLE_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Interval at which it looks whether they are.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Time in which an ending process closes its sockets one after the other.
 const EXIT_TIME: Duration = Duration::from_millis(5);
 
@@ -102,6 +96,8 @@
     pub(crate) synced: Mutex<IndexMap<SmolStr, u64>>,
     /// Instances whose own runs are being read.
     pub(crate) syncing: Mutex<IndexSet<SmolStr>>,
+    /// Contents that several runs may share.
+    pub(crate) shared_contents: SharedContents,
     /// Requests that may crash their targets.
     pub(crate) suspects: Mutex<Suspects>,
     /// Number of quarantines in force.
@@ -199,6 +195,7 @@
             registry: Mutex::default(),
             synced: Mutex::default(),
             syncing: Mutex::default(),
+            shared_contents: SharedContents::default(),
             suspects: Mutex::new(Suspects::new(quarantine::policy())),
             quarantines: AtomicUsize::new(0),
             quarantined: Notify::new(),
@@ -360,36 +357,8 @@
         self.runs.lock().record(location, Instant::now());
     }
 
-    /// Finds the copy of the only run with this content, of whatever instance. `None` if there are
-    /// several, or if one of them may be unknown here: the caller may have come back for another.
-    pub(crate) async fn find_copy(&self, digest: u128) -> Option<(RunId, RunCopy)> {
-        let found = self.settled_runs(digest).await.only()?;
-        if self.peers.is_split() {
-            return None;
-        }
-        self.runs.lock().take(digest, found.id);
-        let now = Instant::now();
-        let key = self.router.key_named(&found.engine)?;
-        let lease = self
-            .router
-            .claim(key, &self.settings.instance.region, now)?;
-        Some((found.id, RunCopy::new(lease, found.copied)))
-    }
-
-    /// The known runs with this content. Callers come back in the moment in which an instance is
-    /// ready again, when it is still reading the runs of before; a prompt takes longer to read.
-    async fn settled_runs(&self, digest: u128) -> EqualRuns {
-        let until = Instant::now() + SETTLE_TIMEOUT;
-        loop {
-            let equals = self.equal_runs(digest).await;
-            if equals.is_whole || Instant::now() >= until {
-                return equals;
-            }
-            sleep(SETTLE_INTERVAL).await;
-        }
-    }
-
-    /// Whether there is no other instance from which runs can be known.
+    /// Whether there is no other instance from which runs can be known: none that is registered, and
+    /// none that this one has heard of, has a process.
     pub(crate) fn is_alone(&self) -> bool {
         let is_gone = |m: Gossip| m.reach == Reach::Dead;
         self.knows_fleet() && self.peers.view().into_iter().all(is_gone)
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -220,6 +220,7 @@
     tokio::spawn(Arc::clone(relay).watch_platform(sources, Topic::Rules));
     tokio::spawn(Arc::clone(relay).watch_platform(sources, Topic::Targets));
     tokio::spawn(Arc::clone(relay).store_runs());
+    tokio::spawn(Arc::clone(relay).store_marks());
     tokio::spawn(Arc::clone(relay).keep_registered());
     tokio::spawn(Arc::clone(relay).gossip(sources));
     tokio::spawn(Arc::clone(relay).send_summaries());
--- a/src/relay/runs.rs
+++ b/src/relay/runs.rs
@@ -73,6 +73,17 @@
     now.saturating_duration_since(at) < age
 }
 
+/// How far the other instances have been told of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Telling {
+    /// Some have not acknowledged it yet.
+    Pending,
+    /// Some can't be told.
+    Failed,
+    /// All know of it.
+    Done,
+}
+
 /// From where the runs of other instances that began before this one are known.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sources {
@@ -90,9 +101,13 @@
     contents: IndexMap<u128, Equals>,
     unsent: Vec<RunLocation>,
     /// Recorded runs that the other instances may not know yet.
-    untold: IndexSet<RunId>,
+    untold: IndexMap<RunId, Telling>,
     /// Notified when [`Self::untold`] changes.
     told: Arc<Notify>,
+    /// Runs of this instance whose callers are being served.
+    streaming: IndexSet<RunId>,
+    /// Until when runs that are no longer kept may share any content.
+    crowded: Option<Instant>,
     /// Notified when a second run with the same content becomes known.
     shared: Arc<Notify>,
     changed: bool,
@@ -108,7 +123,8 @@
             return;
         }
         self.unsent.push(location.clone());
-        self.untold.insert(location.id);
+        self.untold.insert(location.id, Telling::Pending);
+        self.streaming.insert(location.id);
         self.place(location, Origin::Own, now);
     }
 
@@ -151,7 +167,9 @@
             return;
         }
         if self.contents.len() >= CONTENTS_MAX {
-            self.contents.shift_remove_index(0);
+            let (_, forgotten) = self.contents.shift_remove_index(0).unzip();
+            let forgotten = forgotten.and_then(|f: Equals| f.known.last().map(|k| k.at + RUN_TTL));
+            self.crowded = self.crowded.max(forgotten);
         }
         self.contents.insert(digest, equals);
     }
@@ -211,7 +229,7 @@
         let fresh = known.filter(|k| is_younger(k.at, RUN_TTL, now));
         EqualRuns {
             runs: fresh.map(|k| k.location.clone()).collect(),
-            is_crowded: crowded.is_some_and(|until| now < until),
+            is_crowded: crowded.max(self.crowded).is_some_and(|until| now < until),
             is_whole: self.is_whole(is_alone),
         }
     }
@@ -293,27 +311,67 @@
         std::mem::take(&mut self.unsent)
     }
 
-    /// Records that the other instances know of these runs, or cannot be reached.
+    /// Records that the other instances know of these runs.
     pub(crate) fn set_told(&mut self, runs: &[RunLocation]) {
+        self.set_telling(runs, true);
+    }
+
+    /// Records whether the other instances know of these runs, or some could not be told.
+    pub(crate) fn set_telling(&mut self, runs: &[RunLocation], are_told: bool) {
         for run in runs {
-            self.untold.swap_remove(&run.id);
+            match are_told {
+                true => {
+                    self.untold.swap_remove(&run.id);
+                }
+                false => {
+                    let telling = self.untold.entry(run.id);
+                    telling.and_modify(|telling| *telling = Telling::Failed);
+                }
+            }
         }
         if !runs.is_empty() {
             self.told.notify_waiters();
         }
     }
 
-    /// Forgets whether the other instances know of a run, once its stream is gone.
-    pub(crate) fn forget_untold(&mut self, id: RunId) {
+    /// Records that a stream of this instance is gone, with its caller.
+    pub(crate) fn end_streaming(&mut self, id: RunId) {
         self.untold.swap_remove(&id);
+        self.streaming.swap_remove(&id);
+    }
+
+    /// Whether this instance serves the caller of a run.
+    pub(crate) fn is_streaming(&self, id: RunId) -> bool {
+        self.streaming.contains(&id)
     }
 
-    /// Whether the other instances know of a run.
-    pub(crate) fn is_told(&self, id: RunId) -> bool {
-        !self.untold.contains(&id)
+    /// How far the other instances know of a run.
+    pub(crate) fn telling(&self, id: RunId) -> Telling {
+        self.untold.get(&id).copied().unwrap_or(Telling::Done)
+    }
+
+    /// Other known runs with the contents of these, without their copies.
+    pub(crate) fn equal_to(&self, runs: &[RunLocation], now: Instant) -> Vec<RunLocation> {
+        let others = runs.iter().flat_map(|run| {
+            let equals = self.contents.get(&run.digest);
+            let known = equals.into_iter().flat_map(|e| &e.known);
+            let is_other = |k: &&Known| k.location.id != run.id;
+            let others = known.filter(move |k| is_other(k) && is_younger(k.at, RUN_TTL, now));
+            others.map(|k| k.location.stripped())
+        });
+        others.collect()
+    }
+
+    /// Whether several runs with this content are known, or may be.
+    pub(crate) fn is_shared(&self, digest: u128, now: Instant) -> bool {
+        let equals = self.contents.get(&digest);
+        let crowded = equals.and_then(|e| e.crowded).max(self.crowded);
+        let known = equals.into_iter().flat_map(|e| &e.known);
+        let fresh = known.filter(|k| is_younger(k.at, RUN_TTL, now));
+        fresh.count() > 1 || crowded.is_some_and(|until| now < until)
     }
 
-    /// Notified when the other instances know of further runs.
+    /// Notified when [`Self::telling`] changes for some run.
     pub(crate) fn told(&self) -> Arc<Notify> {
         Arc::clone(&self.told)
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -222,9 +222,13 @@
     };
     let (response, reason) = match stream.next_step().await {
         Step::Event(bytes) => {
-            stream.registration.publish().await;
-            stream.pending.push_back(bytes);
-            return stream.into_reply();
+            let left = stream.request.left(Instant::now());
+            if stream.registration.publish(left).await {
+                stream.pending.push_back(bytes);
+                return stream.into_reply();
+            }
+            let reply = LocalReply::timed_out();
+            (reply.into(), reply.reason)
         }
         Step::End => {
             stream.ended = true;
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -17,6 +17,7 @@
 mod rules;
 mod run_store;
 mod runs;
+mod shared_contents;
 mod silence;
 mod stall_timeouts;
 mod store_eras;
--- a/src/relay/tests/runs.rs
+++ b/src/relay/tests/runs.rs
@@ -5,7 +5,7 @@
 use crate::relay::dialect::CopyRef;
 use crate::relay::equal_runs::EqualRuns;
 use crate::relay::run_location::{RunId, RunKey, RunLocation};
-use crate::relay::runs::{RUN_TTL, RunDirectory};
+use crate::relay::runs::{RUN_TTL, RunDirectory, Telling};
 
 fn key(digest: u128, id: u64) -> RunKey {
     RunKey {
@@ -291,11 +291,58 @@
     let now = Instant::now();
     let mut runs = directory();
     runs.record(located(key(1, 1), Some("a")), now);
-    assert!(!runs.is_told(RunId(1)));
+    assert_eq!(runs.telling(RunId(1)), Telling::Pending);
 
     let sent = runs.take_unsent();
-    assert!(!runs.is_told(RunId(1)));
+    assert_eq!(runs.telling(RunId(1)), Telling::Pending);
     runs.set_told(&sent);
 
-    assert!(runs.is_told(RunId(1)));
+    assert_eq!(runs.telling(RunId(1)), Telling::Done);
+}
+
+/// Guards against the copy of another run: in a large fleet no instance but the aggregators can tell
+/// that two runs have the same content.
+#[test]
+fn other_runs_with_the_same_content_are_told_without_their_copies() {
+    let now = Instant::now();
+    let mut runs = RunDirectory::default();
+    let (a, b) = (located(key(1, 1), Some("a")), located(key(1, 2), Some("b")));
+    runs.insert(a, true, now);
+    runs.insert(b.clone(), false, now);
+    runs.insert(located(key(2, 3), Some("c")), false, now);
+
+    let equals = runs.equal_to(from_ref(&b), now);
+
+    assert_eq!(equals, [located(key(1, 1), None)]);
+    assert!(runs.equal_to(from_ref(&b), now + RUN_TTL).is_empty());
+}
+
+#[test]
+fn run_that_could_not_be_told_to_all_is_not_taken_for_told() {
+    let now = Instant::now();
+    let mut runs = RunDirectory::default();
+    runs.record(located(key(1, 1), Some("a")), now);
+    let sent = runs.take_unsent();
+
+    runs.set_telling(&sent, false);
+
+    assert_eq!(runs.telling(RunId(1)), Telling::Failed);
+    assert!(!runs.is_shared(1, now));
+    runs.insert(located(key(1, 2), None), false, now);
+    assert!(runs.is_shared(1, now));
+}
+
+/// Guards against the copy of another run: runs beyond the bound were forgotten, and with them what
+/// showed two runs to be equal.
+#[test]
+fn all_contents_count_as_shared_once_a_run_was_forgotten_for_want_of_room() {
+    let now = Instant::now();
+    let mut runs = directory();
+    for digest in 0..=20_000 {
+        runs.insert(located(key(digest, 1), Some("a")), false, now);
+    }
+
+    assert!(runs.is_shared(7, now));
+    assert!(runs.equals(7, false, now).only().is_none());
+    assert!(!runs.is_shared(7, now + RUN_TTL));
 }
