Issue a part of a limit while other issuers may exist

The registry lets instances find each other, some 1.5 s after their start and while the platform is there. Until then each that counts as the first by rank still issued the whole limit, and n of them n times as much.

An issuer issues by what it knows of the fleet: 1/(k+1) of the limit while k registered instances were not met; half while the registry is not known; nothing while it has heard of nobody either. One that reached others before and is cut off issues as before, as docs/design/limits.md has it.

issuers_that_have_not_met_issue_no_more_than_the_limit_together plays 1, 2, 3 and 6 issuers at their shares; shares are new, so it has no run before.

--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-pub(crate) use issuer::{Issuer, Permits};
+pub(crate) use issuer::{Issuer, Permits, TAKEOVER_SHARE};
 
 use crate::ident::TargetKey;
 use crate::routing::ProbeTarget;
--- a/src/relay/limits/issuer.rs
+++ b/src/relay/limits/issuer.rs
@@ -22,7 +22,10 @@
 const TAKEOVER_TIME: Duration = Duration::from_secs(5);
 
 /// Share of its rate that an issuer issues in that time.
-const TAKEOVER_SHARE: f64 = 0.5;
+pub(crate) const TAKEOVER_SHARE: f64 = 0.5;
+
+/// Pause until the next ask of an instance whose issuer may issue nothing.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 
 /// Latest appointment. In a large fleet most instances find the queue longer and ask again after
 /// this time, which bounds the rate of their asks.
@@ -68,14 +71,21 @@
         self.buckets.contains_key(&key)
     }
 
-    /// Issues up to `count` permits for a target that takes `rate`.
+    /// Issues up to `count` permits for a target that takes `rate`, at `share` of the rate at most.
     pub(crate) fn issue(
         &mut self,
         key: TargetKey,
         rate: Rate,
         count: u32,
+        share: f64,
         now: Instant,
     ) -> Permits {
+        if share <= 0.0 {
+            return Permits {
+                count: 0,
+                wait: REFUSED_PAUSE,
+            };
+        }
         let bucket = self.buckets.entry(key).or_insert(Bucket {
             tokens: 0.0,
             updated: now,
@@ -83,7 +93,7 @@
             free_from: now,
         });
         let is_new = now.saturating_duration_since(bucket.since) < TAKEOVER_TIME;
-        let share = if is_new { TAKEOVER_SHARE } else { 1.0 };
+        let share = if is_new { TAKEOVER_SHARE } else { 1.0 }.min(share);
         let interval = permit_interval(rate);
         let speed = share / interval.as_secs_f64();
         let elapsed = now.saturating_duration_since(bucket.updated).as_secs_f64();
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::limits::{Ask, Permits, Purpose, Rate, Statement};
+use super::limits::{Ask, Permits, Purpose, Rate, Statement, TAKEOVER_SHARE};
 use super::relay::Relay;
 use crate::ident::TargetKey;
 use crate::peer::{Member, Tag, ranked};
@@ -203,15 +203,29 @@
             Some(rate) => {
                 if !issuer.issues(target.key) {
                     info!(self.decisions.log, "permit: issued by this instance";
-                        "target" => target.name.as_str(), "per_second" => rate.as_f64());
+                        "target" => target.name.as_str(), "per_second" => rate.as_f64(),
+                        "others" => self.peers.others(), "reached" => self.peers.alive().len(),
+                        "share" => self.issuer_share(),
+                        "age_ms" => self.age().as_millis() as u64);
                 }
-                issuer.issue(target.key, rate, request.count, now)
+                issuer.issue(target.key, rate, request.count, self.issuer_share(), now)
             }
             None => Permits::default(),
         };
         PermitReply::Issued { permits, statement }
     }
 
+    /// Share of a target's permits that this instance may issue. Each registered instance that it has
+    /// not met may issue as many. Until it has read the registry, an instance without others issues
+    /// none, as there may be any number like it.
+    fn issuer_share(&self) -> f64 {
+        match self.unmet_instances() {
+            Some(unmet) => 1.0 / (unmet + 1) as f64,
+            None if !self.has_read_registry() && self.peers.alive().is_empty() => 0.0,
+            None => TAKEOVER_SHARE,
+        }
+    }
+
     /// The instance that issues the permits for the targets of a failure domain: the first of that
     /// domain that is reached, or else of the next one. `skips_failed` ranks those last that did
     /// not answer lately.
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -146,6 +146,11 @@
         is_current.then_some(unmet + registry.unreadable)
     }
 
+    /// Whether the registry was ever read.
+    pub(crate) fn has_read_registry(&self) -> bool {
+        self.registry.lock().read.is_some()
+    }
+
     /// Whether no instance can exist that this one has not met.
     pub(crate) fn knows_fleet(&self) -> bool {
         self.unmet_instances() == Some(0)
--- a/src/relay/tests/limits.rs
+++ b/src/relay/tests/limits.rs
@@ -148,7 +148,7 @@
     let limit = rate(4.0).unwrap();
 
     let waits: Vec<_> = (0..5)
-        .map(|_| issuer.issue(KEY, limit, 1, now).wait)
+        .map(|_| issuer.issue(KEY, limit, 1, 1.0, now).wait)
         .collect();
 
     let gaps = waits.windows(2).map(|pair| pair[1] - pair[0]);
@@ -161,6 +161,38 @@
     );
 }
 
+/// Guards against instances that do not know each other and each issue the whole limit.
+#[test]
+fn issuers_that_have_not_met_issue_no_more_than_the_limit_together() {
+    let start = Instant::now();
+    let limit = rate(8.0).unwrap();
+    for count in [1_u32, 2, 3, 6] {
+        let mut issuers: Vec<_> = (0..count).map(|_| Issuer::default()).collect();
+        let share = 1.0 / f64::from(count);
+        let mut issued = 0;
+
+        for tick in 0..400 {
+            let now = after(start, f64::from(tick) * 0.05);
+            for issuer in &mut issuers {
+                issued += issuer.issue(KEY, limit, 4, share, now).count;
+            }
+        }
+
+        assert!(
+            (100..=160).contains(&issued),
+            "{issued} permits of {count} in 20 s"
+        );
+    }
+}
+
+#[test]
+fn issuer_without_a_share_issues_nothing_and_is_asked_again_later() {
+    let permits = Issuer::default().issue(KEY, rate(8.0).unwrap(), 1, 0.0, Instant::now());
+
+    assert_eq!(permits.count, 0);
+    assert!(permits.wait > Duration::ZERO);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
--- a/src/relay/tests/limits/fleet.rs
+++ b/src/relay/tests/limits/fleet.rs
@@ -235,7 +235,7 @@
                 });
                 let known = instance.limits.statement(KEY, now);
                 let permits = match instance.limits.rate(KEY) {
-                    Some(rate) if is_issuer => instance.issuer.issue(KEY, rate, count, now),
+                    Some(rate) if is_issuer => instance.issuer.issue(KEY, rate, count, 1.0, now),
                     _ => Permits {
                         count: 0,
                         wait: Duration::ZERO,
