Let the first retries of an instance without seeds wait for the registry

What callers saw: a call that its target declined, in the first 20 ms of an instance, was answered 503 though a second target was there.

Cause: until it has read who else is registered, an instance without seeds has the retry budget's share of an unknown fleet, which is no retry for its first calls.

--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -32,6 +32,12 @@
 /// Time between two reads of the registry.
 const READ_PERIOD: Duration = Duration::from_secs(20);
 
+/// Age of the process until which a denied retry waits for the first read of the registry.
+const FIRST_READ_AGE: Duration = Duration::from_millis(500);
+
+/// Interval at which that read is asked for.
+const FIRST_READ_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Age of a read from which the fleet is no longer known: others may have removed this instance's
 /// entry, and forgotten it, after [`ABSENCE_MAX`]. The rest is for a clock that stood still.
 const AGE_MAX: Duration = Duration::from_secs(30);
@@ -151,6 +157,18 @@
         self.registry.lock().read.is_some()
     }
 
+    /// Waits for the first read of the registry, if this instance has only just started and needs
+    /// nothing else to know the fleet. Returns whether the registry was read.
+    pub(crate) async fn registry_read_at_start(&self) -> bool {
+        while !self.has_read_registry() {
+            if !self.peers.has_no_seeds() || self.age() >= FIRST_READ_AGE {
+                return false;
+            }
+            sleep(FIRST_READ_INTERVAL).await;
+        }
+        true
+    }
+
     /// Whether no instance can exist that this one has not met.
     pub(crate) fn knows_fleet(&self) -> bool {
         self.unmet_instances() == Some(0)
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -375,17 +375,25 @@
     }
 
     /// Takes a retry from this instance's share of the retry budget or, if that is spent, from a
-    /// loan of its aggregator.
+    /// loan of its aggregator. An instance that has just started may not know its share yet.
     pub(crate) async fn take_retry(&self, service: &SmolStr) -> bool {
-        let members = self.fleet_size();
-        let own = self.retries.lock().take(service, members, Instant::now());
-        let taken = own || self.borrow_retry(service, false).await;
+        let is_new = !self.has_read_registry();
+        let mut taken = self.take_shared_retry(service).await;
+        if !taken && is_new && self.registry_read_at_start().await {
+            taken = self.take_shared_retry(service).await;
+        }
         if !taken {
             metrics::counter!("endivefork_retries_denied_total").increment(1);
         }
         taken
     }
 
+    async fn take_shared_retry(&self, service: &SmolStr) -> bool {
+        let members = self.fleet_size();
+        let own = self.retries.lock().take(service, members, Instant::now());
+        own || self.borrow_retry(service, false).await
+    }
+
     /// Takes a retry for a run that may not need it, from what remains after a reserve for real
     /// losses.
     pub(crate) async fn take_spare_retry(&self, service: &SmolStr, share: RetryShare) -> bool {
