Log why a caller's connection is closed, and name requests not read whole

Each connection's end is now counted by its reason. A line, limited in its rate, is written if a request or bytes were left over, or if this process closed the connection during a shutdown; it has the ages of the connection and of the shutdown, the bytes read and not yet read, and those written of the answer. Requests that were not read whole when the process ended are named too.

The limit of the decision log's rate moves into a type of its own, which the new lines share. socket2, which the runtime already uses, counts the unread bytes.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -1,18 +1,23 @@
 //! A caller's connection: its socket, and what is known of the requests on it.
 
+use std::error::Error;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
+use super::close::{CloseReason, Closed};
+use super::drain::Drain;
 use super::open::{OpenRequests, RequestKey};
 
 /// Interval at which an open connection looks at the limits in force.
@@ -22,6 +27,9 @@
 /// arrives sooner.
 const MIN_EVICTION_IDLE: Duration = Duration::from_millis(100);
 
+/// Most unread bytes of a closed connection that are counted.
+const UNREAD_BUFFER: usize = 4_096;
+
 /// How long a connection without a running request stays open.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct IdleLimits {
@@ -42,12 +50,25 @@
     head_since: Option<Instant>,
     /// Whether it speaks HTTP/2, where it is not closed for being idle.
     is_http2: bool,
+    /// Requests whose head was complete.
+    requests: u64,
+    /// The last of them.
+    last: Option<RequestKey>,
+    /// Bytes read since the last answer ended or the last head was complete.
+    pending: u64,
+    /// Bytes written since the last head was complete.
+    written: u64,
+    /// Whether the caller has closed its side.
+    is_ended: bool,
+    /// Why the connection is closed, and the error of the HTTP library.
+    close: Option<(CloseReason, String)>,
 }
 
 /// State of a connection, shared by its socket and its requests.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    requests: Arc<OpenRequests>,
+    drain: Arc<Drain>,
+    opened: Instant,
     /// Requests whose answer was produced and is not written yet.
     unwritten: Mutex<Vec<RequestKey>>,
     activity: Mutex<Activity>,
@@ -55,22 +76,30 @@
 }
 
 impl Connection {
-    pub(crate) fn new(requests: Arc<OpenRequests>) -> Self {
+    pub(crate) fn new(drain: Arc<Drain>) -> Self {
+        let now = Instant::now();
         Self {
-            requests,
+            drain,
+            opened: now,
             unwritten: Mutex::default(),
             activity: Mutex::new(Activity {
                 running: 0,
-                idle_since: Instant::now(),
+                idle_since: now,
                 head_since: None,
                 is_http2: false,
+                requests: 0,
+                last: None,
+                pending: 0,
+                written: 0,
+                is_ended: false,
+                close: None,
             }),
             evicted: Notify::new(),
         }
     }
 
     pub(crate) fn requests(&self) -> &Arc<OpenRequests> {
-        &self.requests
+        self.drain.requests()
     }
 
     /// Notes that the connection speaks HTTP/2.
@@ -79,19 +108,78 @@
     }
 
     /// Notes that the head of a request is complete.
-    pub(crate) fn begin(&self) {
+    pub(crate) fn begin(&self, key: RequestKey) {
         let mut activity = self.activity.lock();
         activity.running += 1;
+        activity.requests += 1;
+        activity.last = Some(key);
+        activity.pending = 0;
+        activity.written = 0;
         activity.head_since = None;
     }
 
-    fn record_read(&self) {
+    fn record_read(&self, bytes: usize) {
         let mut activity = self.activity.lock();
+        activity.pending += bytes as u64;
         if activity.running == 0 {
             activity.head_since.get_or_insert_with(Instant::now);
         }
     }
 
+    fn record_written(&self, bytes: usize) {
+        self.activity.lock().written += bytes as u64;
+    }
+
+    fn record_end(&self) {
+        self.activity.lock().is_ended = true;
+    }
+
+    /// Notes why the connection is about to be closed.
+    pub(super) fn close(&self, reason: CloseReason) {
+        self.activity.lock().close = Some((reason, String::new()));
+    }
+
+    /// Notes that the HTTP library has ended the connection.
+    pub(super) fn close_with(&self, result: Result<(), Box<dyn Error + Send + Sync>>) {
+        let mut activity = self.activity.lock();
+        activity.close = Some(match result {
+            Err(e) => (CloseReason::of_error(e.as_ref()), chain(e.as_ref())),
+            Ok(()) if activity.is_ended => (CloseReason::CallerClosed, String::new()),
+            Ok(()) => (CloseReason::Finished, String::new()),
+        });
+    }
+
+    /// Counts the end of the connection and logs it if a caller may miss an answer.
+    fn record_close(&self, stream: &TcpStream) {
+        let (closed, last) = {
+            let mut activity = self.activity.lock();
+            let close = activity.close.take();
+            let (reason, error) = close.unwrap_or((CloseReason::ProcessEnd, String::new()));
+            let closed = Closed {
+                reason,
+                error,
+                peer: stream
+                    .peer_addr()
+                    .map_or_else(|_| String::new(), |p| p.to_string()),
+                age: self.opened.elapsed(),
+                idle: activity.idle_since.elapsed(),
+                requests: activity.requests,
+                running: activity.running,
+                // Frames of HTTP/2 are no request.
+                pending: if activity.is_http2 {
+                    0
+                } else {
+                    activity.pending
+                },
+                unread: if activity.is_ended { 0 } else { unread(stream) },
+                written: activity.written,
+                drain: self.drain.since(),
+            };
+            (closed, activity.last)
+        };
+        self.requests().log_close(&closed, last);
+    }
+
     /// When the connection is to be closed; `None` while a request runs.
     fn deadline(&self, limits: IdleLimits) -> Option<Instant> {
         let activity = self.activity.lock();
@@ -121,9 +209,9 @@
     }
 
     /// Waits until the connection has been idle, or the head of its next request incomplete, for
-    /// the present value of `limits`, or is to give way while it is idle. The socket must be polled
-    /// before this in the same task.
-    pub(crate) async fn idle_end(&self, limits: impl Fn() -> IdleLimits) {
+    /// the present value of `limits`, or is to give way while it is idle. Returns which. The socket
+    /// must be polled before this in the same task.
+    pub(super) async fn idle_end(&self, limits: impl Fn() -> IdleLimits) -> CloseReason {
         loop {
             let now = Instant::now();
             match self.deadline(limits()) {
@@ -131,7 +219,7 @@
                     // The runtime looks for bytes that have just arrived.
                     yield_now().await;
                     if self.deadline(limits()).is_some_and(|at| at <= now) {
-                        return;
+                        return self.idle_reason();
                     }
                 }
                 at => {
@@ -141,7 +229,7 @@
                         () = self.evicted.notified() => {
                             yield_now().await;
                             if self.idle_since().is_some() {
-                                return;
+                                return CloseReason::Evicted;
                             }
                         }
                     }
@@ -150,6 +238,14 @@
         }
     }
 
+    fn idle_reason(&self) -> CloseReason {
+        match self.activity.lock().head_since {
+            Some(_) => CloseReason::SlowHead,
+            None if self.drain.lingers() => CloseReason::Idle,
+            None => CloseReason::IdleInDrain,
+        }
+    }
+
     /// Keeps the connection from being idle while the rest of a request is read.
     pub(crate) fn hold_open(self: &Arc<Self>) -> HeldOpen {
         self.activity.lock().running += 1;
@@ -163,7 +259,7 @@
 
     fn written(&self) {
         for key in self.unwritten.lock().drain(..) {
-            self.requests.remove(key);
+            self.requests().remove(key);
             self.end_one();
         }
     }
@@ -171,10 +267,25 @@
     fn end_one(&self) {
         let mut activity = self.activity.lock();
         activity.running -= 1;
+        activity.pending = 0;
         activity.idle_since = Instant::now();
     }
 }
 
+/// Bytes that have arrived and were not read, up to the size of a buffer.
+fn unread(stream: &TcpStream) -> usize {
+    let mut bytes = [MaybeUninit::uninit(); UNREAD_BUFFER];
+    // An error means that there are none.
+    SockRef::from(stream).peek(&mut bytes).unwrap_or(0)
+}
+
+/// An error with its causes, which the HTTP library leaves out.
+fn chain(error: &(dyn Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(error), |&e| e.source());
+    let causes: Vec<_> = causes.map(ToString::to_string).collect();
+    causes.join(": ")
+}
+
 /// A connection that is not idle, although all its requests may be answered.
 #[derive(Debug)]
 pub(crate) struct HeldOpen(Arc<Connection>);
@@ -192,6 +303,20 @@
     pub(crate) connection: Arc<Connection>,
 }
 
+impl Socket {
+    fn record_written(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = polled {
+            self.connection.record_written(*bytes);
+        }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.connection.record_close(&self.stream);
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         // The caller left before it had read the answer.
@@ -206,9 +331,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let has_room = buf.remaining() > 0;
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.record_read();
+        match buf.filled().len() - before {
+            0 if has_room && matches!(polled, Poll::Ready(Ok(()))) => self.connection.record_end(),
+            0 => {}
+            bytes => self.connection.record_read(bytes),
         }
         polled
     }
@@ -220,7 +348,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_written(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -228,7 +358,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_written(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -5,6 +5,7 @@
 //! and hands the request to the instance.
 
 mod answer;
+mod close;
 mod completions;
 mod connection;
 mod drain;
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -21,11 +21,13 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use smol_str::SmolStr;
 
+use super::close::{BURST_LINES, Closed, LINES_PER_SECOND};
 use super::connection::Connection;
 use super::request_body::RequestBody;
+use crate::telemetry::LineRate;
 
 /// Reason of a request whose handler or answer panicked.
 const PANICKED: &str = "a task panicked";
@@ -66,10 +68,21 @@
 }
 
 /// The open requests of a process.
-#[derive(Default)]
 pub struct OpenRequests {
     entries: Mutex<Entries>,
     report: OnceLock<Report>,
+    /// Limit of the lines about closed connections.
+    closes: LineRate,
+}
+
+impl Default for OpenRequests {
+    fn default() -> Self {
+        Self {
+            entries: Mutex::default(),
+            report: OnceLock::new(),
+            closes: LineRate::new(LINES_PER_SECOND, BURST_LINES),
+        }
+    }
 }
 
 impl fmt::Debug for OpenRequests {
@@ -138,6 +151,7 @@
 
     fn log(&self, entry: &Entry, reason: &'static str) -> bool {
         if !entry.is_read {
+            self.log_unread(entry, reason);
             return false;
         }
         metrics::counter!("endivefork_unanswered_total", "reason" => reason).increment(1);
@@ -150,6 +164,42 @@
         }
         true
     }
+
+    /// Logs a request of which only the head, or a part of the body, was read.
+    fn log_unread(&self, entry: &Entry, reason: &'static str) {
+        if let Some(report) = self.report.get() {
+            info!(report.log, "request: not read whole";
+                "id" => entry.id.as_str(), "route" => entry.route.as_str(),
+                "status" => entry.status, "why" => reason,
+                "ms" => entry.arrived.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Counts a closed connection, and logs it if a caller may miss an answer to its `last` request
+    /// or to bytes that came after it.
+    pub(super) fn log_close(&self, closed: &Closed, last: Option<RequestKey>) {
+        let reason = closed.reason.label();
+        metrics::counter!("endivefork_connections_closed_total", "reason" => reason).increment(1);
+        let (Some(report), true) = (self.report.get(), closed.is_notable()) else {
+            return;
+        };
+        let Some(suppressed) = self.closes.admit() else {
+            return;
+        };
+        let (id, status, is_read) = {
+            let entries = self.entries.lock();
+            let entry = last.and_then(|key| entries.open.get(&key));
+            entry.map_or_else(Default::default, |e| (e.id.clone(), e.status, e.is_read))
+        };
+        info!(report.log, "connection: closed";
+            "why" => reason, "error" => closed.error.as_str(), "from" => closed.peer.as_str(),
+            "age_ms" => closed.age.as_millis() as u64, "idle_ms" => closed.idle.as_millis() as u64,
+            "requests" => closed.requests, "running" => closed.running,
+            "pending" => closed.pending, "unread" => closed.unread, "written" => closed.written,
+            "drain_ms" => closed.drain.map_or(-1, |d| d.as_millis() as i64),
+            "id" => id.as_str(), "status" => status, "read" => is_read,
+            "left_out" => suppressed);
+    }
 }
 
 /// Handle of an open request for its handler, in the extensions of the request.
@@ -194,7 +244,7 @@
 {
     let requests = Arc::clone(connection.requests());
     let key = requests.add();
-    connection.begin();
+    connection.begin(key);
     let open = OpenRequest { requests, key };
     let (mut head, body) = request.into_parts();
     head.extensions.insert(open.clone());
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -71,7 +71,7 @@
     let last = AtomicU64::new(0);
     let open = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         drain.record_arrival();
-        let connection = Arc::new(Connection::new(Arc::clone(drain.requests())));
+        let connection = Arc::new(Connection::new(Arc::clone(&drain)));
         let key = last.fetch_add(1, Ordering::Relaxed);
         connections.lock().insert(key, Arc::downgrade(&connection));
         let (limits, drain) = (limits.clone(), Arc::clone(&drain));
@@ -138,6 +138,10 @@
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
+    let socket = Socket {
+        stream,
+        connection: Arc::clone(&connection),
+    };
     let limits = Arc::new(limits);
     let idle = || match drain.lingers() {
         true => IdleLimits {
@@ -151,8 +155,11 @@
     };
     let http2 = tokio::select! {
         biased;
-        http2 = is_http2(&stream) => http2,
-        () = connection.idle_end(idle) => return,
+        http2 = is_http2(&socket.stream) => http2,
+        reason = connection.idle_end(idle) => {
+            connection.close(reason);
+            return;
+        }
     };
     if http2 {
         connection.set_http2();
@@ -170,10 +177,6 @@
         .timer(TokioTimer::new())
         .max_header_list_size(opened.headers.max(HEAD_BUFFER) as u32)
         .keep_alive_interval(Some(opened.idle));
-    let socket = Socket {
-        stream,
-        connection: Arc::clone(&connection),
-    };
     let tracked = Arc::clone(&connection);
     let current = Arc::clone(&limits);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -201,19 +204,25 @@
     };
     tokio::select! {
         biased;
-        _ = served.as_mut() => return,
-        () = idle_end => return,
+        ended = served.as_mut() => {
+            connection.close_with(ended);
+            return;
+        }
+        reason = idle_end => {
+            connection.close(reason);
+            return;
+        }
         () = linger => {}
     }
     if http2 {
         served.as_mut().graceful_shutdown();
-        let _ = served.await;
+        connection.close_with(served.await);
         return;
     }
     tokio::select! {
         biased;
-        _ = served.as_mut() => {}
-        () = connection.idle_end(idle) => {}
+        ended = served.as_mut() => connection.close_with(ended),
+        reason = connection.idle_end(idle) => connection.close(reason),
     }
 }
 
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -2,13 +2,13 @@
 //! rate is limited; suppressed lines are counted, and the next line carries their number.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 
 use super::priority::Priority;
 use crate::routing::Work;
+use crate::telemetry::LineRate;
 
 /// Average rate limit: ten lines for each request of the usual load.
 const LINES_PER_SECOND: f64 = 150.0;
@@ -16,18 +16,11 @@
 /// Lines that may be written in a burst.
 const BURST_LINES: f64 = 600.0;
 
-#[derive(Debug)]
-struct TokenBucket {
-    tokens: f64,
-    updated: Instant,
-    suppressed: u64,
-}
-
 /// Rate-limited writer of decisions.
 #[derive(Clone, Debug)]
 pub(crate) struct DecisionLog {
     pub(crate) log: Logger,
-    bucket: Arc<Mutex<TokenBucket>>,
+    rate: Arc<LineRate>,
 }
 
 /// Outcome of a request and the decisions behind it.
@@ -86,32 +79,14 @@
 
 impl DecisionLog {
     pub(crate) fn new(log: Logger) -> Self {
-        let bucket = TokenBucket {
-            tokens: BURST_LINES,
-            updated: Instant::now(),
-            suppressed: 0,
-        };
         Self {
             log,
-            bucket: Arc::new(Mutex::new(bucket)),
+            rate: Arc::new(LineRate::new(LINES_PER_SECOND, BURST_LINES)),
         }
     }
 
-    /// Takes a token. Returns the number of lines suppressed since the last written one, or `None`
-    /// if this line is suppressed too.
     fn admit(&self) -> Option<u64> {
-        let mut bucket = self.bucket.lock();
-        let now = Instant::now();
-        let refill = now.saturating_duration_since(bucket.updated).as_secs_f64() * LINES_PER_SECOND;
-        bucket.updated = now;
-        bucket.tokens = (bucket.tokens + refill).min(BURST_LINES);
-        if bucket.tokens < 1.0 {
-            bucket.suppressed += 1;
-            metrics::counter!("endivefork_log_lines_left_out_total").increment(1);
-            return None;
-        }
-        bucket.tokens -= 1.0;
-        Some(std::mem::take(&mut bucket.suppressed))
+        self.rate.admit()
     }
 
     /// Whether a line about a suspect may be written.
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,9 +1,11 @@
 //! Logs and metrics.
 
+mod line_rate;
 mod log;
 mod metric;
 mod panics;
 
+pub(crate) use line_rate::LineRate;
 pub use log::{Guard, logger};
 pub use metric::{Metrics, Span, Stage};
 pub(crate) use panics::log_panics;
