Send what precedes the error of an answer before its connection ends

Callers saw a closed connection and nothing else, although an engine had run their request: the stream ended with an error in the same poll as its first event (its deadline, a dead or quarantined target, a faulty second event), for instance when a busy instance finds both at once. The log named it unanswered with status 200.

Cause: the HTTP library answers an error of the body by dropping what it has not flushed, over HTTP/1 the head and all events of that poll, over HTTP/2 with a reset that clears the queue of the stream.

The error is now held back until the connection has been flushed, 250 ms at most. Both interfaces share this body.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::futures::OwnedNotified;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
@@ -73,6 +74,7 @@
     unwritten: Mutex<Vec<RequestKey>>,
     activity: Mutex<Activity>,
     evicted: Notify,
+    flushed: Arc<Notify>,
 }
 
 impl Connection {
@@ -95,6 +97,7 @@
                 close: None,
             }),
             evicted: Notify::new(),
+            flushed: Arc::default(),
         }
     }
 
@@ -257,7 +260,13 @@
         self.unwritten.lock().push(key);
     }
 
+    /// Waits until all bytes that the HTTP library has been given by now are written.
+    pub(crate) fn flushed(&self) -> OwnedNotified {
+        Arc::clone(&self.flushed).notified_owned()
+    }
+
     fn written(&self) {
+        self.flushed.notify_waiters();
         for key in self.unwritten.lock().drain(..) {
             self.requests().remove(key);
             self.end_one();
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -10,7 +10,7 @@
 use std::pin::{Pin, pin};
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use axum::body::Body;
 use axum::extract::Request;
@@ -23,6 +23,7 @@
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use smol_str::SmolStr;
+use tokio::time::timeout;
 
 use super::close::{BURST_LINES, Closed, LINES_PER_SECOND};
 use super::connection::Connection;
@@ -35,6 +36,9 @@
 /// Reason of an answer that ended with an error of its source.
 const BROKEN: &str = "the answer broke off";
 
+/// Time for an answer that has failed to be sent up to its error.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Key of an open request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct RequestKey(u64);
@@ -251,6 +255,7 @@
     let body = RequestBody::new(body, &head, open.clone(), Arc::clone(&connection));
     let mut answer = Answer {
         inner: Body::empty(),
+        failure: None,
         open: open.clone(),
         connection,
     };
@@ -273,10 +278,14 @@
     response
 }
 
+type Failure = Pin<Box<dyn Future<Output = axum::Error> + Send>>;
+
 /// The body of an answer. When it is dropped, the connection holds the request until all bytes are
 /// written.
 struct Answer {
     inner: Body,
+    /// The error that ends it, once the bytes before it are sent.
+    failure: Option<Failure>,
     open: OpenRequest,
     connection: Arc<Connection>,
 }
@@ -289,21 +298,31 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
-        let inner = &mut self.inner;
-        let polled = catch_unwind(AssertUnwindSafe(|| Pin::new(inner).poll_frame(cx)));
-        let polled = polled.unwrap_or_else(|_| {
+        if self.failure.is_none() {
+            let inner = &mut self.inner;
+            let polled = catch_unwind(AssertUnwindSafe(|| Pin::new(inner).poll_frame(cx)));
+            let polled = polled.unwrap_or_else(|_| {
+                self.open.will_abort(PANICKED);
+                Poll::Ready(Some(Err(axum::Error::new(PANICKED))))
+            });
+            let Poll::Ready(Some(Err(error))) = polled else {
+                return polled;
+            };
             self.inner = Body::empty();
-            self.open.will_abort(PANICKED);
-            Poll::Ready(Some(Err(axum::Error::new(PANICKED))))
-        });
-        if matches!(polled, Poll::Ready(Some(Err(_)))) {
             self.open.requests.abandon(self.open.key);
+            // The HTTP library drops what it has not sent when it gets an error.
+            let flushed = self.connection.flushed();
+            self.failure = Some(Box::pin(async move {
+                let _ = timeout(FLUSH_TIMEOUT, flushed).await;
+                error
+            }));
         }
-        polled
+        let failure = self.failure.as_mut().expect("the answer has failed");
+        failure.as_mut().poll(cx).map(|error| Some(Err(error)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.failure.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -134,6 +134,31 @@
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer:?}");
 }
 
+/// A body that has its chunks and its error ready at once.
+fn broken(chunks: usize) -> Body {
+    let chunks = (0..chunks).map(|_| Ok("event"));
+    let error = Err(std::io::Error::other("a fault of the test"));
+    Body::from_stream(stream::iter(chunks.chain([error])))
+}
+
+/// Guards against answers of which the caller saw nothing, as their error overtook their first bytes.
+#[tokio::test]
+async fn answer_that_breaks_off_at_once_arrives_up_to_its_error() {
+    for chunks in [0, 1, 3] {
+        let router = Router::new().route("/", get(move || async move { broken(chunks) }));
+        let server = Server::start(router).await;
+        let mut stream = server.connect().await;
+        stream.write_all(head("").as_bytes()).await.unwrap();
+
+        let answer = read_all(&mut stream).await;
+
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{chunks}: {answer:?}");
+        assert_eq!(answer.matches("event").count(), chunks, "{answer:?}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer:?}");
+        assert_eq!(server.drain.running(), 0);
+    }
+}
+
 #[tokio::test]
 async fn raised_idle_time_holds_for_open_connections() {
     let server = Server::start_with(fine(), SHORT, 100).await;
--- a/tests/idle_http2.rs
+++ b/tests/idle_http2.rs
@@ -1,14 +1,18 @@
-//! Idle HTTP/2 connections of callers beside HTTP/1 ones.
+//! HTTP/2 connections of callers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::routing::get;
 use bytes::Bytes;
 use endivefork::caller::{Drain, serve};
 use endivefork::settings::Limits;
-use http_body_util::Empty;
+use futures_util::stream;
+use http_body_util::{BodyExt as _, Empty};
+use hyper::client::conn::http2::{SendRequest, handshake};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -28,8 +32,7 @@
     String::from_utf8_lossy(&bytes[..n]).into_owned()
 }
 
-#[tokio::test]
-async fn idle_http1_connection_gives_way_beside_an_older_http2_one() {
+async fn start(router: Router) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let limits = Limits {
@@ -39,20 +42,50 @@
         idle: LONG,
         connections: CONNECTIONS,
     };
-    let router = Router::new().route("/", get(|| async { "fine" }));
     let drain = Arc::new(Drain::new(LONG));
     tokio::spawn(serve(listener, router, move || limits, drain));
+    addr
+}
+
+async fn connect(addr: SocketAddr) -> SendRequest<Empty<Bytes>> {
     let stream = TcpStream::connect(addr).await.unwrap();
-    let (mut sender, connection) =
-        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
-            .await
-            .unwrap();
+    let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
     tokio::spawn(connection);
+    sender
+}
+
+fn get_root(addr: SocketAddr) -> http::Request<Empty<Bytes>> {
+    let request = http::Request::get(format!("http://{addr}/"));
+    request.body(Empty::new()).unwrap()
+}
+
+/// Guards against answers of which the caller saw nothing, as their reset overtook their first bytes.
+#[tokio::test]
+async fn answer_that_breaks_off_at_once_arrives_up_to_its_reset() {
+    let body = || async {
+        let error = Err(std::io::Error::other("a fault of the test"));
+        Body::from_stream(stream::iter([Ok("event"), error]))
+    };
+    let addr = start(Router::new().route("/", get(body))).await;
+    let mut sender = connect(addr).await;
+
+    let answer = sender.send_request(get_root(addr)).await.unwrap();
+    let mut body = answer.into_body();
+    let first = body.frame().await.unwrap();
+
+    assert_eq!(first.unwrap().into_data().unwrap(), "event");
+    assert!(body.frame().await.unwrap().is_err());
+}
+
+#[tokio::test]
+async fn idle_http1_connection_gives_way_beside_an_older_http2_one() {
+    let addr = start(Router::new().route("/", get(|| async { "fine" }))).await;
+    let mut sender = connect(addr).await;
     // The settings are acknowledged before the second request.
     for _ in 0..2 {
-        let request = http::Request::get(format!("http://{addr}/"));
-        let request = request.body(Empty::<Bytes>::new()).unwrap();
-        let answer = sender.send_request(request).await.unwrap();
+        let answer = sender.send_request(get_root(addr)).await.unwrap();
         assert_eq!(answer.status(), 200);
         sleep(Duration::from_millis(50)).await;
     }
