Read what a caller still sends when its connection ends with an answer

Callers lost the last answer of a connection, whole or in part: one unread byte behind a request with `Connection: close` sufficed for a reset that overtook what was not yet received (128,000 of 1,048,576 bytes arrived). The same holds for refusals of bodies that are too long or too slow to be discarded.

Cause: a socket that is closed with unread bytes is reset, which drops what waits to be sent; the HTTP library closes as soon as it has written.

The connection now ends its own side and reads until the caller has closed its side, 2 s at most. It keeps its place meanwhile. Connections that end because they are idle close at once as before.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -10,12 +10,12 @@
 
 use parking_lot::Mutex;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::futures::OwnedNotified;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::close::{CloseReason, Closed};
 use super::drain::Drain;
@@ -31,6 +31,12 @@
 /// Most unread bytes of a closed connection that are counted.
 const UNREAD_BUFFER: usize = 4_096;
 
+/// Time for a caller to close a connection after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bytes that are read at once from a connection that is being closed.
+const CLOSE_BUFFER: usize = 1024;
+
 /// How long a connection without a running request stays open.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct IdleLimits {
@@ -75,6 +81,8 @@
     activity: Mutex<Activity>,
     evicted: Notify,
     flushed: Arc<Notify>,
+    /// The socket, once the HTTP library has dropped it.
+    socket: Mutex<Option<TcpStream>>,
 }
 
 impl Connection {
@@ -98,6 +106,7 @@
             }),
             evicted: Notify::new(),
             flushed: Arc::default(),
+            socket: Mutex::default(),
         }
     }
 
@@ -273,6 +282,21 @@
         }
     }
 
+    /// Closes the socket after the last answer. Bytes that nobody reads would have the system reset
+    /// the connection, which loses what the caller has not received.
+    pub(super) async fn shut_down(&self) {
+        let Some(mut stream) = self.socket.lock().take() else {
+            return;
+        };
+        let read = async {
+            // Fails only if the caller has left.
+            let _ = stream.shutdown().await;
+            let mut rest = [0; CLOSE_BUFFER];
+            while matches!(stream.read(&mut rest).await, Ok(n) if n > 0) {}
+        };
+        let _ = timeout(CLOSE_TIMEOUT, read).await;
+    }
+
     fn end_one(&self) {
         let mut activity = self.activity.lock();
         activity.running -= 1;
@@ -308,11 +332,29 @@
 /// The socket of a connection.
 #[derive(Debug)]
 pub(crate) struct Socket {
-    pub(crate) stream: TcpStream,
-    pub(crate) connection: Arc<Connection>,
+    /// Present until this is dropped.
+    stream: Option<TcpStream>,
+    connection: Arc<Connection>,
 }
 
 impl Socket {
+    pub(crate) fn new(stream: TcpStream, connection: Arc<Connection>) -> Self {
+        Self {
+            stream: Some(stream),
+            connection,
+        }
+    }
+
+    /// Waits for bytes and copies them without taking them.
+    pub(super) async fn peek(&self, bytes: &mut [u8]) -> io::Result<usize> {
+        let stream = self.stream.as_ref().expect("the socket is open");
+        stream.peek(bytes).await
+    }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.as_mut().expect("the socket is open"))
+    }
+
     fn record_written(&self, polled: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = polled {
             self.connection.record_written(*bytes);
@@ -322,7 +364,10 @@
 
 impl Drop for Socket {
     fn drop(&mut self) {
-        self.connection.record_close(&self.stream);
+        if let Some(stream) = self.stream.take() {
+            self.connection.record_close(&stream);
+            *self.connection.socket.lock() = Some(stream);
+        }
     }
 }
 
@@ -341,7 +386,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let has_room = buf.remaining() > 0;
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = self.stream().poll_read(cx, buf);
         match buf.filled().len() - before {
             0 if has_room && matches!(polled, Poll::Ready(Ok(()))) => self.connection.record_end(),
             0 => {}
@@ -357,7 +402,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let polled = self.stream().poll_write(cx, buf);
         self.record_written(&polled);
         polled
     }
@@ -367,18 +412,20 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let polled = self.stream().poll_write_vectored(cx, bufs);
         self.record_written(&polled);
         polled
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream
+            .as_ref()
+            .is_some_and(TcpStream::is_write_vectored)
     }
 
     /// Called by the HTTP library once its buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        let polled = self.stream().poll_flush(cx);
         if polled.is_ready() {
             self.connection.written();
         }
@@ -386,6 +433,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.stream().poll_shutdown(cx)
     }
 }
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -75,10 +75,13 @@
         let key = last.fetch_add(1, Ordering::Relaxed);
         connections.lock().insert(key, Arc::downgrade(&connection));
         let (limits, drain) = (limits.clone(), Arc::clone(&drain));
-        let served = serve_connection(stream, connection, router.clone(), limits, drain);
+        let socket = Arc::clone(&connection);
+        let served = serve_connection(stream, socket, router.clone(), limits, drain);
         let connections = Arc::clone(&connections);
         tasks.spawn(async move {
-            served.await;
+            if served.await == End::Answered {
+                connection.shut_down().await;
+            }
             connections.lock().swap_remove(&key);
             drop(permit);
         });
@@ -128,20 +131,26 @@
     }
 }
 
+/// How the service of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// With its last answer, or by the caller.
+    Answered,
+    /// It was idle.
+    Idle,
+}
+
 async fn serve_connection(
     stream: TcpStream,
     connection: Arc<Connection>,
     router: Router,
     limits: impl Fn() -> Limits + Send + Sync + 'static,
     drain: Arc<Drain>,
-) {
+) -> End {
     // A token is a small packet, which Nagle's algorithm would delay until the previous one is
     // acknowledged.
     let _ = stream.set_nodelay(true);
-    let socket = Socket {
-        stream,
-        connection: Arc::clone(&connection),
-    };
+    let socket = Socket::new(stream, Arc::clone(&connection));
     let limits = Arc::new(limits);
     let idle = || match drain.lingers() {
         true => IdleLimits {
@@ -155,10 +164,10 @@
     };
     let http2 = tokio::select! {
         biased;
-        http2 = is_http2(&socket.stream) => http2,
+        http2 = is_http2(&socket) => http2,
         reason = connection.idle_end(idle) => {
             connection.close(reason);
-            return;
+            return End::Idle;
         }
     };
     if http2 {
@@ -206,23 +215,29 @@
         biased;
         ended = served.as_mut() => {
             connection.close_with(ended);
-            return;
+            return End::Answered;
         }
         reason = idle_end => {
             connection.close(reason);
-            return;
+            return End::Idle;
         }
         () = linger => {}
     }
     if http2 {
         served.as_mut().graceful_shutdown();
         connection.close_with(served.await);
-        return;
+        return End::Answered;
     }
     tokio::select! {
         biased;
-        ended = served.as_mut() => connection.close_with(ended),
-        reason = connection.idle_end(idle) => connection.close(reason),
+        ended = served.as_mut() => {
+            connection.close_with(ended);
+            End::Answered
+        }
+        reason = connection.idle_end(idle) => {
+            connection.close(reason);
+            End::Idle
+        }
     }
 }
 
@@ -251,11 +266,11 @@
 /// stays open during [`MIN_LINGER`], because a request may already be in transit; its responses
 /// carry `connection: close`. Afterwards it is closed between two requests; a later request would
 /// be refused.
-async fn is_http2(stream: &TcpStream) -> bool {
+async fn is_http2(socket: &Socket) -> bool {
     const PREFACE: &[u8; 3] = b"PRI";
     let mut head = [0; PREFACE.len()];
     loop {
-        match stream.peek(&mut head).await {
+        match socket.peek(&mut head).await {
             Ok(n) if n > 0 && n < head.len() && PREFACE.starts_with(&head[..n]) => {
                 tokio::time::sleep(PEEK_INTERVAL).await;
             }
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -159,6 +159,26 @@
     }
 }
 
+/// Guards against a reset that overtakes an answer which is still being sent to a slow reader.
+#[tokio::test]
+async fn last_answer_of_a_connection_arrives_beside_unread_bytes() {
+    const SIZE: usize = 1024 * 1024;
+    let body = || async { vec![b'x'; SIZE] };
+    let server = Server::start(Router::new().route("/", get(body))).await;
+    for extra in [1, 100_000] {
+        let mut stream = server.connect().await;
+        let last = head("Connection: close\r\n");
+        stream.write_all(last.as_bytes()).await.unwrap();
+        sleep(SHORT / 3).await;
+        stream.write_all(&vec![b'x'; extra]).await.unwrap();
+        sleep(SHORT).await;
+
+        let answer = read_all(&mut stream).await;
+
+        assert!(answer.len() > SIZE, "{extra}: {} bytes", answer.len());
+    }
+}
+
 #[tokio::test]
 async fn raised_idle_time_holds_for_open_connections() {
     let server = Server::start_with(fine(), SHORT, 100).await;
