Believe a target's silence only while others are heard

A probe's limit now follows the spread of the round trips. One that is later than usual has targets of other domains asked: if these are late too, or the process ran late, the target is asked once more before its silence counts. A real death is found at the same limit, as the witnesses answer in time. After 400 ms without any answer it counts as before.

--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -1,6 +1,9 @@
 //! Probes silent targets by opening a TCP connection, which a dead one does not answer.
+//!
+//! This instance may itself be cut off, behind a full link or kept from running. So a silence is
+//! believed only while targets of other failure domains answer and the timers are on time.
 
-use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,20 +12,15 @@
 use rand::seq::IndexedRandom as _;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use super::hearing::Hearing;
 use super::record::DecisionLog;
+use super::round_trips::RoundTrips;
 use crate::connect::within;
 use crate::ident::TargetKey;
 use crate::routing::{ProbeTarget, Router};
 
-/// Round trip assumed to a domain without a measurement: the longest between two regions, with room
-/// for a busy machine.
-const RTT_DEFAULT: Duration = Duration::from_millis(80);
-
-/// Added to twice the measured round trip, for a late timer here and a busy machine there.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(40);
-
 /// Delay of the second connection attempt, since one SYN packet may be lost.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
@@ -34,20 +32,40 @@
 /// table at once.
 const REVIVAL_COUNT: usize = 16;
 
-/// Weight of a new round trip in the moving average.
-const RTT_WEIGHT: f64 = 0.25;
+/// Targets of other failure domains that are asked whether this instance hears anybody.
+const WITNESSES: usize = 3;
+
+/// Longest time for which a silence is not believed because the witnesses are silent too. The
+/// queue of a full link empties sooner.
+const DOUBT_MAX: Duration = Duration::from_millis(400);
+
+/// Lateness of a timer from which this process was kept from running.
+const TIMER_SLACK: Duration = Duration::from_millis(15);
+
+/// What this instance heard of others during a probe.
+#[derive(Clone, Copy, Debug)]
+enum Heard {
+    /// A witness answered, which should take no longer than this.
+    Answer(Duration),
+    /// No witness answered.
+    Nobody,
+    /// There is none to ask.
+    NoWitness,
+}
 
 /// Probes in progress, and measured round trips by failure domain.
 #[derive(Debug, Default)]
 pub(crate) struct Probes {
     in_progress: Mutex<IndexMap<TargetKey, Instant>>,
-    rtts: Mutex<IndexMap<SmolStr, Duration>>,
+    round_trips: Mutex<RoundTrips>,
+    hearing: Hearing,
     /// When dead targets were last checked.
     last_revival: Mutex<Option<Instant>>,
 }
 
+#[derive(Debug)]
 enum ProbeResult {
-    Alive(Duration),
+    Alive,
     Refused,
     Silent,
 }
@@ -68,37 +86,27 @@
         self.in_progress.lock().insert(target.key, now);
         let (probes, router, record) = (Arc::clone(self), Arc::clone(router), record.clone());
         tokio::spawn(async move {
-            let limit = probes.timeout_for(&target.domain);
-            let result = connect(target.addr, limit).await;
-            match result {
-                ProbeResult::Alive(rtt) => {
-                    probes.record_rtt(&target.domain, rtt);
-                    router.mark_alive(target.key, now);
-                }
-                ProbeResult::Refused => probes.mark_dead(&router, &record, &target, "refused", now),
-                ProbeResult::Silent => probes.mark_dead(&router, &record, &target, "silent", now),
-            }
+            probes.takes_connections(&router, &record, &target).await;
             probes.in_progress.lock().swap_remove(&target.key);
         });
     }
 
-    /// Opens a connection to a target. Returns whether it takes one; if not, it is marked dead.
+    /// Opens a connection to a target. Returns whether it takes one; if it refuses it or is silent, it
+    /// is marked dead.
     pub(crate) async fn takes_connections(
         self: &Arc<Self>,
         router: &Arc<Router>,
         record: &DecisionLog,
         target: &ProbeTarget,
     ) -> bool {
-        let now = Instant::now();
-        let limit = self.timeout_for(&target.domain);
-        match connect(target.addr, limit).await {
-            ProbeResult::Alive(rtt) => {
-                self.record_rtt(&target.domain, rtt);
-                router.mark_alive(target.key, now);
+        let started = Instant::now();
+        match self.result(router, record, target).await {
+            ProbeResult::Alive => {
+                router.mark_alive(target.key, started);
                 return true;
             }
-            ProbeResult::Refused => self.mark_dead(router, record, target, "refused", now),
-            ProbeResult::Silent => self.mark_dead(router, record, target, "silent", now),
+            ProbeResult::Refused => self.mark_dead(router, record, target, "refused", started),
+            ProbeResult::Silent => self.mark_dead(router, record, target, "silent", started),
         }
         false
     }
@@ -124,9 +132,8 @@
             self.in_progress.lock().insert(target.key, now);
             let (probes, router, target) = (Arc::clone(self), Arc::clone(router), target.clone());
             tokio::spawn(async move {
-                let limit = probes.timeout_for(&target.domain);
-                if let ProbeResult::Alive(rtt) = connect(target.addr, limit).await {
-                    probes.record_rtt(&target.domain, rtt);
+                let limit = probes.limit(&target.domain);
+                if let Ok(ProbeResult::Alive) = within(limit, probes.answer(&target)).await {
                     router.mark_alive(target.key, now);
                 }
                 probes.in_progress.lock().swap_remove(&target.key);
@@ -134,6 +141,111 @@
         }
     }
 
+    /// Waits for the answer of a target. Its silence counts only if a witness answers and this
+    /// process runs on time; otherwise the target is asked again when both are so.
+    async fn result(
+        self: &Arc<Self>,
+        router: &Router,
+        record: &DecisionLog,
+        target: &ProbeTarget,
+    ) -> ProbeResult {
+        let started = Instant::now();
+        let (usual, limit) = {
+            let trips = self.round_trips.lock();
+            (trips.usual(&target.domain), trips.limit(&target.domain))
+        };
+        let witnesses = async {
+            sleep(usual).await;
+            self.ask_witnesses(router, &target.domain).await
+        };
+        let mut answer = pin!(self.answer(target));
+        let wait = async { tokio::join!(witnesses, sleep(limit)).0 };
+        let heard = tokio::select! {
+            biased;
+            result = answer.as_mut() => {
+                if started.elapsed() > limit {
+                    record.answered_late(&target.name, limit, started.elapsed());
+                }
+                return result;
+            }
+            heard = wait => heard,
+        };
+        if let Ok(result) = within(Duration::ZERO, answer.as_mut()).await {
+            return result;
+        }
+        let expected = match heard {
+            Heard::Answer(allowed) => limit.max(usual + allowed),
+            Heard::Nobody => return ProbeResult::Silent,
+            Heard::NoWitness => limit,
+        };
+        let waited = started.elapsed();
+        if waited <= expected + TIMER_SLACK {
+            return ProbeResult::Silent;
+        }
+        metrics::counter!("endivefork_probes_repeated_total").increment(1);
+        record.silence_doubted(&target.name, limit, waited);
+        let either = async {
+            tokio::select! {
+                result = answer => result,
+                result = self.answer(target) => result,
+            }
+        };
+        let again = within(limit, either).await;
+        again.unwrap_or(ProbeResult::Silent)
+    }
+
+    /// Waits until a target of another domain answers, and asks the nearest ones.
+    async fn ask_witnesses(self: &Arc<Self>, router: &Router, domain: &str) -> Heard {
+        let mut witnesses = router.witnesses(domain, Instant::now());
+        let allowed = {
+            let trips = self.round_trips.lock();
+            witnesses.sort_by_key(|witness| trips.mean(&witness.domain));
+            witnesses.truncate(WITNESSES);
+            let limits = witnesses.iter().map(|w| trips.limit(&w.domain));
+            limits.min()
+        };
+        let Some(allowed) = allowed else {
+            return Heard::NoWitness;
+        };
+        let domains: Vec<_> = witnesses.iter().map(|w| w.domain.clone()).collect();
+        let ask = |domain: &SmolStr| {
+            if let Some(witness) = witnesses.iter().find(|w| w.domain == *domain) {
+                let (probes, witness) = (Arc::clone(self), witness.clone());
+                tokio::spawn(async move { timeout(DOUBT_MAX, probes.answer(&witness)).await });
+            }
+        };
+        let heard = self.hearing.hears_others(domain, &domains, ask);
+        match timeout(DOUBT_MAX, heard).await {
+            Ok(()) => Heard::Answer(allowed),
+            Err(_) => Heard::Nobody,
+        }
+    }
+
+    /// Waits until a target answers a new connection, however long that takes.
+    async fn answer(&self, target: &ProbeTarget) -> ProbeResult {
+        let started = Instant::now();
+        let second = async {
+            sleep(RETRY_DELAY).await;
+            TcpStream::connect(target.addr).await
+        };
+        let result = tokio::select! {
+            result = TcpStream::connect(target.addr) => result,
+            result = second => result,
+        };
+        match result {
+            Ok(_) => {
+                let rtt = started.elapsed();
+                self.hearing.record(&target.domain, started);
+                self.round_trips.lock().record(&target.domain, rtt);
+                ProbeResult::Alive
+            }
+            Err(_) => {
+                self.hearing.record(&target.domain, started);
+                ProbeResult::Refused
+            }
+        }
+    }
+
     /// Marks a target dead, and probes the suspected targets of its domain.
     fn mark_dead(
         self: &Arc<Self>,
@@ -151,38 +263,7 @@
         }
     }
 
-    fn timeout_for(&self, domain: &str) -> Duration {
-        let rtt = self.rtts.lock().get(domain).copied();
-        2 * rtt.unwrap_or(RTT_DEFAULT) + TIMEOUT_MARGIN
-    }
-
-    fn record_rtt(&self, domain: &SmolStr, rtt: Duration) {
-        let mut rtts = self.rtts.lock();
-        let mean = rtts.entry(domain.clone()).or_insert(rtt);
-        *mean = mean.mul_f64(1.0 - RTT_WEIGHT) + rtt.mul_f64(RTT_WEIGHT);
-    }
-}
-
-async fn connect(addr: SocketAddr, limit: Duration) -> ProbeResult {
-    let started = Instant::now();
-    let first = within(limit, TcpStream::connect(addr));
-    let second = async {
-        sleep(RETRY_DELAY).await;
-        within(limit.saturating_sub(RETRY_DELAY), TcpStream::connect(addr)).await
-    };
-    tokio::pin!(first, second);
-    let (earlier, later) = tokio::select! {
-        result = first.as_mut() => (result, None),
-        result = second.as_mut() => (result, Some(first)),
-    };
-    let outcome = match (earlier, later) {
-        (Err(_), Some(first)) => first.await,
-        (Err(_), None) => second.await,
-        (answered, _) => answered,
-    };
-    match outcome {
-        Ok(Ok(_)) => ProbeResult::Alive(started.elapsed()),
-        Ok(Err(_)) => ProbeResult::Refused,
-        Err(_) => ProbeResult::Silent,
+    fn limit(&self, domain: &str) -> Duration {
+        self.round_trips.lock().limit(domain)
     }
 }
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -145,6 +145,26 @@
             "route" => attempt.route, "left_out" => suppressed);
     }
 
+    /// Logs that a target's silence may be this instance's own.
+    pub(crate) fn silence_doubted(&self, target: &str, limit: Duration, waited: Duration) {
+        let Some(suppressed) = self.admit() else {
+            return;
+        };
+        info!(self.log, "target: silent, asked again as others were late too";
+            "target" => target, "limit_ms" => limit.as_millis() as u64,
+            "probe_ms" => waited.as_millis() as u64, "left_out" => suppressed);
+    }
+
+    /// Logs that a target answered a probe late, as did all others.
+    pub(crate) fn answered_late(&self, target: &str, limit: Duration, waited: Duration) {
+        let Some(suppressed) = self.admit() else {
+            return;
+        };
+        info!(self.log, "target: answered a probe late, as did others";
+            "target" => target, "limit_ms" => limit.as_millis() as u64,
+            "probe_ms" => waited.as_millis() as u64, "left_out" => suppressed);
+    }
+
     /// Logs that a target was found dead.
     pub(crate) fn target_dead(&self, target: &str, reason: &str, after: Duration) {
         let Some(suppressed) = self.admit() else {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use smol_str::SmolStr;
 
@@ -185,6 +186,24 @@
         suspected.map(|e| ProbeTarget::of(&e.target)).collect()
     }
 
+    /// One healthy target of each other domain, at random.
+    #[must_use]
+    pub(crate) fn witnesses(&self, domain: &str, now: Instant) -> Vec<ProbeTarget> {
+        let table = self.table();
+        let healthy = |e: &&Arc<Entry>| {
+            e.target.domain != domain
+                && e.state.lock().health.availability(now) == Availability::Healthy
+        };
+        let mut healthy: Vec<_> = table.entries().filter(healthy).collect();
+        healthy.shuffle(&mut rand::rng());
+        healthy.sort_by_key(|e| &e.target.domain);
+        healthy.dedup_by_key(|e| &e.target.domain);
+        healthy
+            .into_iter()
+            .map(|e| ProbeTarget::of(&e.target))
+            .collect()
+    }
+
     /// Targets of a service that get no requests because they were found dead.
     #[must_use]
     pub fn dead(&self, service: &str, now: Instant) -> Vec<ProbeTarget> {
