Do not take a fault of this machine for the death of a target

A probe that could not be sent (no port or file left, no route) counted as a refused connection: the target was found dead at once, its runs ended and peers were told. Only an answer of the target's side is a death now; the rest is logged as "target: could not be probed".

--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -3,6 +3,7 @@
 //! This instance may itself be cut off, behind a full link or kept from running. So a silence is
 //! believed only while targets of other failure domains answer and the timers are on time.
 
+use std::io::{self, ErrorKind};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -68,6 +69,8 @@
     Alive,
     Refused,
     Silent,
+    /// This instance could not send.
+    Unsent(io::Error),
 }
 
 impl Probes {
@@ -107,6 +110,7 @@
             }
             ProbeResult::Refused => self.mark_dead(router, record, target, "refused", started),
             ProbeResult::Silent => self.mark_dead(router, record, target, "silent", started),
+            ProbeResult::Unsent(error) => record.probe_unsent(&target.name, &error),
         }
         false
     }
@@ -239,6 +243,7 @@
                 self.round_trips.lock().record(&target.domain, rtt);
                 ProbeResult::Alive
             }
+            Err(e) if is_own(&e) => ProbeResult::Unsent(e),
             Err(_) => {
                 self.hearing.record(&target.domain, started);
                 ProbeResult::Refused
@@ -267,3 +272,15 @@
         self.round_trips.lock().limit(domain)
     }
 }
+
+/// Whether a failure to connect is one of this machine, such as too many open files.
+fn is_own(error: &io::Error) -> bool {
+    !matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::HostUnreachable
+            | ErrorKind::TimedOut
+    )
+}
--- a/src/relay/record.rs
+++ b/src/relay/record.rs
@@ -1,6 +1,7 @@
 //! Decision log: one line for each decision about a request or about the state of a target. The
 //! rate is limited; suppressed lines are counted, and the next line carries their number.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -165,6 +166,15 @@
             "probe_ms" => waited.as_millis() as u64, "left_out" => suppressed);
     }
 
+    /// Logs that a target could not be probed.
+    pub(crate) fn probe_unsent(&self, target: &str, error: &io::Error) {
+        let Some(suppressed) = self.admit() else {
+            return;
+        };
+        warn!(self.log, "target: could not be probed";
+            "target" => target, "error" => %error, "left_out" => suppressed);
+    }
+
     /// Logs that a target was found dead.
     pub(crate) fn target_dead(&self, target: &str, reason: &str, after: Duration) {
         let Some(suppressed) = self.admit() else {
--- a/src/relay/tests/probe.rs
+++ b/src/relay/tests/probe.rs
@@ -176,6 +176,19 @@
     assert!(!fleet.is_dead(0));
 }
 
+/// Guards sound targets against blame for a fault of this machine.
+#[tokio::test]
+async fn target_to_which_no_connection_can_be_opened_from_here_is_not_found_dead() {
+    let mut fleet = Fleet::start(&["a", "b"]).await;
+    // A connection to a broadcast address fails before anything is sent.
+    fleet.servers[0].addr = SocketAddr::from(([255, 255, 255, 255], 9));
+    fleet.list();
+
+    fleet.takes_connections(0).await;
+
+    assert!(!fleet.is_dead(0));
+}
+
 #[tokio::test]
 async fn silent_target_is_found_dead_at_once_while_others_answer() {
     let mut fleet = Fleet::start(&["a", "b", "c"]).await;
