Show two faults of the repairs at the end of a connection

- idle_connections_give_way_beside_one_that_its_caller_leaves_open: a connection that ends with its last answer keeps its place for 2 s at most and still counts as the longest idle one, so it is asked to give way, which it does not, while idle ones that would are not asked.
New connections wait.

--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -370,6 +370,25 @@
     assert_eq!(kept[0].read(&mut [0]).unwrap(), 0, "the oldest is closed");
 }
 
+/// Guards new connections against a wait for one that its caller does not close after its last answer.
+#[tokio::test]
+async fn idle_connections_give_way_beside_one_that_its_caller_leaves_open() {
+    let server = Server::start_with(fine(), LONG, 4).await;
+    let mut left_open = server.connect().await;
+    ask(&mut left_open, "Connection: close\r\n").await;
+    let _kept = used(&server, 3).await;
+    sleep(SHORT).await;
+
+    let asked = async { ask(&mut server.connect().await, "").await };
+    let answer = timeout(Duration::from_secs(1), asked).await;
+
+    assert!(
+        answer
+            .expect("accepted in time")
+            .starts_with("HTTP/1.1 200 ")
+    );
+}
+
 #[tokio::test]
 async fn requests_that_wait_for_a_place_are_answered_before_the_end_of_a_drain() {
     let router = fine().route("/busy", get(pending::<()>));
--- a/tests/idle_http2.rs
+++ b/tests/idle_http2.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::body::Body;
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use endivefork::caller::{Drain, serve};
 use endivefork::settings::Limits;
-use futures_util::stream;
+use futures_util::{StreamExt as _, stream};
 use http_body_util::{BodyExt as _, Empty};
 use hyper::client::conn::http2::{SendRequest, handshake};
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -79,6 +79,36 @@
     assert!(body.frame().await.unwrap().is_err());
 }
 
+/// Guards resets against a wait for bytes that were sent long before.
+#[tokio::test]
+async fn reset_of_a_stream_that_breaks_off_later_is_sent_at_once() {
+    const PAUSE: Duration = Duration::from_millis(100);
+    const TRIES: usize = 5;
+    let body = || async {
+        let error = stream::once(async {
+            sleep(PAUSE).await;
+            Err(std::io::Error::other("a fault of the test"))
+        });
+        Body::from_stream(stream::iter([Ok("event")]).chain(error))
+    };
+    let addr = start(Router::new().route("/", get(body))).await;
+    let mut sender = connect(addr).await;
+    let mut waits = Vec::new();
+
+    for _ in 0..TRIES {
+        let answer = sender.send_request(get_root(addr)).await.unwrap();
+        let mut body = answer.into_body();
+        assert!(body.frame().await.unwrap().is_ok());
+        let begun = Instant::now();
+        assert!(body.frame().await.unwrap().is_err());
+        waits.push(begun.elapsed());
+    }
+
+    // A busy machine delays some of them.
+    let least = waits.iter().min().unwrap();
+    assert!(*least < 2 * PAUSE, "{waits:?}");
+}
+
 #[tokio::test]
 async fn idle_http1_connection_gives_way_beside_an_older_http2_one() {
     let addr = start(Router::new().route("/", get(|| async { "fine" }))).await;
