Count a shutdown from when its signal was sent, also if it was handled late

Callers of an instance that ran late around SIGTERM had no answer at its end. Streams that came more than 3 s after the signal were taken as if they had come before.

In calm nothing changes. `late_ms` in the log has the bound.

--- a/src/caller/drain.rs
+++ b/src/caller/drain.rs
@@ -21,6 +21,19 @@
 /// network delay to the caller.
 const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(150);
 
+/// The longest time by which a late signal shortens a shutdown, as a part of it. Callers accept the
+/// cut of a stream only late in the grace period.
+const MAX_LATENESS: f64 = 1.0 / 9.0;
+
+/// When a shutdown began.
+#[derive(Clone, Copy, Debug)]
+struct Beginning {
+    /// When the signal was handled.
+    handled: Instant,
+    /// When it was sent at the earliest.
+    sent: Instant,
+}
+
 /// The state of a shutdown, shared by the server, its handlers and the readiness check.
 #[derive(Debug)]
 pub struct Drain {
@@ -28,7 +41,7 @@
     longest: Duration,
     draining: AtomicBool,
     signal: CancellationToken,
-    begun: OnceLock<Instant>,
+    begun: OnceLock<Beginning>,
     requests: Arc<OpenRequests>,
     last_arrival: Mutex<Option<Instant>>,
 }
@@ -55,21 +68,34 @@
 
     /// Starts the shutdown.
     pub fn begin(&self) {
-        self.begun.get_or_init(Instant::now);
+        self.begin_late(Duration::ZERO);
+    }
+
+    /// Starts the shutdown with a signal that was sent up to `late` ago.
+    pub(crate) fn begin_late(&self, late: Duration) {
+        let handled = Instant::now();
+        let late = late.min(self.longest.mul_f64(MAX_LATENESS));
+        let sent = handled.checked_sub(late).unwrap_or(handled);
+        self.begun.get_or_init(|| Beginning { handled, sent });
         self.draining.store(true, Ordering::Release);
         self.signal.cancel();
     }
 
-    /// Time since the shutdown began, if it has.
+    /// Time since the signal was handled, if the shutdown has begun.
     #[must_use]
     pub fn since(&self) -> Option<Duration> {
-        self.begun.get().map(Instant::elapsed)
+        self.begun.get().map(|begun| begun.handled.elapsed())
+    }
+
+    /// Longest time since the signal was sent, if the shutdown has begun.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.begun.get().map(|begun| begun.sent.elapsed())
     }
 
     /// Time until the process ends at the latest, if the shutdown has begun.
     #[must_use]
     pub fn left(&self) -> Option<Duration> {
-        Some(self.longest.saturating_sub(self.since()?))
+        Some(self.longest.saturating_sub(self.age()?))
     }
 
     /// Time until the process ends at the earliest.
@@ -87,7 +113,7 @@
     /// Time at which requests without an answer get their final one, if the shutdown has begun.
     pub(crate) fn expires(&self) -> Option<Instant> {
         let longest = self.longest.saturating_sub(FINAL_ANSWER_MARGIN);
-        Some(*self.begun.get()? + longest)
+        Some(self.begun.get()?.sent + longest)
     }
 
     /// Waits until requests without an answer are to get their final one.
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -17,6 +17,7 @@
 mod request_body;
 mod server;
 mod services;
+mod signals;
 
 pub use drain::Drain;
 pub(crate) use durations::StreamDurations;
@@ -24,3 +25,4 @@
 pub use front::{Front, router};
 pub(crate) use open::OpenRequest;
 pub use server::serve;
+pub(crate) use signals::Signals;
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -15,7 +15,7 @@
 use super::record::DecisionLog;
 use super::relay::Relay;
 use super::settings::Settings;
-use crate::caller::{self, Drain};
+use crate::caller::{self, Drain, Signals};
 use crate::listen::listen;
 use crate::peer::{Layout, Member, Options, PeerKey, Peers};
 use crate::platform::{self, ApiFormat};
@@ -82,27 +82,25 @@
     load_settings: impl Fn() -> Result<Settings, String>,
 ) -> anyhow::Result<()> {
     let drain = Arc::new(Drain::new(settings.drain_timeout));
-    let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
-    let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
+    let signals = Signals::new()?;
     let mut hup = signal(SignalKind::hangup()).context("could not receive SIGHUP")?;
     info!(log, "relay: started"; "name" => settings.instance.name.as_str(),
         "domain" => settings.instance.domain.as_str());
     let serving = serve(settings, platform, log.clone(), Arc::clone(&drain));
-    let signals = async {
-        loop {
-            tokio::select! {
-                _ = term.recv() => break,
-                _ = int.recv() => break,
-                _ = hup.recv() => reload(&log, &load_settings),
-            }
+    let draining = signals.drain(&drain, |late| {
+        info!(log, "relay: draining"; "requests" => drain.running(),
+            "late_ms" => late.as_millis() as u64);
+    });
+    let reloading = async {
+        while hup.recv().await.is_some() {
+            reload(&log, &load_settings);
         }
-        info!(log, "relay: draining"; "requests" => drain.running());
-        drain.begin();
         std::future::pending::<()>().await;
     };
     tokio::select! {
         served = serving => served?,
-        () = signals => {}
+        () = draining => {}
+        () = reloading => {}
     }
     let requests = drain.running();
     let unanswered = drain.requests().abandon_all("the process ends");
--- a/src/relay/shutdown.rs
+++ b/src/relay/shutdown.rs
@@ -51,7 +51,7 @@
     fn expected_time(&self, request: &CallerRequest) -> Duration {
         let (service, tokens) = (&request.service, request.output_tokens());
         let expected = self.stream_durations.expected(service, tokens);
-        let age = self.drain.since().unwrap_or_default();
+        let age = self.drain.age().unwrap_or_default();
         let age = age.saturating_sub(request.arrived.elapsed());
         let left = request.left(Instant::now());
         time_needed(request.route.kind, left, expected, age)
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,12 +7,11 @@
 use anyhow::Context as _;
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::admin;
-use crate::caller::{self, Drain, Front};
+use crate::caller::{self, Drain, Front, Signals};
 use crate::instance::Instance;
 use crate::listen::listen;
 use crate::settings::Settings;
@@ -74,22 +73,16 @@
     let drain = Arc::new(Drain::new(settings.drain));
     let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
-    let mut term = signal(SignalKind::terminate()).context("could not receive SIGTERM")?;
-    let mut int = signal(SignalKind::interrupt()).context("could not receive SIGINT")?;
+    let signals = Signals::new()?;
     info!(log, "serve: started"; "name" => settings.instance.name.as_str());
     let serving = serve(settings, log.clone(), listeners, Arc::clone(&drain));
-    let signals = async {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        info!(log, "serve: draining");
-        drain.begin();
-        std::future::pending::<()>().await;
-    };
+    let draining = signals.drain(
+        &drain,
+        |late| info!(log, "serve: draining"; "late_ms" => late.as_millis() as u64),
+    );
     tokio::select! {
         () = serving => {}
-        () = signals => {}
+        () = draining => {}
     }
     let unanswered = drain.requests().abandon_all("the process ends");
     info!(log, "serve: stopped"; "unanswered" => unanswered);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use endivefork::http::{Client, Via, request};
 use http::{Method, StatusCode};
@@ -46,10 +46,23 @@
 /// Settings of the instances.
 const DRAIN: &str = "[drain]\ntimeout = 3s\n";
 
+/// Settings of an instance that is paused around SIGTERM.
+const LONG_DRAIN: &str = "[drain]\ntimeout = 8s\n";
+
+/// Time in them from SIGTERM to the end of the process, at most.
+const LONG_TIME: Duration = Duration::from_secs(8);
+
+/// Time for which an instance does not run around SIGTERM.
+const PAUSE: Duration = Duration::from_millis(600);
+
 /// Time after the signal at which a call of `desk` has no time left.
 const LATE: Duration = Duration::from_millis(1500);
 
 async fn world(entries: usize, token_ms: &str) -> World {
+    world_with(entries, token_ms, DRAIN).await
+}
+
+async fn world_with(entries: usize, token_ms: &str, settings: &str) -> World {
     let mut world = World::usual(1, 0, &["--token-ms", token_ms, "--slots", "64"]).await;
     let desk = json!({
         "kind": "plain",
@@ -66,7 +79,7 @@
     let slow = json!({"slow_ms": SLOW_MS});
     world.control(world.plains[0].addr, "/control", &slow).await;
     for _ in 0..entries {
-        world.entry(DRAIN).await;
+        world.entry(settings).await;
     }
     world.ready().await;
     world
@@ -204,6 +217,38 @@
     assert_eq!(runs(&world, "held").await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_is_answered_in_time_though_the_signal_was_handled_late() {
+    let world = world_with(1, "20", LONG_DRAIN).await;
+    let held = json!({"slow_ms": 10 * SLOW_MS});
+    world.control(world.plains[0].addr, "/control", &held).await;
+    let patient = json!({
+        "kind": "plain", "version": "v1", "versions": {"v1": {}}, "timeout_ms": 20_000,
+        "routes": [{"method": "POST", "path": "/actions", "repeat": "never"}],
+    });
+    world.store("service", "desk", &patient).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let answered = async {
+        let answer = label(action(&world, 0, "held"), &world).await;
+        (answer, Instant::now())
+    };
+    let signalled = async {
+        until("the action runs", async || runs(&world, "held").await == 1).await;
+        let process = &world.entries[0].process;
+        process.signal("STOP");
+        process.signal("TERM");
+        let sent = Instant::now();
+        tokio::time::sleep(PAUSE).await;
+        process.signal("CONT");
+        sent
+    };
+
+    let ((answer, at), sent) = tokio::join!(answered, signalled);
+
+    assert_eq!(answer, is(502, "outcome_unknown", "shutting_down"));
+    assert!(at < sent + LONG_TIME, "{:?}", at - sent);
+}
+
 /// What the caller of a stream at entry 0 has read when the shutdown ends it.
 async fn cut_stream(world: &World, key: &str) -> Seen {
     let ask = completion(world, 0, TOKENS, key);
