Serve a connection that waits for a place when the drain ends

A connection that had been accepted and waited for a place among the open ones was reset without an answer when the drain ended because no request was running: the wait was part of the accepting, which is dropped at that moment. It takes a full server whose connections cannot give way, such as ones with an incomplete head.

The end of the drain is now looked at only between two connections, so an accepted one is always opened: with a place, or without one when the last requests are refused.

connection_that_waits_for_a_place_as_a_quiet_server_stops_is_answered read an empty answer before.

--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -86,26 +86,26 @@
             drop(permit);
         });
     };
-    let accepting = async {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    // The last requests are refused, which takes no place.
-                    let permit = tokio::select! {
-                        biased;
-                        permit = place(&slots, &connections) => permit,
-                        () = drain.expiring() => None,
-                    };
-                    open(stream, permit);
-                }
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+    let drained = drained(&drain);
+    tokio::pin!(drained);
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = drained.as_mut() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                // The last requests are refused, which takes no place.
+                let permit = tokio::select! {
+                    biased;
+                    permit = place(&slots, &connections) => permit,
+                    () = drain.expiring() => None,
+                };
+                open(stream, permit);
             }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
-    };
-    tokio::select! {
-        biased;
-        () = accepting => {}
-        () = drained(&drain) => {}
     }
     // Connections that wait in the queue of the listener may carry requests.
     yield_now().await;
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -406,3 +406,19 @@
         assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn connection_that_waits_for_a_place_as_a_quiet_server_stops_is_answered() {
+    let server = Server::start_with(fine(), LONG, 1).await;
+    let mut slow = server.connect().await;
+    slow.write_all(&head("").as_bytes()[..9]).await.unwrap();
+    sleep(SHORT).await;
+    let mut waiting = server.connect().await;
+    waiting.write_all(head("").as_bytes()).await.unwrap();
+    sleep(SHORT).await;
+    server.drain.begin();
+
+    let answer = read_all(&mut waiting).await;
+
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+}
