Limit open requests by the memory of the instance

A process over its limit is killed, and all its callers lose their answers.

Cause: only bodies over 16 KB were accounted, as "the limit on connections bounds" the rest. A stream alone costs about 100 KB: the buffers of two connections, its tasks and its state; the limit of 2,000 connections is the same whatever the memory is.

Each request now reserves 100 KB and one and a half times its body, two fifths of the memory in all, before its body is read; beyond it is refused, 503 with a time to return, and does not run. As each has one connection to a target at a time, this also keeps an instance within its descriptors.

--- a/src/relay/caller_request.rs
+++ b/src/relay/caller_request.rs
@@ -10,10 +10,10 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::body_memory::Reservation;
 use super::dialect::{AttemptHead, Dialect, RequestHead};
 use super::priority::Priority;
 use super::record::FailedAttempt;
+use super::request_memory::Reservation;
 use super::rules::{Route, Rules};
 use crate::ident::digest;
 use crate::quarantine::{PARTS_MAX, PartKey};
--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -18,13 +18,13 @@
 use smol_str::SmolStr;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::body_memory::Reservation;
 use super::call::FinalReply;
 use super::caller_request::CallerRequest;
 use super::local_reply::{LocalReply, retry_after};
 use super::priority::effective;
 use super::record::Outcome;
 use super::relay::Relay;
+use super::request_memory::Reservation;
 use super::rules::{Account, Kind, Rules, host_key};
 use super::shutdown::SHUTTING_DOWN;
 use super::startup::{Known, head_bytes, rules_wait};
@@ -37,8 +37,8 @@
 /// Shortest `Retry-After` of requests for which the rules name no service, or came too late.
 pub(super) const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Shortest `Retry-After` while bodies fill the memory; another instance may have room at once.
-const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Shortest `Retry-After` while requests fill the memory; another instance may have room at once.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout when the caller names none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -231,7 +231,7 @@
     known.await.map_err(with_id)?;
     drop(place);
     let limits = rules.limits;
-    let mut memory = relay.body_memory.reserve();
+    let mut memory = relay.request_memory.reserve();
     let read = collect_body(
         body,
         limits.body_bytes,
@@ -340,8 +340,8 @@
         Ok(Ok(Some(body))) => Ok(body),
         Ok(Ok(None)) => {
             metrics::counter!("endivefork_bodies_refused_total").increment(1);
-            let wait = retry_after(BODY_RETRY_AFTER, id);
-            Err(LocalReply::unavailable(wait, "bodies fill the memory"))
+            let wait = retry_after(MEMORY_RETRY_AFTER, id);
+            Err(LocalReply::unavailable(wait, "requests fill the memory"))
         }
         Ok(Err(BodyError::TooLarge(_))) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,7 +5,6 @@
 //! functions. This module decides on routes, targets, retries, copies of runs and refusals.
 
 mod aggregate;
-mod body_memory;
 mod buffers;
 mod call;
 mod caller_request;
@@ -47,6 +46,7 @@
 )]
 mod relay;
 mod removals;
+mod request_memory;
 mod retries;
 mod round_trips;
 mod rules;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use super::aggregate::Aggregate;
-use super::body_memory::BodyMemory;
 use super::buffers::ResponseBuffers;
 use super::catalog::Catalog;
 use super::connections::ConnectionPool;
@@ -27,6 +26,7 @@
 use super::quarantine;
 use super::record::DecisionLog;
 use super::registry::Registry;
+use super::request_memory::RequestMemory;
 use super::retries::RetryBudget;
 use super::rules::{Engine, Rules};
 use super::run_location::{RunKey, RunLocation};
@@ -74,7 +74,7 @@
     /// Buffers for complete responses of targets.
     pub(crate) buffers: ResponseBuffers,
     /// Memory for the bodies of requests.
-    pub(crate) body_memory: Arc<BodyMemory>,
+    pub(crate) request_memory: Arc<RequestMemory>,
     pub(crate) probes: Arc<Probes>,
     pub(crate) retries: Mutex<RetryBudget>,
     /// Limits that targets state.
@@ -167,7 +167,7 @@
             true => retries,
             false => retries.restarted(),
         };
-        let body_memory = BodyMemory::new(settings.memory);
+        let request_memory = RequestMemory::new(settings.memory);
         let age_limits = AgeLimits::new(settings.change_timeout, settings.recovery_time);
         Self {
             settings,
@@ -182,7 +182,7 @@
             router: Arc::new(Router::new(Policy::Cost, Costs::default())),
             pool: ConnectionPool::default(),
             buffers: ResponseBuffers::default(),
-            body_memory,
+            request_memory,
             probes: Arc::default(),
             retries: Mutex::new(retries),
             limits: Mutex::default(),
