Ask another witness each time a probe waits for one

Where a fifth of the engines died at once, the one witness of a domain was often dead too, and the next domain's answer, late for the nearest one, counted as a doubt: the target was asked once more and left 25 to 340 ms later.

Each round of connections, 20 ms apart, now goes to other targets.

Test: silent_target_is_found_dead_at_once_although_half_of_the_witnesses_are_silent.

--- a/src/relay/hearing.rs
+++ b/src/relay/hearing.rs
@@ -57,12 +57,12 @@
     }
 
     /// Waits for an answer from another domain than this one to a connection that is opened from now
-    /// on. `ask` opens one to each of these domains.
+    /// on. `ask` opens one to one of these domains.
     pub(crate) async fn hears_others(
         &self,
         domain: &str,
         witnesses: &[SmolStr],
-        ask: impl Fn(&SmolStr),
+        mut ask: impl FnMut(&SmolStr),
     ) {
         let start = Instant::now();
         loop {
@@ -72,7 +72,7 @@
             }
             let now = Instant::now();
             let due = witnesses.iter().filter(|name| self.take_turn(name, now));
-            due.for_each(&ask);
+            due.for_each(&mut ask);
             // An answer that arrives meanwhile ends the wait; one that does not is asked for anew.
             let _ = tokio::time::timeout(ASK_INTERVAL, heard).await;
         }
--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -3,6 +3,7 @@
 //! This instance may itself be cut off, behind a full link or kept from running. So a silence is
 //! believed only while targets of other failure domains answer and the timers are on time.
 
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
 use std::pin::pin;
 use std::sync::Arc;
@@ -33,8 +34,9 @@
 /// table at once.
 const REVIVAL_COUNT: usize = 16;
 
-/// Targets of other failure domains that are asked whether this instance hears anybody.
-const WITNESSES: usize = 3;
+/// Other failure domains that are asked whether this instance hears anybody. The round trip to the
+/// nearest of them may not be known yet, so there are enough for most fleets.
+const WITNESS_DOMAINS: usize = 8;
 
 /// Longest time for which a silence is not believed because the witnesses are silent too. The
 /// queue of a full link empties sooner.
@@ -200,21 +202,28 @@
 
     /// Waits until a target of another domain answers, and asks the nearest ones.
     async fn ask_witnesses(self: &Arc<Self>, router: &Router, domain: &str) -> Heard {
-        let mut witnesses = router.witnesses(domain, Instant::now());
+        let mut witnesses = IndexMap::<SmolStr, VecDeque<ProbeTarget>>::new();
+        for witness in router.witnesses(domain, Instant::now()) {
+            let in_domain = witnesses.entry(witness.domain.clone()).or_default();
+            in_domain.push_back(witness);
+        }
         let allowed = {
             let trips = self.round_trips.lock();
-            witnesses.sort_by_key(|witness| trips.mean(&witness.domain));
-            witnesses.truncate(WITNESSES);
-            let limits = witnesses.iter().map(|w| trips.limit(&w.domain));
+            witnesses.sort_by_cached_key(|name, _| trips.mean(name));
+            witnesses.truncate(WITNESS_DOMAINS);
+            let limits = witnesses.keys().map(|name| trips.limit(name));
             limits.min()
         };
         let Some(allowed) = allowed else {
             return Heard::NoWitness;
         };
-        let domains: Vec<_> = witnesses.iter().map(|w| w.domain.clone()).collect();
-        let ask = |domain: &SmolStr| {
-            if let Some(witness) = witnesses.iter().find(|w| w.domain == *domain) {
-                let (probes, witness) = (Arc::clone(self), witness.clone());
+        let domains: Vec<_> = witnesses.keys().cloned().collect();
+        // A witness may be dead itself, so the next one is another.
+        let ask = |name: &SmolStr| {
+            let mut in_domain = witnesses.get_mut(name);
+            in_domain.iter_mut().for_each(|w| w.rotate_left(1));
+            if let Some(witness) = in_domain.and_then(|w| w.front().cloned()) {
+                let probes = Arc::clone(self);
                 tokio::spawn(async move { timeout(DOUBT_MAX, probes.answer(&witness)).await });
             }
         };
--- a/src/relay/tests/probe.rs
+++ b/src/relay/tests/probe.rs
@@ -200,6 +200,19 @@
     assert!(time < DEATH_TIME, "{time:?}");
 }
 
+/// Guards against a death that is found late because others die with it.
+#[tokio::test]
+async fn silent_target_is_found_dead_at_once_although_half_of_the_witnesses_are_silent() {
+    for _ in 0..4 {
+        let mut fleet = Fleet::start(&["a", "b", "b"]).await;
+        fleet.silence(&[0, 1]).await;
+
+        let (is_alive, time) = fleet.takes_connections(0).await;
+
+        assert!(!is_alive && time < DEATH_TIME, "{time:?}");
+    }
+}
+
 #[tokio::test]
 async fn silent_domain_is_found_dead_at_once_while_others_answer() {
     let mut fleet = Fleet::start(&["a", "a", "a", "b"]).await;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -186,22 +186,17 @@
         suspected.map(|e| ProbeTarget::of(&e.target)).collect()
     }
 
-    /// One healthy target of each other domain, at random.
-    #[must_use]
+    /// Healthy targets of other domains, in random order.
     pub(crate) fn witnesses(&self, domain: &str, now: Instant) -> Vec<ProbeTarget> {
         let table = self.table();
-        let healthy = |e: &&Arc<Entry>| {
+        let is_healthy = |e: &&Arc<Entry>| {
             e.target.domain != domain
                 && e.state.lock().health.availability(now) == Availability::Healthy
         };
-        let mut healthy: Vec<_> = table.entries().filter(healthy).collect();
+        let healthy = table.entries().filter(is_healthy);
+        let mut healthy: Vec<_> = healthy.map(|e| ProbeTarget::of(&e.target)).collect();
         healthy.shuffle(&mut rand::rng());
-        healthy.sort_by_key(|e| &e.target.domain);
-        healthy.dedup_by_key(|e| &e.target.domain);
         healthy
-            .into_iter()
-            .map(|e| ProbeTarget::of(&e.target))
-            .collect()
     }
 
     /// Targets of a service that get no requests because they were found dead.
