Let a connection that is shut down give way, and reset late breaks at once

- When all places are taken, a connection whose caller leaves it open after the last answer was the longest idle one and never gave way, so that new callers waited for up to 2 s.
It now ends its wait when its place is needed.
- Over HTTP/2 an error long after the last event waited 250 ms for a flush that never came.
It now waits only if something was handed over since the last flush.

--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -5,6 +5,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -35,7 +36,7 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Bytes that are read at once from a connection that is being closed.
-const CLOSE_BUFFER: usize = 1024;
+const CLOSE_BUFFER: usize = 8 * 1024;
 
 /// How long a connection without a running request stays open.
 #[derive(Clone, Copy, Debug)]
@@ -81,6 +82,7 @@
     activity: Mutex<Activity>,
     evicted: Notify,
     flushed: Arc<Notify>,
+    flushes: AtomicU64,
     /// The socket, once the HTTP library has dropped it.
     socket: Mutex<Option<TcpStream>>,
 }
@@ -106,6 +108,7 @@
             }),
             evicted: Notify::new(),
             flushed: Arc::default(),
+            flushes: AtomicU64::new(0),
             socket: Mutex::default(),
         }
     }
@@ -270,11 +273,17 @@
     }
 
     /// Waits until all bytes that the HTTP library has been given by now are written.
-    pub(crate) fn flushed(&self) -> OwnedNotified {
+    pub(super) fn flushed(&self) -> OwnedNotified {
         Arc::clone(&self.flushed).notified_owned()
     }
 
+    /// How often all bytes that the HTTP library had been given were written.
+    pub(super) fn flushes(&self) -> u64 {
+        self.flushes.load(Ordering::Relaxed)
+    }
+
     fn written(&self) {
+        self.flushes.fetch_add(1, Ordering::Relaxed);
         self.flushed.notify_waiters();
         for key in self.unwritten.lock().drain(..) {
             self.requests().remove(key);
@@ -291,10 +300,13 @@
         let read = async {
             // Fails only if the caller has left.
             let _ = stream.shutdown().await;
-            let mut rest = [0; CLOSE_BUFFER];
+            let mut rest = vec![0; CLOSE_BUFFER];
             while matches!(stream.read(&mut rest).await, Ok(n) if n > 0) {}
         };
-        let _ = timeout(CLOSE_TIMEOUT, read).await;
+        tokio::select! {
+            _ = timeout(CLOSE_TIMEOUT, read) => {}
+            () = self.evicted.notified() => {}
+        }
     }
 
     fn end_one(&self) {
--- a/src/caller/open.rs
+++ b/src/caller/open.rs
@@ -256,6 +256,7 @@
     let mut answer = Answer {
         inner: Body::empty(),
         failure: None,
+        handed: Handed::Now,
         open: open.clone(),
         connection,
     };
@@ -280,12 +281,22 @@
 
 type Failure = Pin<Box<dyn Future<Output = axum::Error> + Send>>;
 
+/// When the HTTP library was last given bytes.
+#[derive(Clone, Copy, Debug)]
+enum Handed {
+    /// Since the body was last polled.
+    Now,
+    /// After so many flushes.
+    After(u64),
+}
+
 /// The body of an answer. When it is dropped, the connection holds the request until all bytes are
 /// written.
 struct Answer {
     inner: Body,
     /// The error that ends it, once the bytes before it are sent.
     failure: Option<Failure>,
+    handed: Handed,
     open: OpenRequest,
     connection: Arc<Connection>,
 }
@@ -299,17 +310,29 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         if self.failure.is_none() {
+            let flushes = self.connection.flushes();
+            if let Handed::Now = self.handed {
+                self.handed = Handed::After(flushes);
+            }
             let inner = &mut self.inner;
             let polled = catch_unwind(AssertUnwindSafe(|| Pin::new(inner).poll_frame(cx)));
             let polled = polled.unwrap_or_else(|_| {
                 self.open.will_abort(PANICKED);
                 Poll::Ready(Some(Err(axum::Error::new(PANICKED))))
             });
-            let Poll::Ready(Some(Err(error))) = polled else {
-                return polled;
+            let error = match polled {
+                Poll::Ready(Some(Err(error))) => error,
+                Poll::Ready(Some(Ok(_))) => {
+                    self.handed = Handed::Now;
+                    return polled;
+                }
+                polled => return polled,
             };
             self.inner = Body::empty();
             self.open.requests.abandon(self.open.key);
+            if matches!(self.handed, Handed::After(before) if before != flushes) {
+                return Poll::Ready(Some(Err(error)));
+            }
             // The HTTP library drops what it has not sent when it gets an error.
             let flushed = self.connection.flushed();
             self.failure = Some(Box::pin(async move {
