Keep serving after SIGHUP on the own interface

Callers got no answer: SIGHUP ended the process at once, with everything it had accepted, because only the relay received that signal.

One place receives the three signals for both interfaces now. The settings are checked again and what they say takes effect at the next start, as on the relay; settings that can't be read are logged and change nothing. The signals are received before the listeners are open.

--- a/examples/measure/child.rs
+++ b/examples/measure/child.rs
@@ -20,7 +20,8 @@
 
 /// Serves as an entry instance until it is killed.
 pub async fn entry(file: &Path) -> anyhow::Result<()> {
-    endivefork::serve::run(Settings::read(file)?).await
+    let load = || Settings::read(file);
+    endivefork::serve::run(load()?, load).await
 }
 
 /// Serves so many engines in one process and prints their addresses in one line.
--- a/src/caller/signals.rs
+++ b/src/caller/signals.rs
@@ -1,4 +1,4 @@
-//! The signals that stop a process, and how late it handles them.
+//! The signals of a process, and how late it handles those that stop it.
 
 use std::time::{Duration, Instant};
 
@@ -14,11 +14,12 @@
 /// Age of the turn before the last one from which a signal was handled late.
 const LATE_AGE: Duration = TURN_INTERVAL.saturating_mul(3);
 
-/// Receives SIGTERM and SIGINT.
+/// Receives SIGTERM, SIGINT and SIGHUP.
 #[derive(Debug)]
 pub(crate) struct Signals {
     term: Signal,
     int: Signal,
+    hup: Signal,
     turns: Interval,
     last_turn: Instant,
     /// The turn before the last one. A signal that had arrived by then would have been handled by
@@ -35,20 +36,27 @@
         Ok(Self {
             term: signal(SignalKind::terminate()).context("could not receive SIGTERM")?,
             int: signal(SignalKind::interrupt()).context("could not receive SIGINT")?,
+            hup: signal(SignalKind::hangup()).context("could not receive SIGHUP")?,
             turns,
             last_turn: now,
             previous_turn: now,
         })
     }
 
-    /// Begins the shutdown with the first signal and tells `begun` how late it was handled, at most.
-    /// Never ends.
-    pub(crate) async fn drain(mut self, drain: &Drain, begun: impl Fn(Duration)) {
+    /// Begins the shutdown with the first SIGTERM or SIGINT and tells `begun` how late it was handled,
+    /// at most. Calls `reload` for each SIGHUP. Never ends.
+    pub(crate) async fn handle(
+        mut self,
+        drain: &Drain,
+        begun: impl Fn(Duration),
+        reload: impl Fn(),
+    ) {
         loop {
             tokio::select! {
                 biased;
                 _ = self.term.recv() => self.begin(drain, &begun),
                 _ = self.int.recv() => self.begin(drain, &begun),
+                _ = self.hup.recv() => reload(),
                 _ = self.turns.tick() => self.record_turn(),
             }
         }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -22,11 +22,12 @@
     /// # Errors
     /// When the settings are bad or the instance could not start.
     pub fn run(self) -> anyhow::Result<()> {
-        let settings = Settings::read(&self.config)?;
+        let load = move || Settings::read(&self.config);
+        let settings = load()?;
         tokio::runtime::Builder::new_multi_thread()
             .enable_all()
             .build()
             .context("could not start the runtime")?
-            .block_on(crate::serve::run(settings))
+            .block_on(crate::serve::run(settings, load))
     }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -6,7 +6,6 @@
 
 use anyhow::Context as _;
 use slog::{Logger, error, info};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::timeout;
 
 use super::dialect::Dialect;
@@ -83,24 +82,17 @@
 ) -> anyhow::Result<()> {
     let drain = Arc::new(Drain::new(settings.drain_timeout));
     let signals = Signals::new()?;
-    let mut hup = signal(SignalKind::hangup()).context("could not receive SIGHUP")?;
     info!(log, "relay: started"; "name" => settings.instance.name.as_str(),
         "domain" => settings.instance.domain.as_str());
     let serving = serve(settings, platform, log.clone(), Arc::clone(&drain));
-    let draining = signals.drain(&drain, |late| {
+    let begun = |late: Duration| {
         info!(log, "relay: draining"; "requests" => drain.running(),
             "late_ms" => late.as_millis() as u64);
-    });
-    let reloading = async {
-        while hup.recv().await.is_some() {
-            reload(&log, &load_settings);
-        }
-        std::future::pending::<()>().await;
     };
+    let handling = signals.handle(&drain, begun, || reload(&log, &load_settings));
     tokio::select! {
         served = serving => served?,
-        () = draining => {}
-        () = reloading => {}
+        () = handling => {}
     }
     let requests = drain.running();
     let unanswered = drain.requests().abandon_all("the process ends");
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Context as _;
-use slog::{Logger, info, warn};
+use slog::{Logger, error, info, warn};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -14,7 +14,7 @@
 use crate::caller::{self, Drain, Front, Signals};
 use crate::instance::Instance;
 use crate::listen::listen;
-use crate::settings::Settings;
+use crate::settings::{Findings, Settings};
 use crate::telemetry;
 
 /// Longest wait for operators' requests that are open when those of callers have ended.
@@ -63,32 +63,45 @@
     listen(addr).with_context(|| format!("could not listen on {addr} for [listen] {name}"))
 }
 
-/// Serves until SIGTERM or SIGINT and then drains.
+/// Serves until SIGTERM or SIGINT and then drains. `load_settings` reads the settings again on SIGHUP.
 ///
 /// # Errors
 /// When an address cannot be bound or signals cannot be received.
-pub async fn run(settings: Settings) -> anyhow::Result<()> {
+pub async fn run(
+    settings: Settings,
+    load_settings: impl Fn() -> Result<Settings, Findings>,
+) -> anyhow::Result<()> {
     let (log, _guard) = telemetry::logger(&settings.log);
     telemetry::log_panics(log.clone());
     let drain = Arc::new(Drain::new(settings.drain));
+    let signals = Signals::new()?;
     let listeners = Listeners::bind(&settings)?;
     println!("{}", listeners.banner()?);
-    let signals = Signals::new()?;
     info!(log, "serve: started"; "name" => settings.instance.name.as_str());
     let serving = serve(settings, log.clone(), listeners, Arc::clone(&drain));
-    let draining = signals.drain(
-        &drain,
-        |late| info!(log, "serve: draining"; "late_ms" => late.as_millis() as u64),
-    );
+    let begun =
+        |late: Duration| info!(log, "serve: draining"; "late_ms" => late.as_millis() as u64);
+    let handling = signals.handle(&drain, begun, || reload(&log, &load_settings));
     tokio::select! {
         () = serving => {}
-        () = draining => {}
+        () = handling => {}
     }
     let unanswered = drain.requests().abandon_all("the process ends");
     info!(log, "serve: stopped"; "unanswered" => unanswered);
     Ok(())
 }
 
+/// Validates the settings again. They are fixed for the life of a process, so changes are not applied.
+fn reload(log: &Logger, load_settings: &impl Fn() -> Result<Settings, Findings>) {
+    match load_settings() {
+        Ok(_) => info!(
+            log,
+            "serve: settings reloaded; changes take effect at the next start"
+        ),
+        Err(e) => error!(log, "serve: could not reload the settings"; "error" => %e),
+    }
+}
+
 /// Serves on `listeners` until `drain` has begun and the last request has ended. Must be called
 /// within a runtime.
 pub async fn serve(settings: Settings, log: Logger, listeners: Listeners, drain: Arc<Drain>) {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -180,6 +180,25 @@
     assert_eq!((runs(&world, "late").await, starts), (0, 1));
 }
 
+/// Guards open requests against the end of their process by SIGHUP.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_open_at_a_reload_of_the_settings_are_answered() {
+    let settings = format!("{DRAIN}[log]\nformat = json\n");
+    let world = world_with(1, "20", &settings).await;
+    let reload = async {
+        until("the action runs", async || runs(&world, "held").await == 1).await;
+        world.entries[0].process.signal("HUP");
+    };
+
+    let (answer, ()) = tokio::join!(label(action(&world, 0, "held"), &world), reload);
+
+    assert_eq!(answer, is(201, "", ""));
+    let lines = world.entries[0].process.lines();
+    // The file is gone by then.
+    let is_reload = |l: &String| l.contains("serve: could not reload the settings");
+    assert!(lines.iter().any(is_reload), "{lines:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn calls_open_at_the_exit_get_an_answer_and_their_outcome_later() {
     let mut world = world(2, "200").await;
