Name what a connection notes of its end, and log fewer ends in a drain

close and close_with of a connection note a reason and close nothing; they are set_reason and set_result now.

--- a/src/caller/close.rs
+++ b/src/caller/close.rs
@@ -69,11 +69,11 @@
         }
     }
 
-    /// Whether this process chose to close the connection between two requests.
+    /// Whether this process closed the connection while its caller might still use it.
     fn is_chosen(self) -> bool {
         matches!(
             self,
-            Self::Idle | Self::IdleInDrain | Self::SlowHead | Self::Evicted | Self::Finished
+            Self::Idle | Self::IdleInDrain | Self::SlowHead | Self::Evicted
         )
     }
 }
--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -150,12 +150,12 @@
     }
 
     /// Notes why the connection is about to be closed.
-    pub(super) fn close(&self, reason: CloseReason) {
+    pub(super) fn set_reason(&self, reason: CloseReason) {
         self.activity.lock().close = Some((reason, String::new()));
     }
 
     /// Notes that the HTTP library has ended the connection.
-    pub(super) fn close_with(&self, result: Result<(), Box<dyn Error + Send + Sync>>) {
+    pub(super) fn set_result(&self, result: Result<(), Box<dyn Error + Send + Sync>>) {
         let mut activity = self.activity.lock();
         activity.close = Some(match result {
             Err(e) => (CloseReason::of_error(e.as_ref()), chain(e.as_ref())),
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -166,7 +166,7 @@
         biased;
         http2 = is_http2(&socket) => http2,
         reason = connection.idle_end(idle) => {
-            connection.close(reason);
+            connection.set_reason(reason);
             return End::Idle;
         }
     };
@@ -214,28 +214,28 @@
     tokio::select! {
         biased;
         ended = served.as_mut() => {
-            connection.close_with(ended);
+            connection.set_result(ended);
             return End::Answered;
         }
         reason = idle_end => {
-            connection.close(reason);
+            connection.set_reason(reason);
             return End::Idle;
         }
         () = linger => {}
     }
     if http2 {
         served.as_mut().graceful_shutdown();
-        connection.close_with(served.await);
+        connection.set_result(served.await);
         return End::Answered;
     }
     tokio::select! {
         biased;
         ended = served.as_mut() => {
-            connection.close_with(ended);
+            connection.set_result(ended);
             End::Answered
         }
         reason = connection.idle_end(idle) => {
-            connection.close(reason);
+            connection.set_reason(reason);
             End::Idle
         }
     }
