--- a/src/relay/probe.rs
+++ b/src/relay/probe.rs
@@ -71,6 +71,8 @@
     Alive,
     Refused,
     Silent,
+    /// So are all others.
+    CutOff,
     /// This instance could not send.
     Unsent(io::Error),
 }
@@ -112,6 +114,12 @@
             }
             ProbeResult::Refused => self.mark_dead(router, record, target, "refused", started),
             ProbeResult::Silent => self.mark_dead(router, record, target, "silent", started),
+            ProbeResult::CutOff => {
+                let now = Instant::now();
+                let took = now.saturating_duration_since(started);
+                record.target_dead(&target.name, "silent, as are others", took);
+                router.mark_unreachable(target.key, now);
+            }
             ProbeResult::Unsent(error) => record.probe_unsent(&target.name, &error),
         }
         false
@@ -181,7 +189,7 @@
         }
         let expected = match heard {
             Heard::Answer(allowed) => limit.max(usual + allowed),
-            Heard::Nobody => return ProbeResult::Silent,
+            Heard::Nobody => return ProbeResult::CutOff,
             Heard::NoWitness => limit,
         };
         let waited = started.elapsed();
--- a/src/relay/tests/probe.rs
+++ b/src/relay/tests/probe.rs
@@ -246,3 +246,26 @@
     assert!(!is_alive && fleet.is_dead(0));
     assert!(time < CUT_OFF_TIME, "{time:?}");
 }
+
+/// Guards targets against blame by peers for what one instance saw while it was cut off.
+#[tokio::test]
+async fn deaths_found_while_nobody_is_heard_are_not_told_to_peers() {
+    let mut fleet = Fleet::start(&["a", "b", "c"]).await;
+    fleet.silence(&[0, 1, 2]).await;
+
+    fleet.takes_connections(0).await;
+
+    assert!(fleet.is_dead(0));
+    let told = fleet.router.peer_report(Instant::now()).dead;
+    assert!(told.is_empty(), "{told:?}");
+}
+
+#[tokio::test]
+async fn death_found_while_others_are_heard_is_told_to_peers() {
+    let mut fleet = Fleet::start(&["a", "b", "c"]).await;
+    fleet.silence(&[0]).await;
+
+    fleet.takes_connections(0).await;
+
+    assert_eq!(fleet.router.peer_report(Instant::now()).dead, ["t-0"]);
+}
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -91,6 +91,8 @@
     last_fault: Option<Instant>,
     blocked_until: Option<Instant>,
     own_dead: bool,
+    /// Whether others were silent too when this instance found it dead.
+    cut_off: bool,
     last_alive: Option<Instant>,
     peer_alive: Option<Instant>,
     /// Outcomes of this instance's requests.
@@ -202,9 +204,17 @@
     pub(crate) fn mark_dead(&mut self, now: Instant) {
         self.mark_suspect(now);
         self.own_dead = true;
+        self.cut_off = false;
         self.blocked_until = Some(now + DEAD_BLOCK);
     }
 
+    /// Records that this instance can reach neither the target nor others. As this may be its own
+    /// fault, it is no news for peers, and their evidence of life overrides it.
+    pub(crate) fn mark_unreachable(&mut self, now: Instant) {
+        self.mark_dead(now);
+        self.cut_off = true;
+    }
+
     /// Records that a peer found the target dead, unless there is fresh evidence of life.
     pub(crate) fn mark_peer_dead(&mut self, now: Instant) {
         let last_alive = self.last_alive.max(self.peer_alive);
@@ -218,13 +228,15 @@
     }
 
     /// A peer confirmed that the target answered at `at`. This overrides other peers' reports of
-    /// death, but not this instance's own observations.
+    /// death, but not this instance's own observations, unless it was cut off.
     pub(crate) fn confirm_alive(&mut self, at: Instant) {
         self.peer_alive = self.peer_alive.max(Some(at));
-        let by_peers = self.blocked_until.is_some() && !self.own_dead;
-        if by_peers && self.last_fault.is_some_and(|fault| fault < at) {
+        let is_own = self.own_dead && !self.cut_off;
+        let is_open = self.blocked_until.is_some() && !is_own;
+        if is_open && self.last_fault.is_some_and(|fault| fault < at) {
             self.blocked_until = None;
             self.suspicion = 0.0;
+            self.own_dead = false;
         }
     }
 
@@ -255,6 +267,11 @@
         self.own_dead && self.blocked(now)
     }
 
+    /// Whether peers are to know that this instance found the target dead.
+    pub(crate) fn is_news(&self, now: Instant) -> bool {
+        self.found_dead(now) && !self.cut_off
+    }
+
     /// Whether it gets no requests only because it was found dead.
     pub(crate) fn is_dead(&self, now: Instant) -> bool {
         self.blocked(now) && !self.leaving(now)
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -309,6 +309,15 @@
         self.wake_departed(key);
     }
 
+    /// Marks a target that this instance can't reach, nor any other, and wakes its requests.
+    pub(crate) fn mark_unreachable(&self, key: TargetKey, now: Instant) {
+        self.with_entry(key, |entry| {
+            entry.state.lock().health.mark_unreachable(now);
+            entry.lost.notify_waiters();
+        });
+        self.wake_departed(key);
+    }
+
     /// Wakes the requests at a dead target that were sent before its entry was removed or replaced.
     fn wake_departed(&self, key: TargetKey) {
         let table = self.table();
@@ -386,7 +395,7 @@
                     work: state.load.own_work(),
                 });
             }
-            if state.health.found_dead(now) {
+            if state.health.is_news(now) {
                 report.dead.push(name.clone());
             }
             let incarnation = entry.target.incarnation;
