--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -18,6 +18,7 @@
 
 use super::exchange::Reporter;
 use super::freshness::Ages;
+use super::lateness::Lateness;
 use super::limits::Statement;
 use super::pacing::{Decision, Pacing, Snapshot};
 use super::platform_watch::{HeldRevisions, Sources};
@@ -27,6 +28,7 @@
 use crate::peer::{Reach, Tag, decode, encode};
 use crate::quarantine::Report;
 use crate::routing::PeerReport;
+use crate::telemetry;
 
 /// Time between two fetches because a peer keeps out other targets. The two may differ until a target
 /// writes its entry again, and each fetch is a full copy.
@@ -261,7 +263,9 @@
     pub(crate) async fn gossip(self: Arc<Self>, sources: Sources) {
         let mut reporter = Reporter::default();
         let mut pacing = Pacing::new(Instant::now());
+        let mut lateness = Lateness::default();
         loop {
+            let due = Instant::now() + CHECK_PERIOD;
             // The start of a run is sent immediately: otherwise other instances would choose its
             // engine too.
             let urgent = timeout(CHECK_PERIOD, self.gossip_wakeup.notified())
@@ -270,6 +274,9 @@
             if urgent {
                 sleep(BATCH_WINDOW).await;
             }
+            if let Some(late) = lateness.record(due, Instant::now()) {
+                self.report_lateness(late);
+            }
             self.pool.close_expired();
             self.tick_suspects();
             self.report_refusal();
@@ -308,6 +315,15 @@
         }
     }
 
+    /// Logs how late timers were, and what fills the process meanwhile.
+    fn report_lateness(&self, late: Duration) {
+        metrics::gauge!("endivefork_timer_late_seconds").set(late.as_secs_f64());
+        info!(self.decisions.log, "process: timers late"; "late_ms" => late.as_millis() as u64,
+            "requests" => self.drain.running(),
+            "reserved_kb" => self.request_memory.used() / 1024,
+            "resident_kb" => telemetry::resident_kb());
+    }
+
     /// Logs when all seeds begin to refuse this instance, and when one accepts it again.
     fn report_refusal(&self) {
         let is_refused = self.peers.is_refused();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod front;
 mod gossip;
 mod hearing;
+mod lateness;
 mod limits;
 mod local_reply;
 mod missed_runs;
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -45,6 +45,9 @@
 /// Time between two checks for other instances at the start.
 const DISCOVERY_PERIOD: Duration = Duration::from_millis(10);
 
+/// Time after the end of a wait from which a response is reported as late.
+const LATE_RESPONSE: Duration = Duration::from_millis(250);
+
 /// Names and parsers of the platform's objects.
 #[derive(Clone, Copy)]
 pub struct Sources {
@@ -223,6 +226,12 @@
                 }
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
+            let took = sent.elapsed();
+            if took > wait + LATE_RESPONSE {
+                info!(self.decisions.log, "platform: late response"; "for" => topic.name(),
+                    "wait_ms" => wait.as_millis() as u64, "took_ms" => took.as_millis() as u64,
+                    "read" => read.is_ok());
+            }
             match read {
                 Ok(Read { rev, is_idle }) => {
                     // A watch without changes is answered at its end.
--- a/src/relay/request_memory.rs
+++ b/src/relay/request_memory.rs
@@ -37,6 +37,11 @@
         })
     }
 
+    /// Bytes that are reserved.
+    pub(crate) fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
     /// A reservation of nothing.
     pub(crate) fn reserve(self: &Arc<Self>) -> Reservation {
         Reservation {
