Take late responses of the store instead of giving their calls up

A response that was late by 0.25 to 1 s ended its call. That gave up all connections, which cut the watch of the other kind; its read took a new connection, was late too and cut the first. On a path on which each response is late, none was ever taken, however often it was asked for.

A late response does not tell a silent connection from a slow path. Now a call in doubt (overdue, another connection silent, or its knowledge stale) goes on, and calls over new connections run beside it, one a second: the first response counts, and shows the state as of its own call. Connections are given up when a new one was answered before them, not because a call over a new one was late. The own interface follows its configuration by the same calls.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,13 +12,12 @@
 use slog::Logger;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 use super::calls::{Calls, Op};
-use super::entries::Reports;
+use super::entries::{Reports, Unreadable};
 use super::era::Eras;
-use super::{
-    ApiFormat, Changes, Error, Expect, InstanceList, List, Object, Page, PageRequest, is_restored,
-};
+use super::{ApiFormat, Error, Expect, InstanceList, List, Object, Page, PageRequest};
 use crate::http::{Answer, Client as Http, Error as HttpError, Via, request};
 
 /// Maximum number of objects in one page of a list.
@@ -278,34 +277,33 @@
         Ok(page)
     }
 
-    /// Long-polls up to `wait` for changes to objects of a kind after revision `from`. The call ends
-    /// early when another one times out, as its own connection may be silent as well.
-    ///
-    /// # Errors
-    /// [`Error::Gone`] when the platform no longer keeps the history since `from`, was restored
-    /// meanwhile, or the history can't be read beyond an unclosed event.
-    pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
-        let path = (self.format.watch)(kind, from, wait);
-        let limit = wait + self.timeout;
-        let era = self.era();
-        let replaced = self.replaced.notified();
-        let sent = self.send_within(Op::Watch, Method::GET, &path, Bytes::new(), limit);
-        let answer = tokio::select! {
-            answer = sent => answer?,
-            () = self.restored(era) => return Err(Error::Gone),
-            () = replaced => {
-                return Err(Error::Unknown("connections given up after a timeout".into()));
-            }
-        };
-        if is_restored(era, self.era()) {
-            return Err(Error::Gone);
-        }
-        let changes = read(&answer, |b| (self.format.read_changes)(kind, b))?;
-        self.reports.add_all(kind, &changes.unreadable);
-        match changes.is_cut && changes.rev <= from {
-            true => Err(Error::Gone),
-            false => Ok(changes),
-        }
+    /// Sends a watch that takes at most `limit`.
+    pub(super) async fn send_watch(&self, path: &str, limit: Duration) -> Result<Answer, Error> {
+        self.send_within(Op::Watch, Method::GET, path, Bytes::new(), limit)
+            .await
+    }
+
+    pub(super) fn format(&self) -> &ApiFormat {
+        &self.format
+    }
+
+    pub(super) fn report_unreadable(&self, kind: &str, unreadable: &[Unreadable]) {
+        self.reports.add_all(kind, unreadable);
+    }
+
+    /// Ends when the pool is replaced after this call.
+    pub(super) fn replaced(&self) -> Notified<'_> {
+        self.replaced.notified()
+    }
+
+    /// Whether calls use idle connections.
+    pub(super) fn uses_pool(&self) -> bool {
+        self.via == Via::Pool
+    }
+
+    /// Generation of the pool in use.
+    pub(super) fn pool_generation(&self) -> u64 {
+        self.http.lock().generation
     }
 
     /// Reads the instance list.
@@ -352,7 +350,10 @@
                 observed.and_then(|()| self.check(answer))
             }
             Err(e @ HttpError::Timeout(_)) => {
-                self.replace_pool(generation);
+                // A new connection without a response tells nothing of those in the pool.
+                if self.uses_pool() {
+                    self.replace_pool(generation);
+                }
                 Err(Error::Unknown(e.to_string()))
             }
             Err(e) if e.not_sent() => Err(Error::Unavailable(e.to_string())),
@@ -388,7 +389,8 @@
         (pool.generation, pool.http.clone())
     }
 
-    fn replace_pool(&self, generation: u64) {
+    /// Replaces the pool unless it is another than that of `generation`.
+    pub(super) fn replace_pool(&self, generation: u64) {
         let mut pool = self.http.lock();
         if pool.generation == generation {
             *pool = Pool {
@@ -401,7 +403,10 @@
     }
 }
 
-fn read<T>(answer: &Answer, decode: impl FnOnce(&[u8]) -> Result<T, String>) -> Result<T, Error> {
+pub(super) fn read<T>(
+    answer: &Answer,
+    decode: impl FnOnce(&[u8]) -> Result<T, String>,
+) -> Result<T, Error> {
     match answer.status {
         StatusCode::NOT_FOUND => Err(Error::Rejected("404 Not Found".into())),
         _ => decode(&answer.body)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 mod era;
 mod error;
 mod model;
+mod watch;
 
 pub use api_format::{ApiFormat, Page, PageRequest};
 pub use calls::{Calls, Counts};
@@ -17,3 +18,4 @@
 pub(crate) use era::is_restored;
 pub use error::Error;
 pub use model::{Changes, Event, Expect, InstanceEntry, InstanceList, List, Object, Role, State};
+pub(crate) use watch::Watched;
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the catalog in sync with the platform: the elected readers list the objects, then watch
 //! for changes.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
 use super::platform_update::PlatformUpdate;
 use super::relay::Relay;
 use super::rules::Rules;
-use crate::platform::{self, Error, is_restored};
+use crate::platform::{self, Error, Watched, is_restored};
 
 /// Pause between two watches of the targets: registrations come in groups, and each call is billed.
 /// Far below the seconds within which traffic to a leaving target must stop.
@@ -152,8 +153,8 @@
 struct Read {
     /// Revision up to which it shows the platform's state.
     rev: u64,
-    /// Whether it is a watch that found no changes.
-    is_idle: bool,
+    /// Moment as of which it shows that.
+    as_of: Instant,
 }
 
 /// Where the next watch starts.
@@ -164,15 +165,6 @@
     rev: u64,
 }
 
-impl Read {
-    fn of(changes: &platform::Changes) -> Self {
-        Self {
-            rev: changes.rev,
-            is_idle: changes.events.is_empty(),
-        }
-    }
-}
-
 impl Relay {
     pub(crate) fn held_revisions(&self) -> HeldRevisions {
         let catalog = self.catalog.lock();
@@ -213,17 +205,9 @@
             };
             let from = cursor.map(|c| c.rev);
             let sent = Instant::now();
-            let read = async {
-                match topic {
-                    Topic::Rules => self.read_rules(sources, from, wait).await,
-                    Topic::Targets => self.read_targets(sources, from, wait).await,
-                }
-            };
-            let read = tokio::select! {
-                read = read => read,
-                () = self.grown_stale(topic), if !wait.is_zero() && from.is_some() => {
-                    Err(Error::Unknown("what is known has become stale".into()))
-                }
+            let read = match topic {
+                Topic::Rules => self.read_rules(sources, from, wait).await,
+                Topic::Targets => self.read_targets(sources, from, wait).await,
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
             let took = sent.elapsed();
@@ -233,13 +217,8 @@
                     "read" => read.is_ok());
             }
             match read {
-                Ok(Read { rev, is_idle }) => {
-                    // A watch without changes is answered at its end.
-                    let waited = match is_idle && sent.elapsed() >= wait {
-                        true => wait,
-                        false => Duration::ZERO,
-                    };
-                    self.freshness.lock().record_read(topic, sent + waited);
+                Ok(Read { rev, as_of }) => {
+                    self.freshness.lock().record_read(topic, as_of);
                     is_gone = false;
                     self.recover(topic, &mut pause);
                     let era = self.platform.era();
@@ -252,8 +231,8 @@
                     cursor = None;
                     is_gone = true;
                 }
-                // A watch that is cut off, or whose connection is silent, says nothing about the
-                // platform: the changes since are read at once over another connection.
+                // A watch that is cut off says nothing about the platform: the changes since are read
+                // at once over another connection.
                 Err(Error::Unknown(e)) if cursor.is_some() && !was_cut => {
                     info!(self.decisions.log, "platform: watch cut off";
                         "for" => topic.name(), "error" => e);
@@ -283,6 +262,28 @@
         }
     }
 
+    /// Watches a kind. What others should have told is read beside the watch once it is stale.
+    async fn watch(
+        &self,
+        topic: Topic,
+        kind: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Watched, Error> {
+        let stale = async {
+            match wait.is_zero() {
+                true => pending().await,
+                false => self.grown_stale(topic).await,
+            }
+        };
+        let client = self.reads_through(wait);
+        let watched = client.watch_unless(stale, kind, from, wait).await?;
+        if let Some(at) = watched.outage {
+            self.catalog.lock().record_outage(at);
+        }
+        Ok(watched)
+    }
+
     /// Client for a watch. One that does not wait reads what another one should have told, whose
     /// connection may be silent.
     fn reads_through(&self, wait: Duration) -> platform::Client {
@@ -367,23 +368,27 @@
     ) -> Result<Read, Error> {
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
+            let as_of = Instant::now();
             let list = self.list_at_start(kind).await?;
             for object in list.items.iter().filter(|o| o.name == name) {
                 self.apply_rules(sources, object.rev, &object.value);
             }
             return Ok(Read {
                 rev: list.rev,
-                is_idle: false,
+                as_of,
             });
         };
-        let changes = self.reads_through(wait).watch(kind, from, wait).await?;
+        let Watched { changes, as_of, .. } = self.watch(Topic::Rules, kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
         for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
             if self.apply_rules(sources, rev, value) && self.is_elected_reader() {
                 self.forward(PlatformUpdate::Rules(value.to_string()));
             }
         }
-        Ok(Read::of(&changes))
+        Ok(Read {
+            rev: changes.rev,
+            as_of,
+        })
     }
 
     /// Applies rules read from the platform. The previous ones stay in force when they can't be
@@ -446,6 +451,7 @@
         // Peers may have forwarded changes later than the last watch.
         let cursor = cursor.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
         let Some(from) = cursor else {
+            let as_of = Instant::now();
             let list = self.list_at_start(kind).await?;
             let read = |o: &platform::Object| {
                 let info = self.parse_target(sources, &o.name, o.rev, &o.value)?;
@@ -456,10 +462,11 @@
             self.confirm_removals(sources);
             return Ok(Read {
                 rev: list.rev,
-                is_idle: false,
+                as_of,
             });
         };
-        let changes = self.reads_through(wait).watch(kind, from, wait).await?;
+        let watched = self.watch(Topic::Targets, kind, from, wait).await?;
+        let Watched { changes, as_of, .. } = watched;
         let to_change = |e: &platform::Event| Change {
             name: e.name.clone(),
             rev: e.rev,
@@ -474,7 +481,10 @@
             self.forward_targets(since, changes.rev, list, outage);
         }
         self.confirm_removals(sources);
-        Ok(Read::of(&changes))
+        Ok(Read {
+            rev: changes.rev,
+            as_of,
+        })
     }
 
     /// Applies a list that was just read.
