Count the knowledge of a lone instance as stale once its watch is overdue

An instance that takes itself for alone in its failure domain held what it knew for current for two periods of its watches, 9 s where limits hold after 5 s, while a change must be in force after 4 s.

The new test fails before (9 s, and 7 s for a recovery of 4 s, where less than the bound is asked).

--- a/src/relay/freshness.rs
+++ b/src/relay/freshness.rs
@@ -69,10 +69,10 @@
         self.stale + self.spread.mul_f64(turn)
     }
 
-    /// The same for an instance without others in its failure domain, whose watches are overdue
-    /// before.
+    /// The same for an instance without others in its failure domain: older than a watch that ends in
+    /// time leaves it.
     pub(crate) fn stale_alone(&self) -> Duration {
-        self.alone * 2
+        self.alone + ALONE_RESPONSE_TIMEOUT
     }
 
     /// Time after the end of such an instance's watch at which a missing response means a silent
--- a/src/relay/tests/freshness.rs
+++ b/src/relay/tests/freshness.rs
@@ -77,6 +77,22 @@
     assert!(limits.stale(1.0) <= TIMEOUT.mul_f64(0.75));
 }
 
+/// Guards against an instance that is alone in its failure domain and holds outdated knowledge for
+/// current for two periods of its watches.
+#[test]
+fn knowledge_of_an_instance_alone_is_stale_once_its_watch_is_overdue() {
+    for recovery in [RECOVERY, seconds(5.0)] {
+        let limits = AgeLimits::new(TIMEOUT, recovery);
+        let longest_wait = (0..100)
+            .map(|n| limits.wait_alone(Topic::Rules, seconds(0.1) * n))
+            .max()
+            .unwrap();
+
+        assert!(limits.stale_alone() < TIMEOUT.max(recovery));
+        assert!(limits.stale_alone() > longest_wait.min(recovery - seconds(0.5)));
+    }
+}
+
 /// Ends of the watches of two readers that begin at the same time, for a minute.
 fn watches(limits: &AgeLimits) -> [Vec<Duration>; 2] {
     let mut ends = [vec![Duration::ZERO], vec![Duration::ZERO]];
