Take ages before what they belong to

A reply stated the revisions held first and the ages after them. What is read in between would make the age too young for the revisions, and the asker would hold what it lacks for known. On the own interface a read counted as of its response, not of its call, so what was changed while the response was on its way counted as known.

By reading: the relay runs on one thread without a pause in between, so no run shows the first; the second is as wrong as the response is late.

--- a/src/config/feed.rs
+++ b/src/config/feed.rs
@@ -85,9 +85,9 @@
             .is_none_or(|read| now.saturating_duration_since(read) > MAX_PEER_READ_AGE)
     }
 
-    /// Records that the platform answered this instance.
-    pub fn read(&mut self, now: Instant) {
-        self.own_read = Some(now);
+    /// Records a read of the platform that shows its state as of `at`.
+    pub fn read(&mut self, at: Instant) {
+        self.own_read = self.own_read.max(Some(at));
     }
 
     /// Records a peer's report.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -1,6 +1,7 @@
 //! Background tasks that keep the fleet and the configuration up to date, from the platform and
 //! from peers.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -86,8 +87,8 @@
                 continue;
             }
             match self.follow_kind(kind, rev).await {
-                Ok(next) => {
-                    self.feed.lock().read(Instant::now());
+                Ok((next, as_of)) => {
+                    self.feed.lock().read(as_of);
                     rev = Some(next);
                 }
                 Err(platform::Error::Gone) => rev = None,
@@ -108,24 +109,26 @@
     }
 
     /// Reads all objects of a kind, or waits for changes after `rev`. Returns the revision to continue
-    /// from.
+    /// from, and the moment as of which the platform's state is known.
     async fn follow_kind(
         &self,
         kind: &'static str,
         rev: Option<u64>,
-    ) -> Result<u64, platform::Error> {
+    ) -> Result<(u64, Instant), platform::Error> {
         let Some(rev) = rev else {
+            let as_of = Instant::now();
             let list = self.platform.list(kind, "").await?;
             let entries: Vec<_> = list.items.iter().map(entry).collect();
             self.config.apply_listing(kind, list.rev, &entries);
-            return Ok(list.rev);
+            return Ok((list.rev, as_of));
         };
-        let changes = self.platform.watch(kind, rev, WATCH_WAIT).await?;
+        let watch = self.platform.watch_unless(pending(), kind, rev, WATCH_WAIT);
+        let platform::Watched { changes, as_of, .. } = watch.await?;
         for event in &changes.events {
             self.config
                 .apply(kind, &event.name, event.rev, event.value.as_ref());
         }
-        Ok(changes.rev)
+        Ok((changes.rev, as_of))
     }
 
     /// Registers the handler of configuration messages.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -234,13 +234,14 @@
             .and_then(|age| now.checked_sub(age.saturating_add(SEND_TIMEOUT)));
         let suspects = self.suspect_reports_since(answered);
         let limits = self.limits.lock().news_since(answered, now);
+        let ages = self.freshness.lock().ages(now);
         let held = self.held_revisions();
         let mut aggregate = self.aggregate.lock();
         aggregate.update(Origin::Member(from.clone()), report.load, now);
         ReportReply {
             delta: aggregate.delta(from, report.known),
             held,
-            ages: self.freshness.lock().ages(now),
+            ages,
             limits,
             suspects,
             told: Told::default(),
@@ -294,10 +295,11 @@
             runs.extend(self.runs.lock().own(now));
             info!(self.decisions.log, "load: reported to an aggregator"; "aggregator" => to.as_str());
         }
+        let ages = self.freshness.lock().ages(now);
         let report = Report {
             load,
             held: self.held_revisions(),
-            ages: self.freshness.lock().ages(now),
+            ages,
             runs,
             known: reporter.replica.version(),
             answered: reporter.answered.map(|at| at.elapsed()),
--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -144,6 +144,8 @@
 
     /// The rules and targets that a peer with `held` lacks.
     fn config_for(&self, held: HeldRevisions) -> Config {
+        // Ages are taken before what they belong to, as a read in between makes both younger.
+        let ages = self.freshness.lock().ages(Instant::now());
         let own = self.held_revisions();
         let text = self.rules_text.lock().clone();
         let catalog = self.catalog.lock();
@@ -154,7 +156,7 @@
             rules: rules.map(|text| text.to_string()),
             targets: is_newer.then(copy).flatten(),
             held: own,
-            ages: self.freshness.lock().ages(Instant::now()),
+            ages,
         }
     }
 
