--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -196,9 +196,12 @@
                 continue;
             };
             cursor = cursor.filter(|c| c.era == self.platform.era());
-            if duty == Duty::Stale && !is_gone {
-                cursor = cursor.or_else(|| self.known_cursor(topic));
-            }
+            cursor = match (duty, topic) {
+                // A watch from long ago returns each version since, a list the newest alone.
+                (Duty::Stale, Topic::Rules) => None,
+                (Duty::Stale, Topic::Targets) if !is_gone => cursor.or_else(|| self.known_cursor()),
+                _ => cursor,
+            };
             let wait = match duty {
                 Duty::Elected(rank) if !is_cut => self.watch_wait(topic, rank),
                 _ => Duration::ZERO,
@@ -328,12 +331,11 @@
         }
     }
 
-    /// Where to continue from what peers have told.
-    fn known_cursor(&self, topic: Topic) -> Option<Cursor> {
+    /// Where to continue from the targets that peers have told.
+    fn known_cursor(&self) -> Option<Cursor> {
         let catalog = self.catalog.lock();
         let era = self.platform.era();
-        let known = catalog.as_of.filter(|_| topic == Topic::Targets);
-        let known = known.filter(|_| catalog.era == era);
+        let known = catalog.as_of.filter(|_| catalog.era == era);
         known.map(|rev| Cursor { era, rev })
     }
 
@@ -369,7 +371,7 @@
         let (kind, name) = sources.rules;
         let Some(from) = cursor else {
             let as_of = Instant::now();
-            let list = self.list_at_start(kind).await?;
+            let list = self.list_kind(kind).await?;
             for object in list.items.iter().filter(|o| o.name == name) {
                 self.apply_rules(sources, object.rev, &object.value);
             }
@@ -380,10 +382,13 @@
         };
         let Watched { changes, as_of, .. } = self.watch(Topic::Rules, kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
-        for (rev, value) in matching.filter_map(|e| Some((e.rev, e.value.as_ref()?))) {
-            if self.apply_rules(sources, rev, value) && self.is_elected_reader() {
-                self.forward(PlatformUpdate::Rules(value.to_string()));
-            }
+        let values = matching.filter_map(|e| Some((e.rev, e.value.as_ref()?)));
+        // Each version is complete: the newest that can be read replaces all before it.
+        let mut newest_first = values.rev();
+        let applied = newest_first
+            .find_map(|(rev, value)| Some((self.apply_rules(sources, rev, value)?, value)));
+        if let Some((true, value)) = applied.filter(|_| self.is_elected_reader()) {
+            self.forward(PlatformUpdate::Rules(value.to_string()));
         }
         Ok(Read {
             rev: changes.rev,
@@ -391,15 +396,15 @@
         })
     }
 
-    /// Applies rules read from the platform. The previous ones stay in force when they can't be
-    /// parsed.
-    fn apply_rules(&self, sources: Sources, rev: u64, value: &Value) -> bool {
+    /// Applies rules read from the platform. Returns whether they are newer than those in force; `None`
+    /// when they can't be parsed, in which case the previous ones stay in force.
+    fn apply_rules(&self, sources: Sources, rev: u64, value: &Value) -> Option<bool> {
         match (sources.read_rules)(value) {
-            Ok(rules) => self.put_rules(rules, value, Origin::Store),
+            Ok(rules) => Some(self.put_rules(rules, value, Origin::Store)),
             Err(e) => {
                 let (kind, name) = sources.rules;
                 self.report_entry((kind, name, rev), value, &e);
-                false
+                None
             }
         }
     }
@@ -452,7 +457,7 @@
         let cursor = cursor.and_then(|from| self.catalog.lock().as_of.max(Some(from)));
         let Some(from) = cursor else {
             let as_of = Instant::now();
-            let list = self.list_at_start(kind).await?;
+            let list = self.list_kind(kind).await?;
             let read = |o: &platform::Object| {
                 let info = self.parse_target(sources, &o.name, o.rev, &o.value)?;
                 Some(Registration { rev: o.rev, info })
--- a/src/relay/registry.rs
+++ b/src/relay/registry.rs
@@ -221,7 +221,7 @@
     async fn register(&self, era: Option<u64>) -> Result<(), Error> {
         let me = self.peers.me();
         let mut begun = Instant::now();
-        let mut list = self.list_at_start(OBJECT_KIND).await?;
+        let mut list = self.list_kind(OBJECT_KIND).await?;
         let own = list.items.iter().find(|o| o.name == me.name);
         let entry = Entry::of(me);
         if own.is_none_or(|o| o.decode::<Entry>().ok().as_ref() != Some(&entry)) {
--- a/src/relay/run_store.rs
+++ b/src/relay/run_store.rs
@@ -144,7 +144,7 @@
     /// object for the next write; `None` if the platform can't be read.
     async fn read_stored(&self) -> Option<Expect> {
         let name = &self.settings.instance.name;
-        let list = match self.list_at_start(OBJECT_KIND).await {
+        let list = match self.list_kind(OBJECT_KIND).await {
             Ok(list) => list,
             Err(e) => {
                 warn!(self.decisions.log, "runs: could not list stored runs"; "error" => %e);
