--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -121,6 +121,7 @@
             }
             let now = Instant::now();
             if now >= hedge_at {
+                metrics::counter!("endivefork_platform_hedges_total").increment(1);
                 first_hedge = first_hedge.or(Some(now));
                 hedge_at = now + HEDGE_INTERVAL;
                 calls.push(fresh.call(kind, from, Duration::ZERO, false).boxed());
