--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -13,7 +13,7 @@
 use super::Instance;
 use crate::config::{Entry, Feed, Message, Reply};
 use crate::peer::Tag;
-use crate::platform::{self, InstanceList};
+use crate::platform::{self, CatchUp, InstanceList};
 
 /// Delay after a failed call of the platform.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -122,7 +122,9 @@
             self.config.apply_listing(kind, list.rev, &entries);
             return Ok((list.rev, as_of));
         };
-        let watch = self.platform.watch_unless(pending(), kind, rev, WATCH_WAIT);
+        let watch = self
+            .platform
+            .watch_unless(pending(), CatchUp::Changes, kind, rev, WATCH_WAIT);
         let platform::Watched { changes, as_of, .. } = watch.await?;
         for event in &changes.events {
             self.config
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,4 +18,4 @@
 pub(crate) use era::is_restored;
 pub use error::Error;
 pub use model::{Changes, Event, Expect, InstanceEntry, InstanceList, List, Object, Role, State};
-pub(crate) use watch::Watched;
+pub(crate) use watch::{CatchUp, Watched};
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep_until;
 
 use super::client::{Client, read};
-use super::{Changes, Error, is_restored};
+use super::{Changes, Error, Event, List, is_restored};
 
 /// Time between two calls beside one whose response is overdue.
 const HEDGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,6 +22,15 @@
 /// Time from the first doubt in a call after which the platform counts as unreachable.
 const RESPONSE_MAX: Duration = Duration::from_secs(4);
 
+/// What a call reads that does not wait for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CatchUp {
+    /// Each change since the revision of the watch.
+    Changes,
+    /// All objects as they are now: less than the changes where few objects change often.
+    Objects,
+}
+
 /// Changes, and what the calls for them tell of the platform.
 #[derive(Clone, Debug)]
 pub(crate) struct Watched {
@@ -32,6 +41,24 @@
     pub(crate) outage: Option<Instant>,
 }
 
+impl From<List> for Changes {
+    /// The objects as changes up to the list's revision. Removed ones are not among them.
+    fn from(list: List) -> Self {
+        let event = |object: super::Object| Event {
+            kind: object.kind,
+            name: object.name,
+            rev: object.rev,
+            value: Some(object.value),
+        };
+        Self {
+            rev: list.rev,
+            events: list.items.into_iter().map(event).collect(),
+            unreadable: Vec::new(),
+            is_cut: false,
+        }
+    }
+}
+
 /// A call that has ended.
 struct Ended {
     result: Result<Changes, Error>,
@@ -58,8 +85,8 @@
     /// # Errors
     /// As for [`Self::watch_unless`].
     pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
-        let watched = self.watch_unless(pending(), kind, from, wait).await?;
-        Ok(watched.changes)
+        let watch = self.watch_unless(pending(), CatchUp::Changes, kind, from, wait);
+        Ok(watch.await?.changes)
     }
 
     /// Long-polls up to `wait` for changes to objects of a kind after revision `from`. Calls that do
@@ -73,6 +100,7 @@
     pub(crate) async fn watch_unless(
         &self,
         doubted: impl Future<Output = ()>,
+        catch_up: CatchUp,
         kind: &str,
         from: u64,
         wait: Duration,
@@ -81,9 +109,9 @@
         let start = Instant::now();
         let generation = self.pool_generation();
         let replaced = self.replaced();
-        let fresh = self.with_new_connections();
+        let fresh = self.with_new_connections().with_timeout(RESPONSE_MAX);
         let mut calls = FuturesUnordered::new();
-        calls.push(self.call(kind, from, wait, true).boxed());
+        calls.push(self.first_call(kind, from, wait).boxed());
         tokio::pin!(doubted, replaced);
         let mut hedge_at = start + wait + self.timeout();
         let mut first_hedge: Option<Instant> = None;
@@ -124,24 +152,44 @@
                 metrics::counter!("endivefork_platform_hedges_total").increment(1);
                 first_hedge = first_hedge.or(Some(now));
                 hedge_at = now + HEDGE_INTERVAL;
-                calls.push(fresh.call(kind, from, Duration::ZERO, false).boxed());
+                calls.push(fresh.hedge(catch_up, kind, from).boxed());
             }
         }
     }
 
-    async fn call(&self, kind: &str, from: u64, wait: Duration, is_first: bool) -> Ended {
+    async fn first_call(&self, kind: &str, from: u64, wait: Duration) -> Ended {
         let sent = Instant::now();
+        let limit = wait + self.timeout() + RESPONSE_MAX;
         Ended {
-            result: self.poll(kind, from, wait).await,
+            result: self.poll(kind, from, wait, limit).await,
             sent,
             wait,
-            is_first,
+            is_first: true,
+        }
+    }
+
+    async fn hedge(&self, catch_up: CatchUp, kind: &str, from: u64) -> Ended {
+        let sent = Instant::now();
+        let result = match catch_up {
+            CatchUp::Changes => self.poll(kind, from, Duration::ZERO, RESPONSE_MAX).await,
+            CatchUp::Objects => self.list(kind, "").await.map(Changes::from),
+        };
+        Ended {
+            result,
+            sent,
+            wait: Duration::ZERO,
+            is_first: false,
         }
     }
 
-    async fn poll(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
+    async fn poll(
+        &self,
+        kind: &str,
+        from: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<Changes, Error> {
         let path = (self.format().watch)(kind, from, wait);
-        let limit = wait + self.timeout() + RESPONSE_MAX;
         let answer = self.send_watch(&path, limit).await?;
         let changes = read(&answer, |b| (self.format().read_changes)(kind, b))?;
         self.report_unreadable(kind, &changes.unreadable);
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -16,7 +16,7 @@
 use super::platform_update::PlatformUpdate;
 use super::relay::Relay;
 use super::rules::Rules;
-use crate::platform::{self, Error, Watched, is_restored};
+use crate::platform::{self, CatchUp, Error, Watched, is_restored};
 
 /// Pause between two watches of the targets: registrations come in groups, and each call is billed.
 /// Far below the seconds within which traffic to a leaving target must stop.
@@ -155,6 +155,8 @@
     rev: u64,
     /// Moment as of which it shows that.
     as_of: Instant,
+    /// Changes that it brought beside each other.
+    changes: usize,
 }
 
 /// Where the next watch starts.
@@ -214,18 +216,27 @@
             };
             let was_cut = std::mem::replace(&mut is_cut, false);
             let took = sent.elapsed();
-            if took > wait + LATE_RESPONSE {
+            let is_late = took > wait + LATE_RESPONSE;
+            if is_late {
                 info!(self.decisions.log, "platform: late response"; "for" => topic.name(),
                     "wait_ms" => wait.as_millis() as u64, "took_ms" => took.as_millis() as u64,
                     "read" => read.is_ok());
             }
             match read {
-                Ok(Read { rev, as_of }) => {
+                Ok(Read {
+                    rev,
+                    as_of,
+                    changes,
+                }) => {
                     self.freshness.lock().record_read(topic, as_of);
                     is_gone = false;
                     self.recover(topic, &mut pause);
                     let era = self.platform.era();
                     cursor = Some(Cursor { era, rev });
+                    if is_late && topic == Topic::Rules && changes > 1 {
+                        // The versions since then would come whole as well, and later still.
+                        cursor = None;
+                    }
                     if !was_cut {
                         sleep(topic.pause()).await;
                     }
@@ -242,7 +253,10 @@
                     metrics::counter!("endivefork_watches_cut_total").increment(1);
                     is_cut = true;
                 }
-                Err(e) => self.back_off(topic, &e, &mut pause).await,
+                Err(e) => {
+                    cursor = cursor.filter(|_| topic == Topic::Targets);
+                    self.back_off(topic, &e, &mut pause).await;
+                }
             }
         }
     }
@@ -279,8 +293,14 @@
                 false => self.grown_stale(topic).await,
             }
         };
+        // The rules are one object, of which each version is complete.
+        let catch_up = match topic {
+            Topic::Rules => CatchUp::Objects,
+            Topic::Targets => CatchUp::Changes,
+        };
         let client = self.reads_through(wait);
-        let watched = client.watch_unless(stale, kind, from, wait).await?;
+        let watch = client.watch_unless(stale, catch_up, kind, from, wait);
+        let watched = watch.await?;
         if let Some(at) = watched.outage {
             self.catalog.lock().record_outage(at);
         }
@@ -378,6 +398,7 @@
             return Ok(Read {
                 rev: list.rev,
                 as_of,
+                changes: 0,
             });
         };
         let Watched { changes, as_of, .. } = self.watch(Topic::Rules, kind, from, wait).await?;
@@ -393,6 +414,7 @@
         Ok(Read {
             rev: changes.rev,
             as_of,
+            changes: changes.events.len(),
         })
     }
 
@@ -468,6 +490,7 @@
             return Ok(Read {
                 rev: list.rev,
                 as_of,
+                changes: 0,
             });
         };
         let watched = self.watch(Topic::Targets, kind, from, wait).await?;
@@ -489,6 +512,7 @@
         Ok(Read {
             rev: changes.rev,
             as_of,
+            changes: changes.events.len(),
         })
     }
 
