--- a/src/relay/platform_update.rs
+++ b/src/relay/platform_update.rs
@@ -17,9 +17,12 @@
 use super::relay::Relay;
 use crate::peer::{Tag, encode};
 
-/// Timeout for a peer's answer.
+/// Timeout for a peer's answer to an update.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Timeout for a peer's copy: one that is late still tells what this instance lacks.
+const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Shortest time between two questions to peers that may have fresher knowledge.
 const ASK_PERIOD: Duration = Duration::from_millis(150);
 
@@ -161,7 +164,22 @@
     }
 
     /// Fetches from the peer `name` the rules and targets that this instance lacks.
+    /// Does nothing while it is being asked already.
     pub(crate) async fn fetch_config(self: &Arc<Self>, sources: Sources, name: &SmolStr) {
+        if !self.asked_peers.lock().insert(name.clone()) {
+            return;
+        }
+        self.fetch_copy(sources, name, COPY_TIMEOUT).await;
+        self.asked_peers.lock().swap_remove(name);
+    }
+
+    /// Fetches from a peer that answers within `limit`.
+    pub(crate) async fn fetch_copy(
+        self: &Arc<Self>,
+        sources: Sources,
+        name: &SmolStr,
+        limit: Duration,
+    ) {
         let mut held = self.held_revisions();
         if self.catalog.lock().has_lapsed() {
             // A copy that is no newer may tell that removals are final.
@@ -170,7 +188,7 @@
         let asked = Instant::now();
         let config = self
             .peers
-            .call::<_, Config>(name, Tag::Config, &held, CALL_TIMEOUT)
+            .call::<_, Config>(name, Tag::Config, &held, limit)
             .await;
         let config = match config {
             Ok(config) => config,
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -124,7 +124,9 @@
     pub(crate) age_limits: AgeLimits,
     /// When an instance with fresher knowledge was last asked for it.
     pub(crate) knowledge_asked: Mutex<Option<Instant>>,
-    /// Whether it was stale at the last look.
+    /// Instances that are being asked for their rules and targets.
+    pub(crate) asked_peers: Mutex<IndexSet<SmolStr>>,
+    /// Whether knowledge was stale at the last look.
     pub(crate) stale_topics: Mutex<TopicFlags>,
     /// Which topics this instance reads from the platform.
     pub(crate) reader_role: Mutex<TopicFlags>,
@@ -209,6 +211,7 @@
             freshness: Mutex::default(),
             age_limits,
             knowledge_asked: Mutex::default(),
+            asked_peers: Mutex::default(),
             stale_topics: Mutex::default(),
             reader_role: Mutex::default(),
             departures_fetched: Mutex::default(),
--- a/src/relay/removals.rs
+++ b/src/relay/removals.rs
@@ -17,6 +17,9 @@
 /// this much later.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(500);
 
+/// Timeout for one of them, which are asked one after the other.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Relay {
     /// Asks an instance of each other failure domain about removed targets that are still in use,
     /// until there are none: their grace period ends by itself, too. In a large fleet only readers
@@ -30,7 +33,7 @@
         tokio::spawn(async move {
             while me.catalog.lock().has_lapsed() {
                 for peer in me.remote_aggregators() {
-                    me.fetch_config(sources, &peer.name).await;
+                    me.fetch_copy(sources, &peer.name, CONFIRM_TIMEOUT).await;
                 }
                 sleep(CONFIRM_PERIOD).await;
             }
