--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -277,7 +277,6 @@
             if let Some(late) = lateness.record(due, Instant::now()) {
                 self.report_lateness(late);
             }
-            self.observe_memory();
             self.pool.close_expired();
             self.tick_suspects();
             self.report_refusal();
@@ -316,21 +315,13 @@
         }
     }
 
-    /// Limits the memory of requests by what else fills the process.
-    fn observe_memory(&self) {
-        let resident = self.request_memory.needs_look().then(telemetry::resident);
-        if let Some(bytes) = resident.flatten() {
-            self.request_memory.observe(bytes);
-        }
-    }
-
     /// Logs how late timers were, and what fills the process meanwhile.
     fn report_lateness(&self, late: Duration) {
         metrics::gauge!("endivefork_timer_late_seconds").set(late.as_secs_f64());
         info!(self.decisions.log, "process: timers late"; "late_ms" => late.as_millis() as u64,
             "requests" => self.drain.running(),
             "reserved_kb" => self.request_memory.used() / 1024,
-            "resident_kb" => telemetry::resident().map(|bytes| bytes / 1024));
+            "resident_kb" => telemetry::resident_kb());
     }
 
     /// Logs when all seeds begin to refuse this instance, and when one accepts it again.
--- a/src/relay/tests/mod.rs
+++ b/src/relay/tests/mod.rs
@@ -14,7 +14,6 @@
 mod pacing;
 mod probe;
 mod registry;
-mod request_memory;
 mod retries;
 mod round_trips;
 mod rules;
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -8,6 +8,6 @@
 
 pub(crate) use line_rate::LineRate;
 pub use log::{Guard, logger};
-pub(crate) use memory::resident;
+pub(crate) use memory::resident_kb;
 pub use metric::{Metrics, Span, Stage};
 pub(crate) use panics::log_panics;
