--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -124,7 +124,7 @@
         };
         let watch = self
             .platform
-            .watch_unless(pending(), CatchUp::Changes, kind, rev, WATCH_WAIT);
+            .watch_doubted(pending(), CatchUp::Changes, kind, rev, WATCH_WAIT);
         let platform::Watched { changes, as_of, .. } = watch.await?;
         for event in &changes.events {
             self.config
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -83,9 +83,9 @@
     /// Long-polls up to `wait` for changes to objects of a kind after revision `from`.
     ///
     /// # Errors
-    /// As for [`Self::watch_unless`].
+    /// As for [`Self::watch_doubted`].
     pub async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<Changes, Error> {
-        let watch = self.watch_unless(pending(), CatchUp::Changes, kind, from, wait);
+        let watch = self.watch_doubted(pending(), CatchUp::Changes, kind, from, wait);
         Ok(watch.await?.changes)
     }
 
@@ -97,7 +97,7 @@
     /// [`Error::Gone`] when the platform no longer keeps the history since `from`, was restored
     /// meanwhile, or the history can't be read beyond an unclosed event; [`Error::Unavailable`] when
     /// no call was answered.
-    pub(crate) async fn watch_unless(
+    pub(crate) async fn watch_doubted(
         &self,
         doubted: impl Future<Output = ()>,
         catch_up: CatchUp,
--- a/src/relay/platform_watch.rs
+++ b/src/relay/platform_watch.rs
@@ -155,7 +155,7 @@
     rev: u64,
     /// Moment as of which it shows that.
     as_of: Instant,
-    /// Changes that it brought beside each other.
+    /// Number of changes in its response.
     changes: usize,
 }
 
@@ -299,7 +299,7 @@
             Topic::Targets => CatchUp::Changes,
         };
         let client = self.reads_through(wait);
-        let watch = client.watch_unless(stale, catch_up, kind, from, wait);
+        let watch = client.watch_doubted(stale, catch_up, kind, from, wait);
         let watched = watch.await?;
         if let Some(at) = watched.outage {
             self.catalog.lock().record_outage(at);
@@ -392,9 +392,8 @@
         let Some(from) = cursor else {
             let as_of = Instant::now();
             let list = self.list_kind(kind).await?;
-            for object in list.items.iter().filter(|o| o.name == name) {
-                self.apply_rules(sources, object.rev, &object.value);
-            }
+            let matching = list.items.iter().filter(|o| o.name == name);
+            self.take_rules(sources, matching.map(|o| (o.rev, &o.value)));
             return Ok(Read {
                 rev: list.rev,
                 as_of,
@@ -404,13 +403,7 @@
         let Watched { changes, as_of, .. } = self.watch(Topic::Rules, kind, from, wait).await?;
         let matching = changes.events.iter().filter(|e| e.name == name);
         let values = matching.filter_map(|e| Some((e.rev, e.value.as_ref()?)));
-        // Each version is complete: the newest that can be read replaces all before it.
-        let mut newest_first = values.rev();
-        let applied = newest_first
-            .find_map(|(rev, value)| Some((self.apply_rules(sources, rev, value)?, value)));
-        if let Some((true, value)) = applied.filter(|_| self.is_elected_reader()) {
-            self.forward(PlatformUpdate::Rules(value.to_string()));
-        }
+        self.take_rules(sources, values);
         Ok(Read {
             rev: changes.rev,
             as_of,
@@ -418,6 +411,22 @@
         })
     }
 
+    /// Applies the newest of these versions that can be read, as each is complete. A reader forwards it.
+    fn take_rules<'a>(
+        self: &Arc<Self>,
+        sources: Sources,
+        versions: impl DoubleEndedIterator<Item = (u64, &'a Value)>,
+    ) {
+        let mut newest_first = versions.rev();
+        let applied = newest_first
+            .find_map(|(rev, value)| Some((self.apply_rules(sources, rev, value)?, value)));
+        // At the start the others read for themselves.
+        let forwards = self.ready_at().is_some() && self.is_elected_reader();
+        if let Some((true, value)) = applied.filter(|_| forwards) {
+            self.forward(PlatformUpdate::Rules(value.to_string()));
+        }
+    }
+
     /// Applies rules read from the platform. Returns whether they are newer than those in force; `None`
     /// when they can't be parsed, in which case the previous ones stay in force.
     fn apply_rules(&self, sources: Sources, rev: u64, value: &Value) -> Option<bool> {
